--- /dev/null
+++ b/internal/process/record/record.go
@@ -0,0 +1,173 @@
+// Package record defines the records that the system keeps in the platform's
+// log. Records are plain values; internal/connection/codec encodes them.
+package record
+
+import (
+	"poplarvalve/internal/process/fault"
+	"poplarvalve/internal/process/ident"
+	"poplarvalve/internal/process/resource"
+	"poplarvalve/internal/process/work"
+)
+
+// Kind selects the body of an envelope. The numbers are part of the format
+// of the log and never change their meaning.
+type Kind uint8
+
+const (
+	KindJoin      Kind = 1
+	KindHeartbeat Kind = 2
+	KindLeave     Kind = 3
+	KindSuspect   Kind = 4
+	KindChange    Kind = 5
+	KindHome      Kind = 6
+	KindAccepted  Kind = 7
+	KindPlacing   Kind = 8
+	KindStarted   Kind = 9
+	KindEvicted   Kind = 10
+	KindDone      Kind = 11
+	KindCanceled  Kind = 12
+	KindIntent    Kind = 13
+	KindOutcome   Kind = 14
+	KindSnapshot  Kind = 15
+)
+
+// FormatVersion is the newest record format this program reads and writes.
+const FormatVersion = 1
+
+// Record is one typed record. Each implementation is listed in this package.
+type Record interface {
+	RecordKind() Kind
+}
+
+// Envelope is a record as it stands in the log. A repeated append of the same
+// envelope is recognised by its identifier.
+type Envelope struct {
+	ID ident.RecordID
+	// Writer is the incarnation that appended the record; zero for a tool.
+	Writer ident.Incarnation
+	Record Record
+}
+
+// Join makes its writer a member.
+type Join struct {
+	// PeerAddress is where other instances connect, as IP:port.
+	PeerAddress string           `cbor:"1,keyasint"`
+	Zone        ident.ZoneName   `cbor:"2,keyasint"`
+	Region      ident.RegionName `cbor:"3,keyasint"`
+}
+
+// Heartbeat renews the member lease of its writer. Folded is the membership
+// offset up to which the writer has read, which acknowledges all epochs up to it.
+type Heartbeat struct {
+	Folded ident.Offset `cbor:"1,keyasint"`
+}
+
+// Leave removes its writer, which guarantees that it starts nothing any more.
+type Leave struct{}
+
+// Suspect removes a member if no heartbeat of it lies between Last and the
+// offset of this record.
+type Suspect struct {
+	Member ident.Incarnation `cbor:"1,keyasint"`
+	Last   ident.Offset      `cbor:"2,keyasint"`
+}
+
+// Change proposes new rules. It is accepted if Base is the version in force at
+// its offset and the rules pass the checks.
+type Change struct {
+	Base   ident.Offset `cbor:"1,keyasint"`
+	Rules  string       `cbor:"2,keyasint"`
+	Author string       `cbor:"3,keyasint"`
+}
+
+// Home makes its writer the home of the shard. Later records of the stream by
+// any other writer are void.
+type Home struct{}
+
+// Accepted makes a job known. From then on it is never lost.
+type Accepted struct {
+	Job work.Job `cbor:"1,keyasint"`
+}
+
+// Placing announces that an attempt may be started on a worker.
+type Placing struct {
+	Job     ident.JobID    `cbor:"1,keyasint"`
+	Attempt ident.Attempt  `cbor:"2,keyasint"`
+	Worker  ident.WorkerID `cbor:"3,keyasint"`
+}
+
+// Started says that an attempt was seen running.
+type Started struct {
+	Job     ident.JobID   `cbor:"1,keyasint"`
+	Attempt ident.Attempt `cbor:"2,keyasint"`
+}
+
+// Evicted ends an attempt that is known to be over without a result. The next
+// attempt resumes from Checkpoint.
+type Evicted struct {
+	Job        ident.JobID   `cbor:"1,keyasint"`
+	Attempt    ident.Attempt `cbor:"2,keyasint"`
+	Checkpoint []byte        `cbor:"3,keyasint,omitempty"`
+	Reason     fault.Kind    `cbor:"4,keyasint,omitempty"`
+}
+
+// Done ends a job with the result of its current attempt.
+type Done struct {
+	Job     ident.JobID   `cbor:"1,keyasint"`
+	Attempt ident.Attempt `cbor:"2,keyasint"`
+	Outcome fault.Outcome `cbor:"3,keyasint"`
+	Result  []byte        `cbor:"4,keyasint,omitempty"`
+	Reason  fault.Kind    `cbor:"5,keyasint,omitempty"`
+}
+
+// Canceled ends a job at the caller's wish.
+type Canceled struct {
+	Job ident.JobID `cbor:"1,keyasint"`
+}
+
+// Intent announces that a request with an idempotency key may be started.
+type Intent struct {
+	Caller ident.CallerName `cbor:"1,keyasint"`
+	Key    string           `cbor:"2,keyasint"`
+	// Digest is a hash of service and body; a key with another digest is refused.
+	Digest uint64 `cbor:"3,keyasint"`
+}
+
+// Outcome records how a request with a key or token ended.
+type Outcome struct {
+	Caller ident.CallerName `cbor:"1,keyasint"`
+	// Key is the idempotency key or the request token.
+	Key     string        `cbor:"2,keyasint"`
+	Outcome fault.Outcome `cbor:"3,keyasint"`
+	Body    []byte        `cbor:"4,keyasint,omitempty"`
+	Failure fault.Kind    `cbor:"5,keyasint,omitempty"`
+}
+
+// Snapshot carries the state of a stream's fold after the record at offset At.
+type Snapshot struct {
+	At    ident.Offset `cbor:"1,keyasint"`
+	State []byte       `cbor:"2,keyasint"`
+}
+
+// Usage is one lagging measurement of a task. It travels between processes
+// and is never written to the log.
+type Usage struct {
+	Task ident.TaskID    `cbor:"1,keyasint" json:"task"`
+	Used resource.Vector `cbor:"2,keyasint" json:"used"`
+}
+
+func (Join) RecordKind() Kind      { return KindJoin }
+func (Heartbeat) RecordKind() Kind { return KindHeartbeat }
+func (Leave) RecordKind() Kind     { return KindLeave }
+func (Suspect) RecordKind() Kind   { return KindSuspect }
+func (Change) RecordKind() Kind    { return KindChange }
+func (Home) RecordKind() Kind      { return KindHome }
+func (Accepted) RecordKind() Kind  { return KindAccepted }
+func (Placing) RecordKind() Kind   { return KindPlacing }
+func (Started) RecordKind() Kind   { return KindStarted }
+func (Evicted) RecordKind() Kind   { return KindEvicted }
+func (Done) RecordKind() Kind      { return KindDone }
+func (Canceled) RecordKind() Kind  { return KindCanceled }
+func (Intent) RecordKind() Kind    { return KindIntent }
+func (Outcome) RecordKind() Kind   { return KindOutcome }
+func (Snapshot) RecordKind() Kind  { return KindSnapshot }
