--- /dev/null
+++ b/internal/version/rules/print.go
@@ -0,0 +1,159 @@
+package rules
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+
+	"poplarvalve/internal/process/ident"
+	"poplarvalve/internal/process/resource"
+	"poplarvalve/internal/process/work"
+)
+
+// kindOrder is the order of rules in the canonical text.
+var kindOrder = []Kind{KindTeam, KindService, KindLimit, KindDrain}
+
+// Print returns the canonical text of a set: sorted by kind and name. Parsing
+// it gives an equal set.
+func Print(set *Set) string {
+	var text strings.Builder
+	for _, key := range keysOf(set) {
+		text.WriteString(printLine(set, key))
+		text.WriteByte('\n')
+	}
+	return text.String()
+}
+
+// Diff returns what changes from a to b, one canonical rule a line: "- rule"
+// for a rule that ends and "+ rule" for one that begins. A changed rule gives
+// both. A nil set holds no rules.
+func Diff(a, b *Set) []string {
+	before, after := lines(a), lines(b)
+	keys := slices.Collect(maps.Keys(before))
+	for key := range after {
+		if _, both := before[key]; !both {
+			keys = append(keys, key)
+		}
+	}
+	sortKeys(keys)
+	var changes []string
+	for _, key := range keys {
+		if before[key] == after[key] {
+			continue
+		}
+		if old := before[key]; old != "" {
+			changes = append(changes, "- "+old)
+		}
+		if added := after[key]; added != "" {
+			changes = append(changes, "+ "+added)
+		}
+	}
+	return changes
+}
+
+func lines(set *Set) map[Key]string {
+	result := map[Key]string{}
+	if set == nil {
+		return result
+	}
+	for _, key := range keysOf(set) {
+		result[key] = printLine(set, key)
+	}
+	return result
+}
+
+func keysOf(set *Set) []Key {
+	keys := slices.Collect(maps.Keys(set.Comments))
+	sortKeys(keys)
+	return keys
+}
+
+func sortKeys(keys []Key) {
+	slices.SortFunc(keys, func(a, b Key) int {
+		if a.Kind != b.Kind {
+			return slices.Index(kindOrder, a.Kind) - slices.Index(kindOrder, b.Kind)
+		}
+		return strings.Compare(a.Name, b.Name)
+	})
+}
+
+func printLine(set *Set, key Key) string {
+	comment := set.Comments[key]
+	return fmt.Sprintf("%s # %s: %s", rule(set, key), comment.Who, comment.Reason)
+}
+
+func rule(set *Set, key Key) string {
+	switch key.Kind {
+	case KindTeam:
+		return teamText(set.Teams[ident.TeamName(key.Name)])
+	case KindService:
+		return serviceText(set.Services[ident.ServiceName(key.Name)])
+	case KindLimit:
+		limit := set.Limits[ident.CallerName(key.Name)]
+		rate := strconv.FormatFloat(limit.Rate, 'f', -1, 64)
+		return fmt.Sprintf("limit caller %s rate %s burst %d", limit.Caller, rate, limit.Burst)
+	default:
+		return "drain backend " + key.Name
+	}
+}
+
+func teamText(team Team) string {
+	text := fmt.Sprintf("team %s weight %d", team.Name, team.Weight)
+	if !team.Reserve.IsZero() {
+		text += " reserve" + amountsText(team.Reserve)
+	}
+	if !team.Quota.IsZero() {
+		text += " quota" + amountsText(team.Quota)
+	}
+	return text
+}
+
+func amountsText(v resource.Vector) string {
+	text := ""
+	if v.CPU > 0 && v.CPU%millisPerCPU == 0 {
+		text += fmt.Sprintf(" %dcpu", v.CPU/millisPerCPU)
+	} else if v.CPU > 0 {
+		text += fmt.Sprintf(" %dmcpu", v.CPU)
+	}
+	if v.Memory > 0 {
+		text += " " + memoryText(v.Memory)
+	}
+	if v.Accelerators > 0 {
+		text += fmt.Sprintf(" %daccelerators", v.Accelerators)
+	}
+	return text
+}
+
+func memoryText(mebibytes int64) string {
+	if mebibytes%mebibytesPerGB == 0 {
+		return fmt.Sprintf("%dGB", mebibytes/mebibytesPerGB)
+	}
+	return fmt.Sprintf("%dMB", mebibytes)
+}
+
+func cpuText(millis int64) string {
+	if millis%millisPerCPU == 0 {
+		return strconv.FormatInt(millis/millisPerCPU, 10)
+	}
+	return fmt.Sprintf("%dm", millis)
+}
+
+func serviceText(service Service) string {
+	text := fmt.Sprintf("service %s team %s class %s cpu %s memory %s", service.Name, service.Team,
+		service.Class, cpuText(service.Demand.CPU), memoryText(service.Demand.Memory))
+	if service.Demand.Accelerators > 0 {
+		text += fmt.Sprintf(" accelerators %d", service.Demand.Accelerators)
+	}
+	if service.Idempotent {
+		text += " idempotent"
+	}
+	if service.Evict != EvictNormal && service.Class != work.Urgent {
+		text += " evict " + service.Evict.String()
+	}
+	if service.Deadline > 0 {
+		text += " deadline " + service.Deadline.String()
+	}
+	return text
+}
--- a/internal/version/rules/rules.go
+++ b/internal/version/rules/rules.go
@@ -24,6 +24,18 @@
 	EvictNever
 )
 
+// String returns the policy as the rules file writes it.
+func (p EvictPolicy) String() string {
+	switch p {
+	case EvictLast:
+		return "last"
+	case EvictNever:
+		return "never"
+	default:
+		return "normal"
+	}
+}
+
 // Team is a group of services that shares a weight, a reserve and a quota.
 type Team struct {
 	Name   ident.TeamName
@@ -63,4 +75,28 @@
 	Limits   map[ident.CallerName]Limit
 	// Drained backend servers get no new work.
 	Drained map[ident.WorkerID]bool
+	// Comments holds who made each rule and why.
+	Comments map[Key]Comment
+}
+
+// Key names one rule of a set.
+type Key struct {
+	Kind Kind
+	Name string
+}
+
+// Kind is the first word of a rule.
+type Kind string
+
+const (
+	KindTeam    Kind = "team"
+	KindService Kind = "service"
+	KindLimit   Kind = "limit"
+	KindDrain   Kind = "drain"
+)
+
+// Comment says who made a rule and why.
+type Comment struct {
+	Who    string
+	Reason string
 }
