settings: read and check the settings file

Cause: the daemon needs its addresses, limits and files before it starts. Change: Load and Parse check the whole INI file and report every problem with file, section and key. The operator token is kept as a digest, compared in constant time and never printed. There is no [leases] section: instances rely on each other's lease times, so none is safe to change.

--- /dev/null
+++ b/internal/process/settings/entries.go
@@ -0,0 +1,142 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"poplarvalve/internal/process/ident"
+)
+
+// The bounds of the settings.
+const (
+	maxNameBytes   = 64
+	maxBodyBytes   = 64 << 20
+	maxQueue       = 1 << 20
+	maxConnections = 1 << 16
+	maxAppends     = 1000
+	maxShards      = 64
+	maxDrain       = 5 * time.Minute
+)
+
+// entry is one key of the file, with its default.
+type entry struct {
+	section  string
+	key      string
+	required bool
+	// standard is the value of a key that is not in the file.
+	standard string
+	set      func(*Settings, string) error
+}
+
+var entries = []entry{
+	{"instance", "name", true, "", func(s *Settings, v string) error { return setName(&s.Instance.Name, v) }},
+	{"instance", "zone", true, "", func(s *Settings, v string) error { return setName(&s.Instance.Zone, v) }},
+	{"instance", "region", true, "", func(s *Settings, v string) error { return setName(&s.Instance.Region, v) }},
+	{"instance", "caller_address", true, "", func(s *Settings, v string) error { return setAddress(&s.Instance.CallerAddress, v) }},
+	{"instance", "peer_address", true, "", func(s *Settings, v string) error { return setPeerAddress(&s.Instance.PeerAddress, v) }},
+	{"instance", "operator_address", true, "", func(s *Settings, v string) error { return setAddress(&s.Instance.OperatorAddress, v) }},
+	{"platform", "log", true, "", func(s *Settings, v string) error { return setRemote(&s.Platform.Log, v) }},
+	{"platform", "instances", true, "", func(s *Settings, v string) error { return setRemote(&s.Platform.Instances, v) }},
+	{"platform", "shards", false, "16", func(s *Settings, v string) error { return setCount(&s.Platform.Shards, v, maxShards) }},
+	{"limits", "body", false, "1MB", func(s *Settings, v string) error { return setBytes(&s.Limits.Body, v, maxBodyBytes) }},
+	{"limits", "queue", false, "1024", func(s *Settings, v string) error { return setCount(&s.Limits.Queue, v, maxQueue) }},
+	{"limits", "connections", false, "4096", func(s *Settings, v string) error { return setCount(&s.Limits.Connections, v, maxConnections) }},
+	{"limits", "appends", false, "200", func(s *Settings, v string) error { return setCount(&s.Limits.Appends, v, maxAppends) }},
+	{"limits", "drain", false, "20s", func(s *Settings, v string) error { return setDuration(&s.Limits.Drain, v, maxDrain) }},
+	{"region", "cut", false, string(CutRefuse), func(s *Settings, v string) error { return setWord(&s.Region.Cut, v, CutRefuse, CutServe) }},
+	{"log", "level", false, "info", func(s *Settings, v string) error { return setWord(&s.Log.Level, v, "debug", "info", "warn", "error") }},
+	{"security", "tls_certificate", false, "", func(s *Settings, v string) error { s.Security.TLSCertificate = v; return nil }},
+	{"security", "tls_key", false, "", func(s *Settings, v string) error { s.Security.TLSKey = v; return nil }},
+	{"security", "tls_authority", false, "", func(s *Settings, v string) error { s.Security.TLSAuthority = v; return nil }},
+	{"security", "operator_token_file", true, "", func(s *Settings, v string) error { s.Security.OperatorTokenFile = v; return nil }},
+}
+
+func setName[T ident.InstanceName | ident.ZoneName | ident.RegionName](target *T, value string) error {
+	if len(value) > maxNameBytes {
+		return fmt.Errorf("the name has %d bytes; the limit is %d", len(value), maxNameBytes)
+	}
+	if strings.ContainsAny(value, " \t#") {
+		return fmt.Errorf("%q is not a name: it holds a space or #", value)
+	}
+	*target = T(value)
+	return nil
+}
+
+// setAddress reads an address to listen on. Port 0 lets the kernel choose.
+func setAddress(target *netip.AddrPort, value string) error {
+	address, err := netip.ParseAddrPort(value)
+	if err != nil {
+		return fmt.Errorf("%q is not of the form IP:port", value)
+	}
+	*target = address
+	return nil
+}
+
+// setPeerAddress reads an address that other instances connect to.
+func setPeerAddress(target *netip.AddrPort, value string) error {
+	if err := setAddress(target, value); err != nil {
+		return err
+	}
+	if target.Addr().IsUnspecified() {
+		return fmt.Errorf("%q can't be reached by other instances: state the IP of this machine", value)
+	}
+	return nil
+}
+
+func setRemote(target *netip.AddrPort, value string) error {
+	if err := setPeerAddress(target, value); err != nil {
+		return err
+	}
+	if target.Port() == 0 {
+		return fmt.Errorf("%q has no port", value)
+	}
+	return nil
+}
+
+func setCount(target *int, value string, limit int) error {
+	count, err := strconv.Atoi(value)
+	if err != nil || count < 1 || count > limit {
+		return fmt.Errorf("%q is not a whole number from 1 to %d", value, limit)
+	}
+	*target = count
+	return nil
+}
+
+func setBytes(target *int64, value string, limit int64) error {
+	factor := int64(1)
+	digits := value
+	if rest, found := strings.CutSuffix(value, "KB"); found {
+		digits, factor = rest, 1<<10
+	}
+	if rest, found := strings.CutSuffix(value, "MB"); found {
+		digits, factor = rest, 1<<20
+	}
+	count, err := strconv.ParseInt(digits, 10, 64)
+	if err != nil || digits == value || count < 1 || count > limit/factor {
+		return fmt.Errorf("%q is not a size such as 64KB or 1MB, up to %dMB", value, limit>>20)
+	}
+	*target = count * factor
+	return nil
+}
+
+func setDuration(target *time.Duration, value string, limit time.Duration) error {
+	duration, err := time.ParseDuration(value)
+	if err != nil || duration <= 0 || duration > limit {
+		return fmt.Errorf("%q is not a time such as 20s, up to %s", value, limit)
+	}
+	*target = duration
+	return nil
+}
+
+func setWord[T ~string](target *T, value string, words ...T) error {
+	for _, word := range words {
+		if string(word) == value {
+			*target = word
+			return nil
+		}
+	}
+	return fmt.Errorf("%q is not one of %q", value, words)
+}
--- /dev/null
+++ b/internal/process/settings/settings_test.go
@@ -0,0 +1,101 @@
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"poplarvalve/internal/process/fault"
+)
+
+const minimal = `[instance]
+name = entry-1
+zone = cascades-a
+region = cascades
+caller_address = 127.0.0.1:7001
+peer_address = 127.0.0.1:7002
+operator_address = 127.0.0.1:7003
+[platform]
+log = 127.0.0.1:7100
+instances = 127.0.0.1:7101
+[security]
+operator_token_file = TOKEN
+`
+
+// Guards against a default that is not applied.
+func TestDefaults(t *testing.T) {
+	settings, problems := Parse("s", []byte(minimal))
+	assert.Equal(t, len(problems), 0, "%v", problems)
+	assert.Equal(t, settings.Limits, Limits{Body: 1 << 20, Queue: 1024, Connections: 4096, Appends: 200, Drain: 20 * time.Second})
+	assert.Equal(t, settings.Region.Cut, CutRefuse)
+	assert.Equal(t, settings.Platform.Shards, 16)
+}
+
+// Guards against a report that stops at the first problem or doesn't name its
+// place.
+func TestAllProblemsAtOnce(t *testing.T) {
+	text := strings.NewReplacer("name = entry-1", "name =", "127.0.0.1:7001", "localhost:7001",
+		"127.0.0.1:7002", "0.0.0.0:7002", "127.0.0.1:7101", "127.0.0.1:0").Replace(minimal) + `tls_key = key.pem
+[limits]
+body = 1 megabyte
+queue = 0
+appends = 5
+appends = 5
+colour = red
+[region]
+cut = maybe
+[leases]
+start = 3s
+`
+	_, problems := Parse("s", []byte(text))
+	got := join(problems)
+	for _, want := range []string{
+		"s: [instance] name: the value is missing",
+		`s: [instance] caller_address: "localhost:7001" is not of the form IP:port`,
+		`s: [instance] peer_address: "0.0.0.0:7002" can't be reached`,
+		`s: [platform] instances: "127.0.0.1:0" has no port`,
+		`s: [limits] body: "1 megabyte" is not a size`,
+		`s: [limits] queue: "0" is not a whole number`,
+		"s: [limits] appends: the key stands 2 times",
+		"s: [limits] colour: unknown key",
+		`s: [region] cut: "maybe" is not one of`,
+		"s: [leases] unknown section",
+		"s: [security] tls_certificate, tls_key and tls_authority are set together",
+	} {
+		assert.Assert(t, strings.Contains(got, want), "%s\nis not in\n%s", want, got)
+	}
+	assert.Equal(t, len(problems), 11, got)
+	_, problems = Parse("s", nil)
+	assert.Equal(t, len(problems), 9, "every required key is reported")
+}
+
+// Guards against a secret in a dump or log line, and a token that matches by
+// accident.
+func TestTokenIsNeverPrinted(t *testing.T) {
+	const secret = "0123456789abcdef"
+	dir := t.TempDir()
+	tokenFile := filepath.Join(dir, "token")
+	file := filepath.Join(dir, "settings.ini")
+	assert.NilError(t, os.WriteFile(tokenFile, []byte(secret+"\n"), 0o600))
+	assert.NilError(t, os.WriteFile(file, []byte(strings.Replace(minimal, "TOKEN", tokenFile, 1)), 0o600))
+	settings, err := Load(file)
+	assert.NilError(t, err)
+	token := settings.Security.OperatorToken
+	assert.Assert(t, token.Matches(secret))
+	assert.Assert(t, !token.Matches(secret+"x"))
+	assert.Assert(t, !Token{}.Matches(""))
+	encoded, err := json.Marshal(settings)
+	assert.NilError(t, err)
+	printed := string(encoded) + fmt.Sprintf("%v %+v %#v %s %x", settings, settings, settings, token, token)
+	assert.Assert(t, !strings.Contains(printed, secret))
+	assert.Assert(t, !strings.Contains(printed, fmt.Sprintf("%x", token.digest)))
+	assert.NilError(t, os.WriteFile(tokenFile, []byte("short"), 0o600))
+	_, err = Load(file)
+	assert.Equal(t, fault.KindOf(err), fault.BadSettings)
+}
