--- /dev/null
+++ b/internal/process/drain/drain_test.go
@@ -0,0 +1,54 @@
+package drain
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a shutdown that cuts off work in flight, and work that begins
+// after the shutdown.
+func TestDrainWaitsForWorkInFlight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := New()
+		first, _ := gate.Begin()
+		second, _ := gate.Begin()
+		first()
+		first()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		assert.ErrorIs(t, gate.Drain(ctx), context.DeadlineExceeded)
+		_, ok := gate.Begin()
+		assert.Assert(t, !ok)
+		assert.Equal(t, gate.InFlight(), int64(1))
+		go second()
+		assert.NilError(t, gate.Drain(t.Context()))
+	})
+}
+
+// Guards against work that slips through between the check and the count.
+func TestNoWorkAfterDrain(t *testing.T) {
+	gate := New()
+	var running atomic.Int64
+	var group sync.WaitGroup
+	for range 8 {
+		group.Go(func() {
+			for range 1000 {
+				if done, ok := gate.Begin(); ok {
+					running.Add(1)
+					running.Add(-1)
+					done()
+				}
+			}
+		})
+	}
+	assert.NilError(t, gate.Drain(t.Context()))
+	assert.Equal(t, running.Load(), int64(0))
+	group.Wait()
+	assert.Equal(t, gate.InFlight(), int64(0))
+}
--- /dev/null
+++ b/internal/process/metrics/metrics_test.go
@@ -0,0 +1,50 @@
+package metrics
+
+import (
+	"errors"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"poplarvalve/internal/process/fault"
+	"poplarvalve/internal/process/work"
+)
+
+// Guards against a metric whose labels don't match its calls, one that is not
+// registered, and a second registry that clashes with the first.
+func TestMetricsAreServed(t *testing.T) {
+	New()
+	m := New()
+	m.Answered(work.Urgent, 0.3)
+	m.Started(work.Batch, 2)
+	m.Refused(fault.Overloaded)
+	m.Evicted(EvictStop, work.Batch)
+	m.Retried()
+	m.Appended("config", errors.New("lost"))
+	m.Crossed("attiki", Sent, 40)
+	m.Skipped("config")
+	m.Lag("config", 3)
+	m.RulesVersion(9)
+	m.Lease(true)
+	m.InFlight(1)
+	recorder := httptest.NewRecorder()
+	m.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
+	for _, want := range []string{
+		`poplarvalve_request_latency_seconds_count{class="urgent"} 1`,
+		`poplarvalve_start_wait_seconds_count{class="batch"} 1`,
+		`poplarvalve_refusals_total{kind="overloaded"} 1`,
+		`poplarvalve_evictions_total{action="stop",class="batch"} 1`,
+		"poplarvalve_retries_total 1",
+		`poplarvalve_log_appends_total{result="failed",stream="config"} 1`,
+		`poplarvalve_region_link_bytes_total{direction="sent",region="attiki"} 40`,
+		`poplarvalve_log_records_skipped_total{stream="config"} 1`,
+		`poplarvalve_log_lag_records{stream="config"} 3`,
+		"poplarvalve_rules_version 9",
+		"poplarvalve_instance_lease_held 1",
+		"poplarvalve_requests_in_flight 1",
+	} {
+		assert.Assert(t, strings.Contains(recorder.Body.String(), want+"\n"), want)
+	}
+}
