poplarvalve: add the command-line tool

Cause: operators and callers need a tool whose result a script can trust. Change: rules check, diff, apply, show and history, submit, call, cancel, status, explain, dump and version, with several servers tried in turn, one time limit and fixed exit codes. Requests that change something carry an identifier, so trying the next server is harmless. apply needs the version that the file was edited from; show writes it into the first line.

--- /dev/null
+++ b/cmd/poplarvalve/work.go
@@ -0,0 +1,133 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/peterbourgon/ff/v4"
+
+	"poplarvalve/internal/connection/caller"
+	"poplarvalve/internal/process/ident"
+	"poplarvalve/internal/process/resource"
+)
+
+// maxInputBytes bounds the body of a job or call.
+const maxInputBytes = 64 << 20
+
+const pathJobs = "/v1/jobs"
+
+// submission is the body of POST /v1/jobs. A repeat with the same ID is
+// harmless.
+type submission struct {
+	ID      ident.JobID       `json:"id"`
+	Service ident.ServiceName `json:"service"`
+	Body    []byte            `json:"body,omitempty"`
+	// Demand overrides the entries of the service's demand that are not zero.
+	Demand resource.Vector `json:"demand"`
+}
+
+func (t *tool) submitCommand(parent *ff.FlagSet) *ff.Command {
+	flags := ff.NewFlagSet("submit").SetParent(parent)
+	id := flags.StringLong("id", "", "job identifier; a repeat with the same one is harmless (default: a new one)")
+	body := flags.StringLong("body", "", "file with the body, or - for the standard input")
+	cpu := flags.Uint64Long("cpu-millis", 0, "thousandths of a processor core, if not as in the rules")
+	memory := flags.Uint64Long("memory-mib", 0, "mebibytes of memory, if not as in the rules")
+	accelerators := flags.Uint64Long("accelerators", 0, "accelerators, if not as in the rules")
+	return withFlags(flags, "submit", "SERVICE", "submit a batch job or live task", 1,
+		func(ctx context.Context, args []string) error {
+			content, err := t.optionalInput(*body)
+			if err != nil {
+				return err
+			}
+			demand := resource.Vector{CPU: int64(*cpu), Memory: int64(*memory), Accelerators: int64(*accelerators)}
+			return t.submit(ctx, submission{ident.JobID(orNew(*id)), ident.ServiceName(args[0]), content, demand})
+		})
+}
+
+func orNew(id string) string {
+	if id == "" {
+		return uuid.NewString()
+	}
+	return id
+}
+
+func (t *tool) optionalInput(path string) ([]byte, error) {
+	if path == "" {
+		return nil, nil
+	}
+	return t.readInput(path, maxInputBytes)
+}
+
+func (t *tool) submit(ctx context.Context, job submission) error {
+	body, err := json.Marshal(job)
+	if err != nil {
+		return err
+	}
+	got, err := t.send(ctx, message{method: http.MethodPost, path: pathJobs, headers: t.callerHeaders(), body: body})
+	if err == nil && !got.ok() {
+		err = refusal(got)
+	}
+	if codeOf(err) == exitUnknown {
+		return fail(exitUnknown, "%v; repeat with --id %s", err, job.ID)
+	}
+	if err != nil {
+		return err
+	}
+	if t.json {
+		return json.NewEncoder(t.out).Encode(map[string]ident.JobID{"id": job.ID})
+	}
+	_, err = fmt.Fprintln(t.out, job.ID)
+	return err
+}
+
+func (t *tool) callCommand(parent *ff.FlagSet) *ff.Command {
+	flags := ff.NewFlagSet("call").SetParent(parent)
+	key := flags.StringLong("key", "", "idempotency key; a repeat with the same one runs at most once (default: a new one)")
+	body := flags.StringLong("body", "", "file with the body, or - for the standard input")
+	return withFlags(flags, "call", "SERVICE", "send one urgent request and print its answer", 1,
+		func(ctx context.Context, args []string) error {
+			content, err := t.optionalInput(*body)
+			if err != nil {
+				return err
+			}
+			return t.call(ctx, args[0], orNew(*key), content)
+		})
+}
+
+func (t *tool) call(ctx context.Context, service, key string, body []byte) error {
+	headers := t.callerHeaders()
+	headers[caller.HeaderKey] = key
+	deadline, _ := ctx.Deadline()
+	remaining := max(1, time.Until(deadline).Milliseconds())
+	headers[caller.HeaderDeadline] = strconv.FormatInt(remaining, 10)
+	path := "/v1/services/" + url.PathEscape(service) + "/call"
+	got, err := t.send(ctx, message{method: http.MethodPost, path: path, headers: headers, body: body})
+	if err == nil && !got.ok() {
+		err = refusal(got)
+	}
+	if codeOf(err) == exitUnknown {
+		return fail(exitUnknown, "%v; repeat with --key %s", err, key)
+	}
+	if err != nil {
+		return err
+	}
+	_, err = t.out.Write(got.body)
+	return err
+}
+
+func (t *tool) cancelCommand(parent *ff.FlagSet) *ff.Command {
+	return command(parent, "cancel", "JOB", "cancel a job", 1, func(ctx context.Context, args []string) error {
+		path := pathJobs + "/" + url.PathEscape(args[0])
+		got, err := t.send(ctx, message{method: http.MethodDelete, path: path, headers: t.callerHeaders()})
+		if err == nil && !got.ok() {
+			err = refusal(got)
+		}
+		return err
+	})
+}
--- a/internal/process/settings/token.go
+++ b/internal/process/settings/token.go
@@ -10,6 +10,9 @@
 // minTokenBytes makes guessing a token hopeless if it was drawn at random.
 const minTokenBytes = 16
 
+// MaxTokenBytes bounds the file of a token.
+const MaxTokenBytes = 4096
+
 // redacted stands wherever a token would be printed.
 const redacted = "[redacted]"
 
