poplarvalve: lock what test servers record

Cause: the handlers of two test servers shared a slice without a lock. Change: handlers and tests take a mutex; the handler reports a bad body without ending the wrong goroutine.

--- a/cmd/poplarvalve/main_test.go
+++ b/cmd/poplarvalve/main_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -130,10 +131,13 @@
 
 // Guards against a repeat at another server that makes a second job.
 func TestSubmitRepeatsWithTheSameID(t *testing.T) {
+	var mu sync.Mutex
 	var ids []string
 	record := func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
 		var job submission
-		assert.NilError(t, json.NewDecoder(r.Body).Decode(&job))
+		assert.Check(t, json.NewDecoder(r.Body).Decode(&job))
 		ids = append(ids, string(job.ID))
 		if len(ids) == 1 {
 			panic(http.ErrAbortHandler)
@@ -141,6 +145,8 @@
 	}
 	code, out, errors := execute(t, "--server", serve(t, record), "--server", serve(t, record), "submit", "quota-rebuild")
 	assert.Equal(t, code, exitOK, errors)
+	mu.Lock()
+	defer mu.Unlock()
 	assert.Equal(t, len(ids), 2)
 	assert.Equal(t, ids[0], ids[1])
 	assert.Equal(t, out, ids[0]+"\n")
@@ -149,8 +155,11 @@
 // Guards against an operator token sent to a caller address, or a status
 // without the token.
 func TestTokenGoesToOperatorPathsOnly(t *testing.T) {
+	var mu sync.Mutex
 	seen := map[string]string{}
 	server := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
 		seen[r.URL.Path] = r.Header.Get("Authorization")
 		_, _ = w.Write([]byte(`{"instance":"entry-1"}`))
 	})
@@ -160,5 +169,7 @@
 	assert.Equal(t, out, "instance: entry-1\n")
 	code, _, errors = execute(t, "--server", server, "--token-file", token, "call", "permit-check")
 	assert.Equal(t, code, exitOK, errors)
+	mu.Lock()
+	defer mu.Unlock()
 	assert.DeepEqual(t, seen, map[string]string{"/v1/status": "Bearer 0123456789abcdef", "/v1/services/permit-check/call": ""})
 }
