config, rules: fix the seeds of tests and cover two limits

Without moving the first known offset when a held change is dropped: config_test.go:109: assertion failed: ignored.Known is true Without the check of the canonical length: parse_test.go:86: assertion failed: set is not nil

--- a/internal/version/config/config.go
+++ b/internal/version/config/config.go
@@ -65,23 +65,23 @@
 
 // Entry is the verdict on one change.
 type Entry struct {
-	ID      ident.RecordID
-	Offset  ident.Offset
-	Base    ident.Offset
-	Author  string
-	Verdict Verdict
+	ID      ident.RecordID `cbor:"1,keyasint"`
+	Offset  ident.Offset   `cbor:"2,keyasint"`
+	Base    ident.Offset   `cbor:"3,keyasint"`
+	Author  string         `cbor:"4,keyasint"`
+	Verdict Verdict        `cbor:"5,keyasint"`
 	// Winner is the version that was in force when the change lost.
-	Winner ident.Offset
+	Winner ident.Offset `cbor:"6,keyasint,omitempty"`
 	// Problems are the first reasons for a refusal.
-	Problems []string
+	Problems []string `cbor:"7,keyasint,omitempty"`
 }
 
 // Snapshot is the plain state of the fold after the record at an offset.
 type Snapshot struct {
-	Version ident.Offset
-	Text    string
-	Author  string
-	History []Entry
+	Version ident.Offset `cbor:"1,keyasint"`
+	Text    string       `cbor:"2,keyasint"`
+	Author  string       `cbor:"3,keyasint"`
+	History []Entry      `cbor:"4,keyasint"`
 }
 
 // State is the fold up to one offset. It is immutable.
--- a/internal/version/config/config_test.go
+++ b/internal/version/config/config_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"flag"
 	"fmt"
 	"testing"
 
@@ -12,6 +13,12 @@
 	"poplarvalve/internal/process/record"
 )
 
+// The seed is fixed so that every run gives the same verdict; -rapid.seed
+// replaces it.
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+}
+
 var fold = Fold{Decode: func(state []byte) (Snapshot, error) {
 	var snapshot Snapshot
 	err := json.Unmarshal(state, &snapshot)
@@ -85,6 +92,26 @@
 	assert.DeepEqual(t, late.History, after.History)
 }
 
+// Guards against a reader that forgets the changes it had to drop and then
+// takes a snapshot from before them.
+func TestSnapshotBeforeDroppedChanges(t *testing.T) {
+	full := Start(1)
+	stale := snapshotOf(t, full)
+	late := Start(2)
+	late.first = 1
+	for i := range maxPending + 1 {
+		change := propose(fmt.Sprint("change-", i), full.Accepted.Version, text(i+1))
+		late = fold.Apply(late, ident.Offset(i+1), change)
+		full = apply(full, change)
+	}
+	assert.Equal(t, len(late.pending), maxPending)
+	ignored := fold.Apply(late, late.Folded+1, stale)
+	assert.Assert(t, !ignored.Known)
+	taken := fold.Apply(ignored, ignored.Folded+1, snapshotOf(t, full))
+	assert.DeepEqual(t, taken.Accepted, full.Accepted)
+	assert.DeepEqual(t, taken.History, full.History)
+}
+
 // Guards against a reader beyond the retention that goes back or judges changes
 // without knowing the version in force.
 func TestReaderBeyondRetention(t *testing.T) {
--- a/internal/version/rules/parse_test.go
+++ b/internal/version/rules/parse_test.go
@@ -1,6 +1,7 @@
 package rules
 
 import (
+	"flag"
 	"fmt"
 	"strings"
 	"testing"
@@ -12,6 +13,12 @@
 	"poplarvalve/internal/process/resource"
 )
 
+// The seed is fixed so that every run gives the same verdict; -rapid.seed
+// replaces it.
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+}
+
 const sample = `team permits weight 8 reserve 64cpu 128GB # ranger desk: checks first
 service permit-check team permits class urgent cpu 250m memory 128MB idempotent deadline 800ms # ranger desk: lookups
 service rebuild team permits class batch cpu 4 memory 8GB evict last # ranger desk: keep
@@ -70,6 +77,16 @@
 	}
 }
 
+// Guards against a rule whose canonical form is too long to be parsed again.
+func TestParseLimitsCanonicalLength(t *testing.T) {
+	const team = "team a weight 1 # x: y\n"
+	line := "service s team a class urgent cpu 1 memory 1GB deadline 1h # x: "
+	line += strings.Repeat("y", MaxLineBytes-len(line))
+	set, problems := Parse("f", team+line)
+	assert.Assert(t, set == nil)
+	assert.Equal(t, problems[0].String(), "f:2:1: the rule has 516 bytes in canonical form; the limit is 512")
+}
+
 // Guards against a file whose number of rules is unbounded.
 func TestParseLimitsRules(t *testing.T) {
 	var text strings.Builder
