metrics: take no lock on the path of a request

Cause: a lookup of a series by label takes a lock in client_golang, and latencies and refusals are counted per request. Change: the series of each class are looked up once at the start, and those of refusals at the first refusal of their kind. Result: go test -race ./internal/process/metrics passes. The gain was not measured.

--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"sync"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
@@ -53,8 +54,17 @@
 	rules    prometheus.Gauge
 	lease    prometheus.Gauge
 	inFlight prometheus.Gauge
+
+	// The series of the request path are looked up once, since a lookup by
+	// label takes a lock.
+	latencyOf [classes]prometheus.Observer
+	waitOf    [classes]prometheus.Observer
+	refusalOf sync.Map // fault.Kind to prometheus.Counter
 }
 
+// classes is the number of work classes.
+const classes = int(work.Feed) + 1
+
 // New returns metrics that are registered on a registry of their own.
 func New() *Metrics {
 	m := &Metrics{
@@ -75,6 +85,11 @@
 	m.registry.MustRegister(m.latency, m.wait, m.refusals, m.evicted, m.retries, m.appends, m.between,
 		m.skipped, m.lag, m.rules, m.lease, m.inFlight,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	for i := range classes {
+		class := work.Class(i).String()
+		m.latencyOf[i] = m.latency.WithLabelValues(class)
+		m.waitOf[i] = m.wait.WithLabelValues(class)
+	}
 	return m
 }
 
@@ -102,17 +117,21 @@
 
 // Answered counts one answered request with its latency in seconds.
 func (m *Metrics) Answered(class work.Class, seconds float64) {
-	m.latency.WithLabelValues(class.String()).Observe(seconds)
+	m.latencyOf[class].Observe(seconds)
 }
 
 // Started counts one start with the wait before it in seconds.
 func (m *Metrics) Started(class work.Class, seconds float64) {
-	m.wait.WithLabelValues(class.String()).Observe(seconds)
+	m.waitOf[class].Observe(seconds)
 }
 
 // Refused counts one refusal.
 func (m *Metrics) Refused(kind fault.Kind) {
-	m.refusals.WithLabelValues(string(kind)).Inc()
+	known, ok := m.refusalOf.Load(kind)
+	if !ok {
+		known, _ = m.refusalOf.LoadOrStore(kind, m.refusals.WithLabelValues(string(kind)))
+	}
+	known.(prometheus.Counter).Inc()
 }
 
 // Evicted counts one eviction of a task of class.
