worker: take workers over, renew run leases and retire start leases

Cause: a session only held a start lease. A new owner could not learn what the old one left running, and nothing renewed run leases. Change: a takeover waits one start lease and the margin after earlier owners are over, then counts the inventory under a granted start lease. Run leases go out in one batch each 5 s; a task that was given up is never renewed again. Nothing is renewed while the fence is closed, so a fenced owner can't keep its start lease alive. Failures are retried with jittered backoff.

--- a/internal/connection/worker/session.go
+++ b/internal/connection/worker/session.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
-	"fmt"
+	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"poplarvalve/internal/process/clock"
 	"poplarvalve/internal/process/fault"
+	"poplarvalve/internal/process/fence"
 	"poplarvalve/internal/process/ident"
+	"poplarvalve/internal/process/ledger"
 )
 
 const (
@@ -18,35 +21,90 @@
 	startLeaseRenewal = 1 * time.Second
 	// RunLeasePeriod is how long a task runs without renewal.
 	RunLeasePeriod = 20 * time.Second
+	// runLeaseRenewal is the time between batches of run lease renewals.
+	runLeaseRenewal = 5 * time.Second
+	// usagePeriod is the time between polls of a worker's usage.
+	usagePeriod = 1 * time.Second
+	// commandTimeout bounds one lease, renewal or poll command.
+	commandTimeout = 1 * time.Second
 	// ClockMargin covers the difference in clock rate between two machines over
 	// one lease.
 	ClockMargin = 500 * time.Millisecond
 )
 
-// Session holds the start lease at one owned worker. StartLease takes no lock.
+// Session holds the start lease at one owned worker and renews the run leases
+// of its tasks. StartLease takes no lock.
 type Session struct {
 	API
-	clock  clock.Clock
-	worker ident.WorkerID
-	holder ident.Incarnation
-	grants uint64
-	lease  atomic.Pointer[startLease]
+	clock   clock.Clock
+	worker  ident.WorkerID
+	holder  ident.Incarnation
+	fence   *fence.Fence
+	account *ledger.Account
+
+	// lease is the lease for new starts, or nil.
+	lease   atomic.Pointer[startLease]
+	usage   atomic.Pointer[Measurement]
+	leaving atomic.Bool
+	// cleared is closed when earlier owners of the worker can't act any more.
+	cleared   chan struct{}
+	clearOnce sync.Once
+	// wake asks the lease loop for a beat before the next is due.
+	wake   chan struct{}
+	leases leaseBook
+	tasks  taskBook
 }
 
-// startLease is an immutable version of the session's lease.
-type startLease struct {
-	id    ident.LeaseID
-	until time.Time
+// Options are the parts of a session.
+type Options struct {
+	API    API
+	Clock  clock.Clock
+	Worker ident.WorkerID
+	Holder ident.Incarnation
+	// Fence is the instance's own lease; nothing is renewed while it is closed.
+	Fence *fence.Fence
+	// Account receives the tasks that the takeover finds.
+	Account *ledger.Account
 }
 
-// NewSession returns a session without a lease.
+// NewSession returns a session with a worker that never had another owner. It
+// is ready as soon as it has a start lease.
 func NewSession(api API, clock clock.Clock, worker ident.WorkerID, holder ident.Incarnation) *Session {
-	return &Session{API: api, clock: clock, worker: worker, holder: holder}
+	s := newSession(Options{API: api, Clock: clock, Worker: worker, Holder: holder})
+	s.leases.ready = true
+	return s
+}
+
+// NewTakeover returns a session with a worker that may have had other owners.
+// It becomes ready only after EarlierOwnersOver and the takeover that follows.
+func NewTakeover(options Options) *Session {
+	return newSession(options)
 }
 
+func newSession(options Options) *Session {
+	return &Session{
+		API:     options.API,
+		clock:   options.Clock,
+		worker:  options.Worker,
+		holder:  options.Holder,
+		fence:   options.Fence,
+		account: options.Account,
+		cleared: make(chan struct{}),
+		wake:    make(chan struct{}, 1),
+		leases:  leaseBook{retired: map[ident.LeaseID]time.Time{}},
+		tasks:   taskBook{entries: map[ident.TaskID]*runTask{}},
+	}
+}
+
+// Worker returns the worker that the session is with.
+func (s *Session) Worker() ident.WorkerID { return s.worker }
+
 // StartLease returns the lease for a start sent now. The lease is counted from
 // before its renewal was sent, so it ends here before it ends at the worker.
 func (s *Session) StartLease(now time.Time) (ident.LeaseID, error) {
+	if s.leaving.Load() {
+		return "", fault.New(fault.WorkerLeaving, "worker %s", s.worker)
+	}
 	lease := s.lease.Load()
 	if lease == nil || !now.Before(lease.until) {
 		return "", fault.New(fault.OwnerNotReady, "no start lease at worker %s", s.worker)
@@ -54,35 +112,84 @@
 	return lease.id, nil
 }
 
-// Run keeps a start lease at the worker until ctx ends.
+// MarkLeaving records that the worker refused work because it is leaving. No
+// start leaves for it any more; its running tasks go on.
+func (s *Session) MarkLeaving() { s.leaving.Store(true) }
+
+// Leaving reports whether the worker refused work because it is leaving.
+func (s *Session) Leaving() bool { return s.leaving.Load() }
+
+// Ready reports whether a start could leave now.
+func (s *Session) Ready() bool {
+	_, err := s.StartLease(s.clock.Now())
+	return err == nil
+}
+
+// Run keeps the leases at the worker until ctx ends.
 func (s *Session) Run(ctx context.Context) {
-	ticker := s.clock.NewTicker(startLeaseRenewal)
-	defer ticker.Stop()
-	for {
-		s.renew(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() { s.repeat(ctx, s.wake, startLeaseRenewal, s.keepLease) })
+	group.Go(func() { s.repeat(ctx, nil, runLeaseRenewal, s.renewTasks) })
+	group.Go(func() { s.repeat(ctx, nil, usagePeriod, s.poll) })
+	if s.account != nil {
+		s.takeOver(ctx)
+	}
+}
+
+// repeat runs step each period, after a failure with growing jittered delays.
+func (s *Session) repeat(ctx context.Context, wake <-chan struct{}, period time.Duration, step func(context.Context) error) {
+	failures := 0
+	for ctx.Err() == nil {
+		delay := period
+		if s.bounded(ctx, step) == nil {
+			failures = 0
+		} else {
+			failures++
+			delay = backoff(failures, rand.Float64())
 		}
+		s.sleep(ctx, wake, delay)
 	}
 }
 
-// renew extends the lease, or gets a new one if the worker doesn't extend it.
-func (s *Session) renew(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, startLeaseRenewal)
+func (s *Session) bounded(ctx context.Context, step func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
-	sent := s.clock.Now()
-	current := s.lease.Load()
-	if current != nil {
-		if s.RenewLease(ctx, current.id, StartLeasePeriod) == nil {
-			s.lease.Store(&startLease{id: current.id, until: sent.Add(StartLeasePeriod)})
-			return
-		}
+	return step(ctx)
+}
+
+// sleep waits for d, a wake or the end of ctx.
+func (s *Session) sleep(ctx context.Context, wake <-chan struct{}, d time.Duration) {
+	timer := s.clock.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-wake:
+	case <-timer.C:
 	}
-	s.grants++
-	id := ident.LeaseID(fmt.Sprintf("%s-%s-%d", s.holder, s.worker, s.grants))
-	if s.GrantLease(ctx, id, StartLeasePeriod) == nil {
-		s.lease.Store(&startLease{id: id, until: sent.Add(StartLeasePeriod)})
+}
+
+const (
+	// firstBackoff is short enough for two more tries within a start lease.
+	firstBackoff = 500 * time.Millisecond
+	// maxBackoff bounds how late a worker that came back is noticed.
+	maxBackoff = 8 * time.Second
+)
+
+// backoff returns the delay after a number of failures in a row. spread is in
+// [0, 1) and moves the delay within its upper half.
+func backoff(failures int, spread float64) time.Duration {
+	delay := firstBackoff
+	for range min(failures-1, 8) {
+		delay = min(2*delay, maxBackoff)
+	}
+	return delay/2 + time.Duration(spread*float64(delay/2))
+}
+
+// fenced returns a failure if the instance's own lease is over.
+func (s *Session) fenced() error {
+	if s.fence == nil || s.fence.Open(s.clock.Now()) {
+		return nil
 	}
+	return fault.New(fault.Fenced, "at worker %s", s.worker)
 }
--- /dev/null
+++ b/internal/connection/worker/takeover.go
@@ -0,0 +1,74 @@
+package worker
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"poplarvalve/internal/process/fault"
+	"poplarvalve/internal/process/work"
+)
+
+// EarlierOwnersOver says that no earlier owner can send to the worker any
+// more. The wait for their start leases is counted from this call.
+func (s *Session) EarlierOwnersOver() {
+	s.clearOnce.Do(func() { close(s.cleared) })
+}
+
+// takeOver opens the worker for starts once every start of earlier owners has
+// either been counted or will be refused by the worker.
+func (s *Session) takeOver(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-s.cleared:
+	}
+	s.sleep(ctx, nil, StartLeasePeriod+ClockMargin)
+	for failures := 1; ctx.Err() == nil; failures++ {
+		if s.bounded(ctx, s.countInventory) == nil {
+			return
+		}
+		s.sleep(ctx, nil, backoff(failures, rand.Float64()))
+	}
+}
+
+// countInventory counts what runs at the worker and makes the session ready.
+func (s *Session) countInventory(ctx context.Context) error {
+	if err := s.fenced(); err != nil {
+		return err
+	}
+	if !s.holdsLease() {
+		return fault.New(fault.OwnerNotReady, "no start lease at worker %s", s.worker)
+	}
+	read := s.clock.Now()
+	reports, err := s.Inventory(ctx)
+	if err != nil {
+		return err
+	}
+	for _, report := range reports {
+		if report.State == work.TaskRunning {
+			s.count(report, read)
+		}
+	}
+	s.leases.mu.Lock()
+	defer s.leases.mu.Unlock()
+	if s.leases.closed {
+		return nil
+	}
+	s.leases.ready = true
+	s.lease.Store(s.leases.current)
+	return nil
+}
+
+func (s *Session) holdsLease() bool {
+	s.leases.mu.Lock()
+	defer s.leases.mu.Unlock()
+	return s.leases.current != nil
+}
+
+// count adds a running task to the ledger until it is known to be over.
+func (s *Session) count(report TaskReport, read time.Time) {
+	demand := report.Demand
+	s.account.Count(demand)
+	s.Keep(report.Task, read, func(TaskReport) { s.account.Release(demand) })
+}
