--- a/internal/request/start/start.go
+++ b/internal/request/start/start.go
@@ -1,12 +1,15 @@
 // Package start carries out one start on a worker that this instance owns.
 //
 // A start leaves the process only while the instance's own lease and the start
-// lease at the worker last and the ledger has reserved the demand.
+// lease at the worker last and the ledger has reserved the demand. The
+// reservation is returned only when the task is known to be over. A task
+// identifier is sent a second time only if its first start was provably
+// refused.
 package start
 
 import (
 	"context"
-	"errors"
+	"sync"
 	"time"
 
 	"poplarvalve/internal/connection/worker"
@@ -23,6 +26,19 @@
 type Session interface {
 	// StartLease returns the lease for a start sent now, or OwnerNotReady.
 	StartLease(now time.Time) (ident.LeaseID, error)
+	// RetireLease ends renewals of a lease and returns when it is over.
+	RetireLease(id ident.LeaseID) time.Time
+	// Keep renews a task's run lease and calls over once when it is over.
+	Keep(task ident.TaskID, started time.Time, over func(worker.TaskReport))
+	// GiveUp ends renewals of a task and returns when its run lease is over.
+	GiveUp(task ident.TaskID) (time.Time, bool)
+	// Continuity returns how often the worker may have restarted, and until
+	// when that is known.
+	Continuity() (breaks uint64, known time.Time)
+	// Finish records that a kept task is over.
+	Finish(report worker.TaskReport)
+	// MarkLeaving ends starts at a worker that refused one as leaving.
+	MarkLeaving()
 	worker.API
 }
 
@@ -31,7 +47,7 @@
 	Session(id ident.WorkerID) (Session, bool)
 }
 
-// Runner starts tasks on owned workers.
+// Runner starts tasks on owned workers. Its exported fields are set before use.
 type Runner struct {
 	Clock    clock.Clock
 	Fence    *fence.Fence
@@ -39,6 +55,8 @@
 	Sessions Sessions
 	// RunLease is the first run lease of each task.
 	RunLease time.Duration
+
+	recent recent
 }
 
 // Task is what is to be started.
@@ -52,46 +70,162 @@
 	Demand     resource.Vector
 }
 
+// Handle is a task that was begun and whose reservation is held.
+type Handle struct {
+	done   chan struct{}
+	report worker.TaskReport
+}
+
+// Done returns a channel that is closed when the task is known to be over.
+func (h *Handle) Done() <-chan struct{} { return h.done }
+
+// Report returns the last report once Done is closed. State TaskUnknown means
+// that the run lease is over or that the worker forgot the task.
+func (h *Handle) Report() worker.TaskReport { return h.report }
+
+// attempt is one start on its way. It owns the reservation until release.
+type attempt struct {
+	task    Task
+	session Session
+	account *ledger.Account
+	entry   *entry
+	lease   ident.LeaseID
+	// breaks is the session's continuity count before the send.
+	breaks uint64
+	once   sync.Once
+}
+
+func (a *attempt) release() {
+	a.once.Do(func() { a.account.Release(a.task.Demand) })
+}
+
 // Call runs an urgent task to its end. The error's outcome says whether the
-// task may have run.
+// task may have run. A repeat of an identifier waits for the first.
 func (r *Runner) Call(ctx context.Context, task Task) (worker.TaskReport, error) {
+	first, fresh, err := r.recent.claim(task.ID, r.Clock.Now())
+	if err != nil {
+		return worker.TaskReport{}, err
+	}
+	if !fresh {
+		return first.wait(ctx)
+	}
+	a, err := r.prepare(task, first)
+	if err != nil {
+		r.recent.forget(task.ID, first, err)
+		return worker.TaskReport{}, err
+	}
+	report, err := r.send(ctx, a)
+	if fault.KindOf(err) == "" && report.State.Over() {
+		return r.over(a, report)
+	}
+	if provesNotRun(err) {
+		return report, r.refused(a, err)
+	}
+	return r.settleCall(ctx, a)
+}
+
+// Begin starts a batch or live task and returns when it runs. The reservation
+// stays until the task is known to be over.
+func (r *Runner) Begin(ctx context.Context, task Task) (*Handle, error) {
+	first, fresh, err := r.recent.claim(task.ID, r.Clock.Now())
+	if err != nil {
+		return nil, err
+	}
+	if !fresh {
+		return first.waitBegun(ctx)
+	}
+	a, err := r.prepare(task, first)
+	if err != nil {
+		r.recent.forget(task.ID, first, err)
+		return nil, err
+	}
+	report, err := r.send(ctx, a)
+	if err == nil {
+		return r.begun(a, report), nil
+	}
+	if provesNotRun(err) {
+		return nil, r.refused(a, err)
+	}
+	return r.settleBegin(ctx, a)
+}
+
+// provesNotRun reports whether err excludes that the worker runs the task.
+func provesNotRun(err error) bool {
+	return err != nil && fault.From(err).Outcome == fault.NotRun
+}
+
+// prepare reserves the demand of a task.
+func (r *Runner) prepare(task Task, first *entry) (*attempt, error) {
 	session, found := r.Sessions.Session(task.Worker)
 	if !found {
-		return worker.TaskReport{}, fault.New(fault.NotOwner, "worker %s", task.Worker)
+		return nil, fault.New(fault.NotOwner, "worker %s", task.Worker)
 	}
 	account, found := r.Ledger.Find(task.Worker)
 	if !found {
-		return worker.TaskReport{}, fault.New(fault.OwnerNotReady, "worker %s", task.Worker)
+		return nil, fault.New(fault.OwnerNotReady, "worker %s", task.Worker)
 	}
 	if !account.Reserve(task.Demand) {
-		return worker.TaskReport{}, fault.New(fault.NoCapacity, "worker %s", task.Worker)
+		return nil, fault.New(fault.NoCapacity, "worker %s", task.Worker)
 	}
-	defer account.Release(task.Demand)
-	return r.send(ctx, session, task)
+	return &attempt{task: task, session: session, account: account, entry: first}, nil
 }
 
 // send checks the leases last, immediately before the command leaves.
-func (r *Runner) send(ctx context.Context, session Session, task Task) (worker.TaskReport, error) {
+func (r *Runner) send(ctx context.Context, a *attempt) (worker.TaskReport, error) {
+	command := worker.StartCommand{
+		Task:       a.task.ID,
+		RunLease:   r.RunLease,
+		Service:    a.task.Service,
+		Class:      a.task.Class,
+		Body:       a.task.Body,
+		Demand:     a.task.Demand,
+		Checkpoint: a.task.Checkpoint,
+	}
+	a.breaks, _ = a.session.Continuity()
 	now := r.Clock.Now()
-	lease, err := session.StartLease(now)
+	lease, err := a.session.StartLease(now)
 	if err != nil {
 		return worker.TaskReport{}, err
 	}
 	if !r.Fence.Open(now) {
-		return worker.TaskReport{}, fault.New(fault.Fenced, "before the start of %s", task.ID)
+		return worker.TaskReport{}, fault.New(fault.Fenced, "before the start of %s", a.task.ID)
 	}
-	report, err := session.Start(ctx, worker.StartCommand{
-		Task:       task.ID,
-		StartLease: lease,
-		RunLease:   r.RunLease,
-		Service:    task.Service,
-		Class:      task.Class,
-		Body:       task.Body,
-		Demand:     task.Demand,
-		Checkpoint: task.Checkpoint,
-	})
-	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return report, fault.Wrap(fault.DeadlineExceeded, err, "task %s", task.ID)
+	a.lease, command.StartLease = lease, lease
+	report, err := a.session.Start(ctx, command)
+	if fault.KindOf(err) == fault.WorkerLeaving {
+		a.session.MarkLeaving()
 	}
 	return report, err
 }
+
+// refused ends an attempt that provably did not run.
+func (r *Runner) refused(a *attempt, err error) error {
+	a.release()
+	r.recent.forget(a.task.ID, a.entry, err)
+	return err
+}
+
+// over ends an attempt whose task ran to its end.
+func (r *Runner) over(a *attempt, report worker.TaskReport) (worker.TaskReport, error) {
+	a.release()
+	r.recent.finish(a.task.ID, a.entry, report, r.Clock.Now())
+	return report, nil
+}
+
+// begun hands a task that runs, or ran, to its session.
+func (r *Runner) begun(a *attempt, report worker.TaskReport) *Handle {
+	handle := &Handle{done: make(chan struct{})}
+	a.entry.begin(handle)
+	end := func(report worker.TaskReport) {
+		a.release()
+		handle.report = report
+		close(handle.done)
+		r.recent.finish(a.task.ID, a.entry, report, r.Clock.Now())
+	}
+	if report.State.Over() {
+		end(report)
+		return handle
+	}
+	a.session.Keep(a.task.ID, r.Clock.Now(), end)
+	return handle
+}
