ledger: resize reservations and check for room without reserving

Cause: learnt sizes differ from declared ones, and a reader that only wants to know whether work fits should not move the account. Change: Resize reserves the growth before it returns the rest, so a refusal keeps the old size. Fits only loads.

--- a/internal/process/ledger/ledger.go
+++ b/internal/process/ledger/ledger.go
@@ -47,6 +47,34 @@
 	return true
 }
 
+// Fits reports whether demand would fit at this moment. It is wait-free and
+// reserves nothing, so only Reserve decides.
+func (a *Account) Fits(demand resource.Vector) bool {
+	return demand.Fits(a.Free())
+}
+
+// Resize changes a reservation from one size to another if the growth fits,
+// and reports whether it did. Otherwise the reservation keeps its old size.
+func (a *Account) Resize(from, to resource.Vector) bool {
+	change := to.Sub(from)
+	if !a.Reserve(positive(change)) {
+		return false
+	}
+	a.Release(positive(resource.Vector{}.Sub(change)))
+	return true
+}
+
+// positive returns v with the negative entries at zero.
+func positive(v resource.Vector) resource.Vector {
+	return resource.Vector{
+		CPU:          max(v.CPU, 0),
+		Memory:       max(v.Memory, 0),
+		Accelerators: max(v.Accelerators, 0),
+		Slots:        max(v.Slots, 0),
+		Connections:  max(v.Connections, 0),
+	}
+}
+
 // undo returns the first entries of want up to and including last.
 func (a *Account) undo(want [entries]int64, last int) {
 	for i := 0; i <= last; i++ {
