--- a/internal/version/workers/workers.go
+++ b/internal/version/workers/workers.go
@@ -41,8 +41,11 @@
 	// run, in thousandths: 0 is none, 1000 doubles the run time.
 	Disturbance int64
 	Leaving     bool
-	Health      Health
-	// Ready is whether the owner has completed its takeover.
+	// Drained is whether a rule takes the worker out of service.
+	Drained bool
+	Health  Health
+	// Ready is whether the owner has completed its takeover and the worker is
+	// not drained.
 	Ready bool
 	// Reported is when the owner's summary arrived, by the clock of the reader.
 	Reported time.Time
