start: let a begun task change the size of its reservation

Cause: a reservation released with the declared size after Resize would leave the account wrong. Change: the handle of a begun task resizes, and the attempt releases what it holds at that time. Result: TestWorkerRestart covers growth, refusal after the end and an account that ends at zero; it passes with the race detector.

--- a/internal/request/start/start.go
+++ b/internal/request/start/start.go
@@ -72,8 +72,9 @@
 
 // Handle is a task that was begun and whose reservation is held.
 type Handle struct {
-	done   chan struct{}
-	report worker.TaskReport
+	done    chan struct{}
+	report  worker.TaskReport
+	attempt *attempt
 }
 
 // Done returns a channel that is closed when the task is known to be over.
@@ -83,6 +84,10 @@
 // that the run lease is over or that the worker forgot the task.
 func (h *Handle) Report() worker.TaskReport { return h.report }
 
+// Resize changes the task's reservation to a learnt size, if that fits and the
+// task is not over, and reports whether it did.
+func (h *Handle) Resize(to resource.Vector) bool { return h.attempt.resize(to) }
+
 // attempt is one start on its way. It owns the reservation until release.
 type attempt struct {
 	task    Task
@@ -92,11 +97,34 @@
 	lease   ident.LeaseID
 	// breaks is the session's continuity count before the send.
 	breaks uint64
-	once   sync.Once
+
+	// mu protects held and released.
+	mu sync.Mutex
+	// held is the size of the reservation.
+	held     resource.Vector
+	released bool
 }
 
+// release returns the reservation. Further calls do nothing.
 func (a *attempt) release() {
-	a.once.Do(func() { a.account.Release(a.task.Demand) })
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.released {
+		return
+	}
+	a.released = true
+	a.account.Release(a.held)
+}
+
+// resize changes the reservation unless it was returned.
+func (a *attempt) resize(to resource.Vector) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.released || !a.account.Resize(a.held, to) {
+		return false
+	}
+	a.held = to
+	return true
 }
 
 // Call runs an urgent task to its end. The error's outcome says whether the
@@ -167,7 +195,7 @@
 	if !account.Reserve(task.Demand) {
 		return nil, fault.New(fault.NoCapacity, "worker %s", task.Worker)
 	}
-	return &attempt{task: task, session: session, account: account, entry: first}, nil
+	return &attempt{task: task, session: session, account: account, entry: first, held: task.Demand}, nil
 }
 
 // send checks the leases last, immediately before the command leaves.
@@ -214,7 +242,7 @@
 
 // begun hands a task that runs, or ran, to its session.
 func (r *Runner) begun(a *attempt, report worker.TaskReport) *Handle {
-	handle := &Handle{done: make(chan struct{})}
+	handle := &Handle{done: make(chan struct{}), attempt: a}
 	a.entry.begin(handle)
 	end := func(report worker.TaskReport) {
 		a.release()
