start: find recent identifiers without a lock, let go of tasks at a hand-over

Cause: the table of recent identifiers took a lock on the path of each request, and a task whose worker changed owner kept its entry and its waiters for ever. Change: the table is a concurrent map with an atomic count, swept at most every 10 s. A session that ends reports its tasks as still running, so their handles end and their reservations go with the account. A start whose deadline is over before the send is refused as not run. The stand-in's usage reports show the tasks at the time that they claim to describe. Without the last step of a session TestTaskGoesOnUnderNextOwner fails: panic: deadlock: all goroutines in bubble are blocked

--- a/internal/connection/worker/session.go
+++ b/internal/connection/worker/session.go
@@ -125,8 +125,10 @@
 	return err == nil
 }
 
-// Run keeps the leases at the worker until ctx ends.
+// Run keeps the leases at the worker until ctx ends. Then it lets go of the
+// tasks that are kept.
 func (s *Session) Run(ctx context.Context) {
+	defer s.abandon()
 	var group sync.WaitGroup
 	defer group.Wait()
 	group.Go(func() { s.repeat(ctx, s.wake, startLeaseRenewal, s.keepLease) })
--- a/internal/connection/worker/tasks.go
+++ b/internal/connection/worker/tasks.go
@@ -16,6 +16,8 @@
 type taskBook struct {
 	mu      sync.Mutex
 	entries map[ident.TaskID]*runTask
+	// ended is whether the session ended and keeps no more tasks.
+	ended bool
 }
 
 // runTask is one task whose run lease the session renews.
@@ -39,11 +41,32 @@
 // Keep renews the run lease of a task until it is over or given up. started is
 // the time at which the worker last confirmed the run lease. over is called
 // once, without a lock held, when the task is known to be over; a report with
-// state TaskUnknown means that its run lease is over or the worker forgot it.
+// state TaskUnknown means that its run lease is over or the worker forgot it,
+// and one with state TaskRunning that the session ended and the task goes on.
 func (s *Session) Keep(task ident.TaskID, started time.Time, over func(TaskReport)) {
+	if !s.keep(task, &runTask{kept: started, renewed: started, over: over}) {
+		over(TaskReport{Task: task, State: work.TaskRunning})
+	}
+}
+
+func (s *Session) keep(task ident.TaskID, entry *runTask) bool {
 	s.tasks.mu.Lock()
 	defer s.tasks.mu.Unlock()
-	s.tasks.entries[task] = &runTask{kept: started, renewed: started, over: over}
+	if s.tasks.ended {
+		return false
+	}
+	s.tasks.entries[task] = entry
+	return true
+}
+
+// abandon lets go of every task when the session ends.
+func (s *Session) abandon() {
+	s.tasks.mu.Lock()
+	s.tasks.ended = true
+	s.tasks.mu.Unlock()
+	for _, task := range s.Tasks() {
+		s.Finish(TaskReport{Task: task, State: work.TaskRunning})
+	}
 }
 
 // GiveUp guarantees that no further renewal of the task is sent, and returns
--- a/internal/request/start/recent.go
+++ b/internal/request/start/recent.go
@@ -3,45 +3,34 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"poplarvalve/internal/connection/worker"
 	"poplarvalve/internal/process/fault"
 	"poplarvalve/internal/process/ident"
-	"poplarvalve/internal/process/work"
 )
 
 const (
-	// recentShards spreads identifiers over locks that are held without I/O.
-	recentShards = 64
 	// recentWindow is how long an identifier is remembered after its end. It
 	// exceeds the life of any forward on its way.
 	recentWindow = 2 * time.Minute
-	// maxRecent bounds the identifiers of one shard.
-	maxRecent = 2048
+	// sweepPeriod is the time between searches for identifiers to forget.
+	sweepPeriod = 10 * time.Second
+	// maxRecent bounds the identifiers that are held.
+	maxRecent = 1 << 17
 	// maxResultBytes bounds the result that is kept for a later Resolve.
 	maxResultBytes = 2 << 10
 )
 
 // recent is the table of task identifiers that were started or refused lately.
-// Its zero value is empty.
+// Its zero value is empty. Finding an identifier takes no lock.
 type recent struct {
-	shards [recentShards]recentShard
-}
-
-type recentShard struct {
-	mu      sync.Mutex
-	entries map[ident.TaskID]*entry
-	// ended holds identifiers in the order of their end.
-	ended []endedEntry
-}
-
-type endedEntry struct {
-	id    ident.TaskID
-	entry *entry
-	at    time.Time
+	// entries maps ident.TaskID to *entry.
+	entries sync.Map
+	count   atomic.Int64
+	// swept is when the newest sweep began, or nil.
+	swept atomic.Pointer[time.Time]
 }
 
 // entry is what became of one identifier.
@@ -50,6 +39,7 @@
 	settled chan struct{}
 	report  worker.TaskReport
 	err     error
+	ended   time.Time
 	// started is closed when handle is set.
 	started chan struct{}
 	handle  *Handle
@@ -89,51 +79,61 @@
 	}
 }
 
-func (t *recent) shard(id ident.TaskID) *recentShard {
-	return &t.shards[xxhash.Sum64String(string(id))%recentShards]
-}
-
 // claim returns the entry of an identifier and whether the caller made it. A
 // full table refuses rather than forget an identifier that may be repeated.
 func (t *recent) claim(id ident.TaskID, now time.Time) (*entry, bool, error) {
-	shard := t.shard(id)
-	shard.mu.Lock()
-	defer shard.mu.Unlock()
-	shard.prune(now)
-	if known, found := shard.entries[id]; found {
-		return known, false, nil
+	t.sweep(now)
+	if known, found := t.entries.Load(id); found {
+		return known.(*entry), false, nil
 	}
-	if len(shard.entries) >= maxRecent {
+	if t.count.Add(1) > maxRecent {
+		t.count.Add(-1)
 		return nil, false, fault.New(fault.Overloaded, "too many recent tasks")
 	}
-	if shard.entries == nil {
-		shard.entries = map[ident.TaskID]*entry{}
-	}
 	made := newEntry()
-	shard.entries[id] = made
-	return made, true, nil
+	known, found := t.entries.LoadOrStore(id, made)
+	if found {
+		t.count.Add(-1)
+	}
+	return known.(*entry), !found, nil
 }
 
-// prune forgets identifiers that ended more than the window ago.
-func (s *recentShard) prune(now time.Time) {
-	expired := 0
-	for expired < len(s.ended) && now.Sub(s.ended[expired].at) > recentWindow {
-		old := s.ended[expired]
-		if s.entries[old.id] == old.entry {
-			delete(s.entries, old.id)
+// sweep forgets identifiers that ended more than the window ago, in a thread
+// of its own and at most once a period.
+func (t *recent) sweep(now time.Time) {
+	last := t.swept.Load()
+	if last != nil && now.Sub(*last) < sweepPeriod {
+		return
+	}
+	if t.swept.CompareAndSwap(last, &now) {
+		go t.prune(now)
+	}
+}
+
+func (t *recent) prune(now time.Time) {
+	t.entries.Range(func(id, value any) bool {
+		known := value.(*entry)
+		select {
+		case <-known.settled:
+			if now.Sub(known.ended) > recentWindow {
+				t.remove(id.(ident.TaskID), known)
+			}
+		default:
 		}
-		expired++
+		return true
+	})
+}
+
+func (t *recent) remove(id ident.TaskID, known *entry) {
+	if t.entries.CompareAndDelete(id, known) {
+		t.count.Add(-1)
 	}
-	s.ended = s.ended[expired:]
 }
 
 // forget lets an identifier that provably did not run be started again, and
 // gives err to those that wait for it.
 func (t *recent) forget(id ident.TaskID, made *entry, err error) {
-	shard := t.shard(id)
-	shard.mu.Lock()
-	defer shard.mu.Unlock()
-	delete(shard.entries, id)
+	t.remove(id, made)
 	made.err = err
 	close(made.settled)
 }
@@ -141,8 +141,8 @@
 // finish records the report of a task that is over.
 func (t *recent) finish(id ident.TaskID, made *entry, report worker.TaskReport, now time.Time) {
 	made.report = report
-	if report.State == work.TaskUnknown {
-		made.err = fault.New(fault.WorkerLost, "task %s was lost", id)
+	if !report.State.Over() {
+		made.err = fault.New(fault.WorkerLost, "the end of task %s is not known", id)
 	}
 	t.end(id, made, now)
 }
@@ -158,11 +158,8 @@
 		made.report.Result = nil
 		made.err = fault.New(fault.AnswerCut, "the answer of %s is no longer held", id).WithOutcome(fault.Ran)
 	}
+	made.ended = now
 	close(made.settled)
-	shard := t.shard(id)
-	shard.mu.Lock()
-	defer shard.mu.Unlock()
-	shard.ended = append(shard.ended, endedEntry{id: id, entry: made, at: now})
 }
 
 // Resolve settles an identifier whose forward or reply was lost. Outcome
--- a/internal/request/start/start.go
+++ b/internal/request/start/start.go
@@ -77,11 +77,13 @@
 	attempt *attempt
 }
 
-// Done returns a channel that is closed when the task is known to be over.
+// Done returns a channel that is closed when the task is known to be over, or
+// when its worker is no longer owned.
 func (h *Handle) Done() <-chan struct{} { return h.done }
 
 // Report returns the last report once Done is closed. State TaskUnknown means
-// that the run lease is over or that the worker forgot the task.
+// that the run lease is over or that the worker forgot the task; TaskRunning
+// means that this instance no longer owns the worker and the task goes on.
 func (h *Handle) Report() worker.TaskReport { return h.report }
 
 // Resize changes the task's reservation to a learnt size, if that fits and the
@@ -210,6 +212,9 @@
 		Checkpoint: a.task.Checkpoint,
 	}
 	a.breaks, _ = a.session.Continuity()
+	if ctx.Err() != nil {
+		return worker.TaskReport{}, fault.Wrap(fault.DeadlineExceeded, ctx.Err(), "before the start of %s", a.task.ID).WithOutcome(fault.NotRun)
+	}
 	now := r.Clock.Now()
 	lease, err := a.session.StartLease(now)
 	if err != nil {
--- a/internal/request/start/start_test.go
+++ b/internal/request/start/start_test.go
@@ -197,6 +197,27 @@
 	})
 }
 
+// Guards against a task whose waiters and entry stay for ever when its worker
+// gets another owner, and against one that is stopped by that.
+func TestTaskGoesOnUnderNextOwner(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context, stub *workerstub.Worker) {
+		old := ready(ctx, "old", stub)
+		handle, err := old.Begin(ctx, batch("job/1"))
+		assert.NilError(t, err)
+		old.table.Close("w")
+		<-handle.Done()
+		assert.Equal(t, handle.Report().State, work.TaskRunning)
+		outcome, _, _ := old.Resolve(ctx, "job/1")
+		assert.Equal(t, outcome, fault.Unknown)
+		next := ready(ctx, "next", stub)
+		assert.DeepEqual(t, next.session.Tasks(), []ident.TaskID{"job/1"})
+		time.Sleep(time.Minute)
+		assert.Equal(t, next.account.Used(), resource.Vector{})
+		events := stub.History()
+		assert.Equal(t, events[len(events)-1].State, work.TaskSucceeded)
+	})
+}
+
 // Guards against a delayed forward that starts an identifier after it was
 // reported as not run, and against a repeat that starts it twice.
 func TestResolve(t *testing.T) {
@@ -211,6 +232,9 @@
 			assert.NilError(t, err)
 			assert.Equal(t, string(report.Result), "body")
 		}
+		time.Sleep(time.Minute)
+		_, err = o.Call(ctx, urgent("never"))
+		assert.Equal(t, fault.KindOf(err), fault.Resolved)
 		assert.Equal(t, stub.Starts("never"), 0)
 		assert.Equal(t, stub.Starts("twice"), 1)
 		outcome, report, _ := o.Resolve(ctx, "twice")
--- a/test/workerstub/workerstub.go
+++ b/test/workerstub/workerstub.go
@@ -82,6 +82,8 @@
 	total    time.Duration
 	done     time.Duration
 	percent  int64
+	began    time.Time
+	ended    time.Time
 	seen     time.Time
 	runUntil time.Time
 }
@@ -208,7 +210,7 @@
 }
 
 func (w *Worker) end(t *task, state work.TaskState, at time.Time) {
-	t.state = state
+	t.state, t.ended = state, at
 	w.history = append(w.history, Event{Task: t.command.Task, State: state, At: at})
 }
 
@@ -336,7 +338,7 @@
 
 func (w *Worker) plan(command worker.StartCommand) *task {
 	now := time.Now()
-	t := &task{command: command, state: work.TaskRunning, percent: 100, seen: now, saved: command.Checkpoint}
+	t := &task{command: command, state: work.TaskRunning, percent: 100, began: now, seen: now, saved: command.Checkpoint}
 	t.runUntil = now.Add(command.RunLease)
 	t.total = w.settings.Duration
 	if command.Class == work.Urgent {
@@ -456,8 +458,9 @@
 func (w *Worker) Usage(context.Context) (worker.UsageReport, error) {
 	return run(w, "Usage", func() (worker.UsageReport, error) {
 		report := worker.UsageReport{Age: w.settings.UsageAge}
+		measured := time.Now().Add(-report.Age)
 		for id, t := range w.tasks {
-			if t.state == work.TaskRunning {
+			if !t.began.After(measured) && (t.state == work.TaskRunning || t.ended.After(measured)) {
 				used := worker.Usage{Task: id, Service: t.command.Service, Used: t.command.Demand, Slowdown: 1000}
 				report.Tasks = append(report.Tasks, used)
 			}
