worker: check the fence before each grant, spread retries from a given source

Cause: a grant that followed a failed renewal was up to a second away from the last check of the fence. Retries took their spread from a global source, so tests could not fix it. Change: the fence is checked before a grant and before the last renewal of a retired lease. Session and Runner take a random source. The stand-in echoes a JSON body with fields of its own instead of taking it for a directive.

--- a/internal/connection/worker/lease.go
+++ b/internal/connection/worker/lease.go
@@ -105,6 +105,9 @@
 	if !open {
 		return nil
 	}
+	if err := s.fenced(); err != nil {
+		return err
+	}
 	sent := s.clock.Now()
 	err := s.GrantLease(ctx, id, StartLeasePeriod)
 	if fault.KindOf(err) == fault.WorkerLeaving {
@@ -135,7 +138,10 @@
 // prove renews a retired lease once. If the worker still holds it, it did not
 // restart between the grants of the old and the new lease.
 func (s *Session) prove(ctx context.Context, old ident.LeaseID) {
-	err := s.RenewLease(ctx, old, StartLeasePeriod)
+	err := s.fenced()
+	if err == nil {
+		err = s.RenewLease(ctx, old, StartLeasePeriod)
+	}
 	if err == nil {
 		return
 	}
--- a/internal/connection/worker/session.go
+++ b/internal/connection/worker/session.go
@@ -41,6 +41,7 @@
 	holder  ident.Incarnation
 	fence   *fence.Fence
 	account *ledger.Account
+	random  func() float64
 
 	// lease is the lease for new starts, or nil.
 	lease   atomic.Pointer[startLease]
@@ -65,6 +66,9 @@
 	Fence *fence.Fence
 	// Account receives the tasks that the takeover finds.
 	Account *ledger.Account
+	// Random spreads retries; it returns values in [0, 1) and is safe for use
+	// by many threads. Nil stands for the random source of the process.
+	Random func() float64
 }
 
 // NewSession returns a session with a worker that never had another owner. It
@@ -82,6 +86,9 @@
 }
 
 func newSession(options Options) *Session {
+	if options.Random == nil {
+		options.Random = rand.Float64
+	}
 	return &Session{
 		API:     options.API,
 		clock:   options.Clock,
@@ -89,6 +96,7 @@
 		holder:  options.Holder,
 		fence:   options.Fence,
 		account: options.Account,
+		random:  options.Random,
 		cleared: make(chan struct{}),
 		wake:    make(chan struct{}, 1),
 		leases:  leaseBook{retired: map[ident.LeaseID]time.Time{}},
@@ -148,7 +156,7 @@
 			failures = 0
 		} else {
 			failures++
-			delay = backoff(failures, rand.Float64())
+			delay = backoff(failures, s.random())
 		}
 		s.sleep(ctx, wake, delay)
 	}
--- a/internal/connection/worker/table.go
+++ b/internal/connection/worker/table.go
@@ -8,7 +8,8 @@
 	"poplarvalve/internal/process/publish"
 )
 
-// Table holds the sessions with the owned workers. Find takes no lock.
+// Table holds the sessions with the owned workers. Find and List take no lock.
+// Open and Close are for one thread, which follows the ownership.
 type Table struct {
 	sessions *publish.Cell[map[ident.WorkerID]running]
 }
--- a/internal/connection/worker/takeover.go
+++ b/internal/connection/worker/takeover.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"poplarvalve/internal/process/fault"
@@ -28,7 +27,7 @@
 		if s.bounded(ctx, s.countInventory) == nil {
 			return
 		}
-		s.sleep(ctx, nil, backoff(failures, rand.Float64()))
+		s.sleep(ctx, nil, backoff(failures, s.random()))
 	}
 }
 
--- a/internal/request/start/evict.go
+++ b/internal/request/start/evict.go
@@ -55,7 +55,7 @@
 			*report = asked
 			return nil
 		}
-		timer := r.Clock.NewTimer(spread(wait))
+		timer := r.Clock.NewTimer(r.spread(wait))
 		select {
 		case <-ctx.Done():
 			timer.Stop()
--- a/internal/request/start/settle.go
+++ b/internal/request/start/settle.go
@@ -121,7 +121,7 @@
 			r.sleep(leaseOver.Sub(asked))
 			continue
 		}
-		r.sleep(spread(wait))
+		r.sleep(r.spread(wait))
 	}
 	return settlement{err: fault.New(fault.WorkerLost, "the run lease of task %s is over", a.task.ID)}
 }
@@ -153,8 +153,12 @@
 }
 
 // spread returns a delay within the upper half of d.
-func spread(d time.Duration) time.Duration {
-	return d/2 + rand.N(d/2)
+func (r *Runner) spread(d time.Duration) time.Duration {
+	random := r.Random
+	if random == nil {
+		random = rand.Float64
+	}
+	return d/2 + time.Duration(random()*float64(d/2))
 }
 
 func (r *Runner) sleep(d time.Duration) {
--- a/internal/request/start/start.go
+++ b/internal/request/start/start.go
@@ -55,6 +55,9 @@
 	Sessions Sessions
 	// RunLease is the first run lease of each task.
 	RunLease time.Duration
+	// Random spreads questions to workers; it returns values in [0, 1) and is
+	// safe for use by many threads. Nil stands for the process's source.
+	Random func() float64
 
 	recent recent
 }
--- a/internal/request/start/start_test.go
+++ b/internal/request/start/start_test.go
@@ -47,10 +47,11 @@
 		Clock: clock.System{}, Fence: fence.New(time.Now()), Ledger: ledger.New(), RunLease: worker.RunLeasePeriod,
 	}
 	o.Sessions = o
+	o.Random = func() float64 { return 0.5 }
 	o.Fence.Renew(time.Now(), time.Hour)
 	o.Ledger.Open("w", o.account)
 	o.session = worker.NewTakeover(worker.Options{
-		API: api, Clock: clock.System{}, Worker: "w", Fence: o.Fence, Account: o.account,
+		API: api, Clock: clock.System{}, Worker: "w", Fence: o.Fence, Account: o.account, Random: o.Random,
 		Holder: ident.Incarnation{Instance: ident.InstanceName(name), Nonce: 1},
 	})
 	o.table.Open(ctx, o.session)
@@ -349,3 +350,23 @@
 	}
 	group.Wait()
 }
+
+// Guards against starts that go on to a worker after it refused one as
+// leaving, and against running tasks that are lost by that.
+func TestLeavingWorkerGetsNoStart(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context, stub *workerstub.Worker) {
+		o := ready(ctx, "a", stub)
+		handle, err := o.Begin(ctx, batch("job/1"))
+		assert.NilError(t, err)
+		stub.Change(func(s *workerstub.Settings) { s.Leaving = true })
+		_, err = o.Call(ctx, urgent("refused"))
+		assert.Equal(t, fault.KindOf(err), fault.WorkerLeaving)
+		assert.Equal(t, fault.From(err).Outcome, fault.NotRun)
+		assert.Assert(t, o.session.Leaving())
+		stub.Change(func(s *workerstub.Settings) { s.Leaving = false })
+		_, err = o.Call(ctx, urgent("not sent"))
+		assert.Equal(t, fault.KindOf(err), fault.WorkerLeaving)
+		<-handle.Done()
+		assert.Equal(t, handle.Report().State, work.TaskSucceeded)
+	})
+}
--- a/test/cmd/workerstub/main.go
+++ b/test/cmd/workerstub/main.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"time"
 
 	"poplarvalve/internal/process/resource"
 	"poplarvalve/test/workerstub"
@@ -28,15 +29,11 @@
 	flag.Int64Var(&capacity.Slots, "slots", 8, "tasks at the same time")
 	flag.Int64Var(&capacity.Connections, "connections", 64, "open connections")
 	service := flag.Duration("service-time", 0, "duration of an urgent call")
-	duration := flag.Duration("duration", 0, "duration of any other task; 0 keeps the default")
+	duration := flag.Duration("duration", time.Minute, "duration of any other task")
 	flag.Parse()
 	stub := workerstub.New()
 	stub.Change(func(s *workerstub.Settings) {
-		s.Capacity = capacity
-		s.ServiceTime = *service
-		if *duration > 0 {
-			s.Duration = *duration
-		}
+		s.Capacity, s.ServiceTime, s.Duration = capacity, *service, *duration
 	})
 	listener, err := net.Listen("tcp", *address)
 	if err != nil {
--- a/test/workerstub/workerstub.go
+++ b/test/workerstub/workerstub.go
@@ -6,13 +6,13 @@
 package workerstub
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -258,42 +258,40 @@
 
 type none struct{}
 
+// do is run for a command without a reply.
+func (w *Worker) do(command string, effect func() error) error {
+	_, err := run(w, command, func() (none, error) { return none{}, effect() })
+	return err
+}
+
 // GrantLease implements worker.API.
 func (w *Worker) GrantLease(_ context.Context, lease ident.LeaseID, period time.Duration) error {
-	_, err := run(w, "GrantLease", func() (none, error) {
+	return w.do("GrantLease", func() error {
 		if w.settings.Leaving {
-			return none{}, fault.New(fault.WorkerLeaving, "lease %s", lease)
+			return fault.New(fault.WorkerLeaving, "lease %s", lease)
 		}
 		if _, known := w.leases[lease]; known {
-			return none{}, fault.New(fault.WorkerRefused, "lease %s was granted before", lease)
+			return fault.New(fault.WorkerRefused, "lease %s was granted before", lease)
 		}
 		w.leases[lease] = time.Now().Add(period)
-		return none{}, nil
+		return nil
 	})
-	return err
 }
 
 // RenewLease implements worker.API.
 func (w *Worker) RenewLease(_ context.Context, lease ident.LeaseID, period time.Duration) error {
-	_, err := run(w, "RenewLease", func() (none, error) {
+	return w.do("RenewLease", func() error {
 		if !time.Now().Before(w.leases[lease]) {
-			return none{}, fault.New(fault.LeaseLapsed, "lease %s", lease)
+			return fault.New(fault.LeaseLapsed, "lease %s", lease)
 		}
 		w.leases[lease] = time.Now().Add(period)
-		return none{}, nil
+		return nil
 	})
-	return err
 }
 
 // Start implements worker.API.
 func (w *Worker) Start(ctx context.Context, command worker.StartCommand) (worker.TaskReport, error) {
-	report, err := run(w, "Start", func() (worker.TaskReport, error) {
-		t, err := w.begin(command)
-		if err != nil {
-			return worker.TaskReport{}, err
-		}
-		return t.report(), nil
-	})
+	report, err := run(w, "Start", func() (worker.TaskReport, error) { return w.begin(command) })
 	if err != nil || command.Class != work.Urgent {
 		return report, err
 	}
@@ -315,15 +313,15 @@
 	}
 }
 
-func (w *Worker) begin(command worker.StartCommand) (*task, error) {
+func (w *Worker) begin(command worker.StartCommand) (report worker.TaskReport, err error) {
 	key := fmt.Sprintf("%s %s", command.StartLease, command.Task)
 	switch {
 	case w.settings.Leaving:
-		return nil, fault.New(fault.WorkerLeaving, "task %s", command.Task)
+		return report, fault.New(fault.WorkerLeaving, "task %s", command.Task)
 	case !time.Now().Before(w.leases[command.StartLease]):
-		return nil, fault.New(fault.LeaseLapsed, "lease %s", command.StartLease)
+		return report, fault.New(fault.LeaseLapsed, "lease %s", command.StartLease)
 	case w.started[key]:
-		return nil, fault.New(fault.WorkerRefused, "task %s was started before", command.Task)
+		return report, fault.New(fault.WorkerRefused, "task %s was started before", command.Task)
 	}
 	w.started[key] = true
 	t := w.plan(command)
@@ -333,7 +331,7 @@
 	})
 	w.measure()
 	w.advance(t, t.seen)
-	return t, nil
+	return t.report(), nil
 }
 
 func (w *Worker) plan(command worker.StartCommand) *task {
@@ -345,8 +343,9 @@
 		t.total = w.settings.ServiceTime
 	}
 	t.result = command.Body
-	if err := json.Unmarshal(command.Body, &t.plan); err == nil {
-		t.result = []byte(strings.Repeat("x", t.plan.AnswerBytes))
+	if plan, found := parse(command.Body); found {
+		t.plan = plan
+		t.result = bytes.Repeat([]byte("x"), plan.AnswerBytes)
 	} else if w.settings.Answer != nil {
 		t.result = w.settings.Answer
 	}
@@ -357,6 +356,19 @@
 	return t
 }
 
+// parse reads a directive. An object with any other field is not one.
+func parse(body []byte) (plan directive, found bool) {
+	if !bytes.HasPrefix(body, []byte("{")) {
+		return plan, false
+	}
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if decoder.Decode(&plan) != nil {
+		return directive{}, false
+	}
+	return plan, true
+}
+
 // measure records whether the running tasks exceed the capacity.
 func (w *Worker) measure() {
 	var held resource.Vector
@@ -423,11 +435,10 @@
 
 // Throttle implements worker.API.
 func (w *Worker) Throttle(_ context.Context, id ident.TaskID, percent int) error {
-	_, err := run(w, "Throttle", func() (none, error) {
+	return w.do("Throttle", func() error {
 		w.find(id).percent = int64(max(percent, 1))
-		return none{}, nil
+		return nil
 	})
-	return err
 }
 
 // Checkpoint implements worker.API.
