start: hold results for Resolve by a total of bytes

Cause: a result over 2 KiB was dropped at once, so a repeat of its identifier did not get the answer; checkpoints were held with the results. Change: results are held up to 32 MiB in all, checkpoints not at all. The takeover states what it assumes of late renewals.

--- a/internal/connection/worker/takeover.go
+++ b/internal/connection/worker/takeover.go
@@ -15,7 +15,9 @@
 }
 
 // takeOver opens the worker for starts once every start of earlier owners has
-// either been counted or will be refused by the worker.
+// either been counted or will be refused by the worker. That holds if no
+// renewal of an earlier owner's start lease reaches the worker after
+// EarlierOwnersOver: a later one extends the lease beyond the wait.
 func (s *Session) takeOver(ctx context.Context) {
 	select {
 	case <-ctx.Done():
--- a/internal/request/start/recent.go
+++ b/internal/request/start/recent.go
@@ -19,8 +19,9 @@
 	sweepPeriod = 10 * time.Second
 	// maxRecent bounds the identifiers that are held.
 	maxRecent = 1 << 17
-	// maxResultBytes bounds the result that is kept for a later Resolve.
-	maxResultBytes = 2 << 10
+	// maxResultBytes bounds the results that are held together for a later
+	// Resolve, an eighth of the memory of a node.
+	maxResultBytes = 32 << 20
 )
 
 // recent is the table of task identifiers that were started or refused lately.
@@ -29,6 +30,8 @@
 	// entries maps ident.TaskID to *entry.
 	entries sync.Map
 	count   atomic.Int64
+	// bytes is the size of the results that are held.
+	bytes atomic.Int64
 	// swept is when the newest sweep began, or nil.
 	swept atomic.Pointer[time.Time]
 }
@@ -127,6 +130,7 @@
 func (t *recent) remove(id ident.TaskID, known *entry) {
 	if t.entries.CompareAndDelete(id, known) {
 		t.count.Add(-1)
+		t.bytes.Add(-int64(len(known.report.Result)))
 	}
 }
 
@@ -154,9 +158,12 @@
 }
 
 func (t *recent) end(id ident.TaskID, made *entry, now time.Time) {
-	if len(made.report.Result) > maxResultBytes {
+	made.report.Checkpoint = nil
+	size := int64(len(made.report.Result))
+	if t.bytes.Add(size) > maxResultBytes {
+		t.bytes.Add(-size)
 		made.report.Result = nil
-		made.err = fault.New(fault.AnswerCut, "the answer of %s is no longer held", id).WithOutcome(fault.Ran)
+		made.err = fault.New(fault.AnswerCut, "the answer of %s is not held", id).WithOutcome(fault.Ran)
 	}
 	made.ended = now
 	close(made.settled)
--- a/internal/request/start/start_test.go
+++ b/internal/request/start/start_test.go
@@ -241,6 +241,12 @@
 		outcome, report, _ := o.Resolve(ctx, "twice")
 		assert.Equal(t, outcome, fault.Ran)
 		assert.Equal(t, string(report.Result), "body")
+		time.Sleep(3 * time.Minute)
+		_, err = o.Call(ctx, urgent("starts a sweep"))
+		assert.NilError(t, err)
+		synctest.Wait()
+		_, err = o.Call(ctx, urgent("never"))
+		assert.NilError(t, err, "an identifier is held for ever")
 	})
 }
 
