logstream: group appends of one stream and follow it past retention

Cause: records need an appender that stays within the budget of the log and a reader that survives outages and retention. Change: Appender keeps one append in flight, groups what gathers, repeats the same bytes after an error with backoff and jitter, and paces calls by a shared budget without saved-up calls. Measured: go test -race ./internal/process/logstream passes. Without the wait for the budget: TestAppenderGroupsAndPacesAfterOutage logstream_test.go:89: assertion failed: log.calls[i].Sub(log.calls[i-1]) is less than 100 * time.Millisecond

--- /dev/null
+++ b/internal/process/logstream/logstream_test.go
@@ -0,0 +1,155 @@
+package logstream_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"poplarvalve/internal/process/clock"
+	"poplarvalve/internal/process/fault"
+	"poplarvalve/internal/process/ident"
+	"poplarvalve/internal/process/logstream"
+	"poplarvalve/internal/process/record"
+	"poplarvalve/test/platformstub"
+)
+
+const stream ident.StreamName = "work-00"
+
+func half() float64 { return 0.5 }
+
+// countingLog records when each append call was made.
+type countingLog struct {
+	logstream.Log
+	mu     sync.Mutex
+	calls  []time.Time
+	groups []int
+}
+
+func (l *countingLog) Append(ctx context.Context, name ident.StreamName, entries [][]byte) (ident.Offset, error) {
+	l.mu.Lock()
+	l.calls = append(l.calls, time.Now())
+	l.groups = append(l.groups, len(entries))
+	l.mu.Unlock()
+	return l.Log.Append(ctx, name, entries)
+}
+
+// plainDecode reads "id" as a heartbeat, "snap:N" as a snapshot after offset N,
+// and "bad" as an entry that can't be decoded.
+func plainDecode(entry []byte) (record.Envelope, error) {
+	envelope := record.Envelope{ID: ident.RecordID(entry), Record: record.Heartbeat{}}
+	var at ident.Offset
+	if string(entry) == "bad" {
+		return envelope, fault.New(fault.Malformed, "bad")
+	}
+	if _, err := fmt.Sscanf(string(entry), "snap:%d", &at); err == nil {
+		envelope.Record = record.Snapshot{At: at}
+	}
+	return envelope, nil
+}
+
+// runAll runs the functions until the returned function is called.
+func runAll(t *testing.T, runs ...func(context.Context)) func() {
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	for _, run := range runs {
+		group.Go(func() { run(ctx) })
+	}
+	return func() { cancel(); group.Wait() }
+}
+
+// Guards against losing an entry in an outage, a burst on return from it, and a
+// call for each entry instead of a group.
+func TestAppenderGroupsAndPacesAfterOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stub := platformstub.New(nil)
+		log := &countingLog{Log: stub.Client("a")}
+		options := logstream.AppenderOptions{MaxQueueCount: 100, MaxCallCount: 10, Jitter: half}
+		budget := logstream.NewBudget(10)
+		appender := logstream.NewAppender(log, clock.System{}, stream, budget, options)
+		stop := runAll(t, appender.Run)
+		defer stop()
+		stub.Set(func(c *platformstub.Control) { c.Outage = true })
+		for i := range 100 {
+			assert.NilError(t, appender.Add(fmt.Appendf(nil, "r%d", i)))
+		}
+		assert.Equal(t, fault.KindOf(appender.Add([]byte("full"))), fault.Overloaded)
+		time.Sleep(time.Minute)
+		stub.Set(func(c *platformstub.Control) { c.Outage = false; c.LoseReplies = 1 })
+		time.Sleep(10 * time.Second)
+		batch, err := stub.Client("b").Read(t.Context(), stream, 1, 1000, 0)
+		assert.NilError(t, err)
+		assert.Equal(t, len(batch.Entries), 110, "100 entries, of which the group of the lost reply stands twice")
+		for i := 1; i < len(log.calls); i++ {
+			assert.Assert(t, log.calls[i].Sub(log.calls[i-1]) >= 100*time.Millisecond)
+			assert.Assert(t, log.groups[i] <= 10)
+		}
+	})
+}
+
+// Guards against a follower that stops at an entry it can't decode, that folds
+// twice after a failed read, or whose waiters miss their record.
+func TestFollowerResumesSkipsAndWakesWaiters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stub := platformstub.New(nil)
+		log := stub.Client("a")
+		var folded []ident.Offset
+		follower := logstream.NewFollower(log, clock.System{}, stream, logstream.FollowerOptions{
+			Decode: plainDecode, Jitter: half,
+			Fold: func(offset ident.Offset, _ record.Envelope) { folded = append(folded, offset) },
+		})
+		stop := runAll(t, follower.Run)
+		_, err := log.Append(t.Context(), stream, [][]byte{[]byte("x"), []byte("bad"), []byte("y")})
+		assert.NilError(t, err)
+		synctest.Wait()
+		stub.Set(func(c *platformstub.Control) { c.Outage = true })
+		time.Sleep(5 * time.Second)
+		stub.Set(func(c *platformstub.Control) { c.Outage = false })
+		go func() { _, _ = log.Append(context.Background(), stream, [][]byte{[]byte("z")}) }()
+		offset, err := follower.WaitFor(t.Context(), "z")
+		assert.NilError(t, err)
+		assert.Equal(t, offset, ident.Offset(4))
+		offset, err = follower.WaitFor(t.Context(), "x")
+		assert.NilError(t, err)
+		assert.Equal(t, offset, ident.Offset(1))
+		assert.NilError(t, follower.WaitFolded(t.Context(), 4))
+		progress := follower.Progress()
+		assert.Equal(t, progress.Skipped["other"], uint64(1))
+		assert.Equal(t, progress.Behind, uint64(0))
+		stop()
+		assert.Assert(t, slices.Equal(folded, []ident.Offset{1, 3, 4}), "%v", folded)
+	})
+}
+
+// Guards against a follower that folds the tail of a trimmed stream without the
+// state before it, or that drops the records between a snapshot's position and
+// the snapshot itself.
+func TestFollowerStartsFromSnapshotPastRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stub := platformstub.New(nil)
+		log := stub.Client("a")
+		var events []string
+		follower := logstream.NewFollower(log, clock.System{}, stream, logstream.FollowerOptions{
+			Decode: plainDecode, Jitter: half,
+			Fold: func(offset ident.Offset, _ record.Envelope) { events = append(events, fmt.Sprint(offset)) },
+			Restore: func(_ ident.Offset, s record.Snapshot) error {
+				events = append(events, fmt.Sprintf("restore %d", s.At))
+				return nil
+			},
+		})
+		for _, entry := range []string{"a", "b", "snap:1", "c", "d", "snap:4", "e"} {
+			_, err := log.Append(t.Context(), stream, [][]byte{[]byte(entry)})
+			assert.NilError(t, err)
+		}
+		stub.Set(func(c *platformstub.Control) { c.Retain = 5 })
+		stop := runAll(t, follower.Run)
+		time.Sleep(time.Second)
+		stop()
+		assert.DeepEqual(t, events, []string{"restore 4", "5", "6", "7"})
+	})
+}
