--- a/internal/version/membership/membership.go
+++ b/internal/version/membership/membership.go
@@ -21,6 +21,20 @@
 	Folded ident.Offset `cbor:"7,keyasint"`
 }
 
+// Departure is an incarnation that was a member and never is again.
+type Departure struct {
+	Member Member `cbor:"1,keyasint"`
+	// At is the offset of the record that ended the membership.
+	At ident.Offset `cbor:"2,keyasint"`
+	// Left says that the incarnation ended its membership itself, after it had
+	// stopped starting work.
+	Left bool `cbor:"3,keyasint"`
+	// Witnessed says that an incarnation whose promise the departed one needs has
+	// folded the departure. From then on the departed one can't renew its lease
+	// by promises.
+	Witnessed bool `cbor:"4,keyasint"`
+}
+
 // State is an immutable version of the members.
 type State struct {
 	// Epoch is the offset of the newest record that changed the members.
@@ -29,6 +43,8 @@
 	Offset ident.Offset
 	// Members is ordered by instance name, then nonce.
 	Members []Member
+	// Departed holds the newest departures, the oldest first.
+	Departed []Departure
 }
 
 // Find returns the member with an incarnation.
@@ -40,3 +56,13 @@
 	}
 	return Member{}, false
 }
+
+// Departure returns how an incarnation ended its membership.
+func (s *State) Departure(id ident.Incarnation) (Departure, bool) {
+	for _, departure := range s.Departed {
+		if departure.Member.ID == id {
+			return departure, true
+		}
+	}
+	return Departure{}, false
+}
