--- /dev/null
+++ b/test/platformstub/http.go
@@ -0,0 +1,120 @@
+package platformstub
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"poplarvalve/internal/connection/platform"
+	"poplarvalve/internal/process/ident"
+)
+
+const (
+	// maxBodyBytes bounds the body of a request.
+	maxBodyBytes = 16 << 20
+	// maxReadWait bounds how long a read waits.
+	maxReadWait = 30 * time.Second
+)
+
+// Handler serves the platform's protocol to one client; name is what Control.Cut
+// refers to. A client that is given the address followed by /clients/NAME is
+// served under that name instead.
+//
+// POST /control/faults takes a Control as JSON and replaces the faults, and
+// POST /control/instances replaces the instance list.
+func (p *Platform) Handler(name string) http.Handler {
+	h := handler{platform: p, name: name}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/streams/{stream}/append", h.append)
+	mux.HandleFunc("GET /v1/streams/{stream}/read", h.read)
+	mux.HandleFunc("GET /v1/instances", h.instances)
+	mux.HandleFunc("POST /control/faults", h.control)
+	mux.HandleFunc("POST /control/instances", h.setInstances)
+	mux.HandleFunc("/clients/{client}/", func(w http.ResponseWriter, r *http.Request) {
+		other := r.PathValue("client")
+		http.StripPrefix("/clients/"+other, p.Handler(other)).ServeHTTP(w, r)
+	})
+	return mux
+}
+
+type handler struct {
+	platform *Platform
+	name     string
+}
+
+func (h handler) client() *client {
+	return &client{platform: h.platform, name: h.name}
+}
+
+func (h handler) append(w http.ResponseWriter, r *http.Request) {
+	var request platform.AppendRequest
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err == nil {
+		err = cbor.Unmarshal(body, &request)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	stream := ident.StreamName(r.PathValue("stream"))
+	first, err := h.client().Append(r.Context(), stream, request.Entries)
+	writeCBOR(w, platform.AppendReply{First: first}, err)
+}
+
+func (h handler) read(w http.ResponseWriter, r *http.Request) {
+	from, errFrom := strconv.ParseUint(r.FormValue("from"), 10, 64)
+	limit, errLimit := strconv.ParseUint(r.FormValue("max"), 10, 31)
+	wait, errWait := strconv.ParseUint(r.FormValue("wait_ms"), 10, 31)
+	if errFrom != nil || errLimit != nil || errWait != nil {
+		http.Error(w, "from, max and wait_ms must be numbers", http.StatusBadRequest)
+		return
+	}
+	pause := min(time.Duration(wait)*time.Millisecond, maxReadWait)
+	stream := ident.StreamName(r.PathValue("stream"))
+	batch, err := h.client().Read(r.Context(), stream, ident.Offset(from), int(limit), pause)
+	writeCBOR(w, platform.ReadReply(batch), err)
+}
+
+func (h handler) instances(w http.ResponseWriter, r *http.Request) {
+	h.platform.mu.Lock()
+	listed := h.platform.instances
+	h.platform.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(listed)
+}
+
+func (h handler) control(w http.ResponseWriter, r *http.Request) {
+	var faults Control
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&faults); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	h.platform.Set(func(control *Control) { *control = faults })
+}
+
+func (h handler) setInstances(w http.ResponseWriter, r *http.Request) {
+	var listed []platform.ListedInstance
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&listed); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	h.platform.SetInstances(listed)
+}
+
+func writeCBOR(w http.ResponseWriter, reply any, err error) {
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	encoded, err := cbor.Marshal(reply)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/cbor")
+	_, _ = w.Write(encoded)
+}
--- a/test/platformstub/platformstub.go
+++ b/test/platformstub/platformstub.go
@@ -56,6 +56,13 @@
 	}
 }
 
+// SetInstances replaces the instance list.
+func (p *Platform) SetInstances(instances []platform.ListedInstance) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.instances = instances
+}
+
 // Cut cuts a client off the log, or connects it again.
 func (p *Platform) Cut(client string, cut bool) {
 	p.Set(func(control *Control) {
