membership: let a leave settle an earlier removal

Cause: when all instances lapse in one outage, each new incarnation waits for a witness of the old ones, and none is left. Change: a leave by a removed incarnation marks its removal as witnessed.

--- a/internal/version/membership/fold.go
+++ b/internal/version/membership/fold.go
@@ -54,7 +54,7 @@
 	case record.Heartbeat:
 		next.heartbeat(offset, envelope.Writer, body)
 	case record.Leave:
-		next.depart(offset, envelope.Writer, true)
+		next.leave(offset, envelope.Writer)
 	case record.Suspect:
 		next.suspect(offset, body)
 	}
@@ -127,6 +127,17 @@
 	}
 }
 
+// leave removes the writer, or settles its earlier removal.
+func (s *State) leave(offset ident.Offset, writer ident.Incarnation) {
+	s.depart(offset, writer, true)
+	for i := range s.Departed {
+		if s.Departed[i].Member.ID == writer && !s.Departed[i].Witnessed {
+			s.Departed = slices.Clone(s.Departed)
+			s.Departed[i].Witnessed = true
+		}
+	}
+}
+
 // suspect removes a member, unless a heartbeat of it came after body.Last.
 func (s *State) suspect(offset ident.Offset, body record.Suspect) {
 	member, found := s.Find(body.Member)
--- a/internal/version/membership/membership.go
+++ b/internal/version/membership/membership.go
@@ -30,8 +30,8 @@
 	// stopped starting work.
 	Left bool `cbor:"3,keyasint"`
 	// Witnessed says that an incarnation whose promise the departed one needs has
-	// folded the departure. From then on the departed one can't renew its lease
-	// by promises.
+	// folded the departure, or that the departed one has left by its own record.
+	// From then on the departed one can't renew its lease by promises.
 	Witnessed bool `cbor:"4,keyasint"`
 }
 
