codec: encode peer messages and assemble answers

Cause: instances exchange typed messages, and an answer cut by a lost link must never be taken as whole.

--- /dev/null
+++ b/internal/connection/codec/peermessages.go
@@ -0,0 +1,198 @@
+package codec
+
+import (
+	"time"
+
+	"poplarvalve/internal/process/fault"
+	"poplarvalve/internal/process/ident"
+	"poplarvalve/internal/process/resource"
+	"poplarvalve/internal/process/work"
+)
+
+// PeerKind names the type of a peer message. Numbers are never reused.
+type PeerKind uint8
+
+// The kinds of peer messages.
+const (
+	KindHello       PeerKind = 1
+	KindForward     PeerKind = 2
+	KindAnswerHead  PeerKind = 3
+	KindAnswerFrame PeerKind = 4
+	KindWindow      PeerKind = 5
+	KindResolve     PeerKind = 6
+	KindResolved    PeerKind = 7
+	KindCancel      PeerKind = 8
+	KindSummary     PeerKind = 9
+	KindZoneTotal   PeerKind = 10
+	KindConfigOffer PeerKind = 11
+	KindPromise     PeerKind = 12
+	KindPromised    PeerKind = 13
+	KindOffer       PeerKind = 14
+	KindOffered     PeerKind = 15
+	KindJob         PeerKind = 16
+	KindJobDone     PeerKind = 17
+	KindRefused     PeerKind = 18
+)
+
+// Hello introduces the sender and acknowledges what it has folded.
+type Hello struct {
+	From          ident.Incarnation `cbor:"1,keyasint"`
+	Zone          ident.ZoneName    `cbor:"2,keyasint"`
+	Region        ident.RegionName  `cbor:"3,keyasint"`
+	Folded        ident.Offset      `cbor:"4,keyasint"`
+	ConfigVersion ident.Offset      `cbor:"5,keyasint"`
+}
+
+// Forward runs a request at the receiver. Number rises by one with each
+// forward of the sending incarnation, so that the receiver can tell a number
+// it has never seen from one it has forgotten.
+type Forward struct {
+	Number  uint64       `cbor:"1,keyasint"`
+	Request work.Request `cbor:"2,keyasint"`
+}
+
+// AnswerHead precedes the frames of an answer. Resolved has the same layout.
+type AnswerHead struct {
+	Request ident.RequestID `cbor:"1,keyasint"`
+	Outcome fault.Outcome   `cbor:"2,keyasint"`
+	// Total is the length of the body in bytes.
+	Total   int64          `cbor:"3,keyasint"`
+	Failure *fault.Failure `cbor:"4,keyasint,omitempty"`
+	Token   string         `cbor:"5,keyasint,omitempty"`
+}
+
+// AnswerFrame is one part of an answer's body, numbered from zero.
+type AnswerFrame struct {
+	Request ident.RequestID `cbor:"1,keyasint"`
+	Index   uint32          `cbor:"2,keyasint"`
+	Data    []byte          `cbor:"3,keyasint"`
+	Last    bool            `cbor:"4,keyasint,omitempty"`
+}
+
+// Window tells the sender of an answer how many bytes of it have been taken.
+type Window struct {
+	Taken int64 `cbor:"1,keyasint"`
+}
+
+// Resolve asks what became of a forward.
+type Resolve struct {
+	Number  uint64          `cbor:"1,keyasint"`
+	Request ident.RequestID `cbor:"2,keyasint"`
+}
+
+// Cancel gives up the request whose sequence the envelope names.
+type Cancel struct {
+	Request ident.RequestID `cbor:"1,keyasint"`
+}
+
+// WorkerSummary is the state of one worker whose state has changed.
+type WorkerSummary struct {
+	Worker  ident.WorkerID  `cbor:"1,keyasint"`
+	Free    resource.Vector `cbor:"2,keyasint"`
+	CPUUsed int64           `cbor:"3,keyasint,omitempty"`
+	Health  uint8           `cbor:"4,keyasint,omitempty"`
+	Leaving bool            `cbor:"5,keyasint,omitempty"`
+	Ready   bool            `cbor:"6,keyasint,omitempty"`
+}
+
+// Summary reports the owner's workers that have changed.
+type Summary struct {
+	Workers []WorkerSummary `cbor:"1,keyasint"`
+}
+
+// ZoneTotal reports a whole zone to other zones.
+type ZoneTotal struct {
+	Zone  ident.ZoneName  `cbor:"1,keyasint"`
+	Free  resource.Vector `cbor:"2,keyasint"`
+	Queue int64           `cbor:"3,keyasint"`
+}
+
+// ConfigOffer passes a version of the configuration on.
+type ConfigOffer struct {
+	Version ident.Offset `cbor:"1,keyasint"`
+	Offset  ident.Offset `cbor:"2,keyasint"`
+	Rules   []byte       `cbor:"3,keyasint,omitempty"`
+}
+
+// Promise asks the receiver not to act on an epoch without the sender.
+type Promise struct {
+	Epoch ident.Epoch `cbor:"1,keyasint"`
+	// Sent is the sender's monotonic time and is only echoed.
+	Sent time.Duration `cbor:"2,keyasint"`
+}
+
+// Promised answers a Promise.
+type Promised struct {
+	Epoch         ident.Epoch   `cbor:"1,keyasint"`
+	Sent          time.Duration `cbor:"2,keyasint"`
+	Granted       bool          `cbor:"3,keyasint"`
+	ConfigVersion ident.Offset  `cbor:"4,keyasint"`
+}
+
+// Offer asks a peer of another zone for a worker.
+type Offer struct {
+	Demand resource.Vector `cbor:"1,keyasint"`
+}
+
+// Offered answers an Offer. An empty worker means that there is none.
+type Offered struct {
+	Worker ident.WorkerID `cbor:"1,keyasint,omitempty"`
+}
+
+// Job calls a named operation on jobs at the receiver.
+type Job struct {
+	Operation string `cbor:"1,keyasint"`
+	Body      []byte `cbor:"2,keyasint,omitempty"`
+}
+
+// JobDone answers a Job.
+type JobDone struct {
+	Body []byte `cbor:"1,keyasint,omitempty"`
+}
+
+// Refused answers a request that the receiver did not act on.
+type Refused struct {
+	Failure fault.Failure `cbor:"1,keyasint"`
+}
+
+// newPeerMessage returns a pointer to a zero message of a kind, or nil.
+func newPeerMessage(kind PeerKind) any {
+	switch kind {
+	case KindHello:
+		return &Hello{}
+	case KindForward:
+		return &Forward{}
+	case KindAnswerHead, KindResolved:
+		return &AnswerHead{}
+	case KindAnswerFrame:
+		return &AnswerFrame{}
+	case KindWindow:
+		return &Window{}
+	case KindResolve:
+		return &Resolve{}
+	case KindCancel:
+		return &Cancel{}
+	case KindSummary:
+		return &Summary{}
+	case KindZoneTotal:
+		return &ZoneTotal{}
+	case KindConfigOffer:
+		return &ConfigOffer{}
+	case KindPromise:
+		return &Promise{}
+	case KindPromised:
+		return &Promised{}
+	case KindOffer:
+		return &Offer{}
+	case KindOffered:
+		return &Offered{}
+	case KindJob:
+		return &Job{}
+	case KindJobDone:
+		return &JobDone{}
+	case KindRefused:
+		return &Refused{}
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/request/answer/answer_test.go
@@ -0,0 +1,46 @@
+package answer
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"poplarvalve/internal/process/fault"
+	"poplarvalve/internal/process/work"
+)
+
+const seed = 20261204
+
+// Guards against an answer that is taken as whole although frames are missing,
+// repeated or out of order.
+func TestOnlyWholeAnswersComplete(t *testing.T) {
+	random := rand.New(rand.NewPCG(seed, 1))
+	body := "abcdefghij"
+	for range 2000 {
+		var assembly Assembly
+		assert.NilError(t, assembly.Head(work.Answer{Outcome: fault.Ran}, int64(len(body))))
+		for range 14 {
+			at := random.IntN(len(body))
+			if random.IntN(3) > 0 {
+				at = min(int(assembly.Taken()), len(body)-1)
+			}
+			whole, err := assembly.Frame(uint32(at), []byte(body[at:at+1]), at == len(body)-1)
+			if err != nil {
+				assert.Equal(t, fault.KindOf(err), fault.AnswerCut)
+				break
+			}
+			if whole {
+				assert.Equal(t, string(assembly.Answer().Body), body)
+			}
+		}
+	}
+}
+
+// Guards against a last frame that comes before the stated number of bytes.
+func TestShortAnswerIsCut(t *testing.T) {
+	var assembly Assembly
+	assert.NilError(t, assembly.Head(work.Answer{}, 5))
+	_, err := assembly.Frame(0, []byte("abc"), true)
+	assert.Equal(t, fault.KindOf(err), fault.AnswerCut)
+}
