--- /dev/null
+++ b/internal/connection/peer/budget_test.go
@@ -0,0 +1,31 @@
+package peer
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against bulk messages that use up the budget between regions which
+// urgent answers need.
+func TestBulkLeavesBudgetToUrgentMessages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const rate = 100_000
+		shared := newBudget(rate)
+		for range 20 {
+			if shared.bulkDelay(time.Now(), 10_000) == 0 {
+				assert.NilError(t, shared.take(t.Context(), 10_000))
+			}
+		}
+		started := time.Now()
+		assert.NilError(t, shared.take(t.Context(), rate/2))
+		assert.Equal(t, time.Since(started), time.Duration(0))
+
+		wait := shared.bulkDelay(time.Now(), 10_000)
+		time.Sleep(wait)
+		assert.Equal(t, shared.bulkDelay(time.Now(), 10_000), time.Duration(0))
+		assert.Equal(t, shared.sent.Load(), uint64(rate))
+	})
+}
