serve: settle a lost forward by resolve and run keyed requests once

Cause: a lost forward had no known outcome, requests that are not idempotent had no guard against a second run, and nothing retried.

Change: the owner remembers forwards by rising number and answers Resolve with the answer, a permanent refusal or unknown. Tokens run at their issuer only, keys at their home through Intents, and a request with neither is KeyRequired. Idempotent requests may go on to other workers as a Retry decision allows; each attempt has its own task identifier, and an unknown attempt keeps the outcome unknown. A refusal before a key or token was looked up is unknown, because an earlier request may have run.

--- a/internal/request/serve/serve.go
+++ b/internal/request/serve/serve.go
@@ -6,12 +6,15 @@
 
 import (
 	"context"
+	"fmt"
+	"sync/atomic"
 	"time"
 
 	"poplarvalve/internal/process/clock"
 	"poplarvalve/internal/process/fault"
 	"poplarvalve/internal/process/ident"
 	"poplarvalve/internal/process/publish"
+	"poplarvalve/internal/process/token"
 	"poplarvalve/internal/process/work"
 	"poplarvalve/internal/request/placement"
 	"poplarvalve/internal/request/start"
@@ -21,13 +24,6 @@
 	"poplarvalve/internal/version/workers"
 )
 
-// Peers sends messages to other instances.
-type Peers interface {
-	// Forward runs a request at another instance. An error of outcome NotRun
-	// guarantees that the request has not reached the instance.
-	Forward(ctx context.Context, to membership.Member, request work.Request) (work.Answer, error)
-}
-
 // Engine serves urgent requests. Its fields are set once, before use.
 type Engine struct {
 	Self  ident.Incarnation
@@ -40,8 +36,29 @@
 	Workers   *publish.Cell[workers.View]
 	Ownership *publish.Cell[ownership.Table]
 
+	// Members is needed for tokens of other issuers.
+	Members *publish.Cell[membership.State]
+	// Tokens and Results serve the tokens of this incarnation. Without them
+	// requests with tokens are refused.
+	Tokens  *token.Issuer
+	Results *token.Table
+	// Admission, Retry, Outcomes, Intents and Feeds may be nil: everything is
+	// admitted, only attempts that did not run are followed by another, nothing
+	// is recorded, keys are refused, no feed is known.
+	Admission Admission
+	Retry     Retry
+	Outcomes  Outcomes
+	Intents   Intents
+	Feeds     Feeds
+	// Shards is the number of shards of keys; zero means DefaultShards.
+	Shards int
+
 	// DefaultDeadline applies when neither request nor service states one.
 	DefaultDeadline time.Duration
+
+	// numbers counts the forwards of this incarnation.
+	numbers atomic.Uint64
+	recent  recent
 }
 
 // snapshot is the set of versions that one request uses to its end.
@@ -49,6 +66,7 @@
 	rules     *rules.Set
 	workers   *workers.View
 	ownership *ownership.Table
+	members   *membership.State
 }
 
 func (e *Engine) load() (snapshot, error) {
@@ -57,6 +75,9 @@
 		workers:   e.Workers.Load(),
 		ownership: e.Ownership.Load(),
 	}
+	if e.Members != nil {
+		s.members = e.Members.Load()
+	}
 	if s.rules == nil {
 		return s, fault.New(fault.NoConfiguration, "no rules are known yet")
 	}
@@ -66,18 +87,62 @@
 	return s, nil
 }
 
-// Serve answers a caller's request.
+// Serve answers a caller's request. A request that carried a token gets a fresh
+// one with its answer.
 func (e *Engine) Serve(ctx context.Context, request work.Request) work.Answer {
+	answer := e.serve(ctx, request)
+	answer.Request = request.ID
+	if request.Token == "" {
+		return answer
+	}
+	for _, fresh := range e.Issue(1) {
+		answer.Token = fresh
+	}
+	return answer
+}
+
+func (e *Engine) serve(ctx context.Context, request work.Request) work.Answer {
 	s, err := e.load()
 	if err != nil {
-		return work.Refuse(request.ID, err)
+		return work.Refuse(request.ID, unproven(request, err))
 	}
 	service, found := s.rules.Services[request.Service]
 	if !found {
-		return work.Refuse(request.ID, fault.New(fault.UnknownService, "%q", request.Service))
+		return work.Refuse(request.ID, unproven(request, fault.New(fault.UnknownService, "%q", request.Service)))
 	}
 	ctx, cancel := context.WithTimeout(ctx, e.deadline(request, service))
 	defer cancel()
+	return e.route(ctx, s, request, service)
+}
+
+// route chooses who may run the request: anyone, the issuer of its token, or
+// the home of its key.
+func (e *Engine) route(ctx context.Context, s snapshot, request work.Request, service rules.Service) work.Answer {
+	switch {
+	case service.Idempotent:
+		return e.admitted(ctx, s, request, service)
+	case request.Token != "":
+		if e.Tokens == nil {
+			return work.Refuse(request.ID, unproven(request, fault.New(fault.NoConfiguration, "no tokens are issued here")))
+		}
+		return e.byToken(ctx, s, request, service)
+	case request.Key != "":
+		return e.byKey(ctx, s, request, service)
+	default:
+		return work.Refuse(request.ID, fault.New(fault.KeyRequired, "service %s is not idempotent", service.Name))
+	}
+}
+
+// admitted places the request if admission lets it begin.
+func (e *Engine) admitted(ctx context.Context, s snapshot, request work.Request, service rules.Service) work.Answer {
+	if e.Admission == nil {
+		return e.place(ctx, s, request, service)
+	}
+	release, err := e.Admission.Admit(request, service, e.Clock.Now())
+	if err != nil {
+		return work.Refuse(request.ID, err)
+	}
+	defer release()
 	return e.place(ctx, s, request, service)
 }
 
@@ -91,7 +156,8 @@
 	return e.DefaultDeadline
 }
 
-// place tries the ranked workers until one has run the request or may have.
+// place tries the ranked workers until one has run the request. A request that
+// is not idempotent ends with the first attempt that may have run.
 func (e *Engine) place(ctx context.Context, s snapshot, request work.Request, service rules.Service) work.Answer {
 	plan := placement.Rank(s.workers, s.rules, placement.Demand{
 		Resources: service.Demand,
@@ -101,18 +167,54 @@
 		return work.Refuse(request.ID, noCandidate(plan))
 	}
 	var last work.Answer
-	for _, candidate := range plan.Candidates[:plan.Count] {
-		last = e.attempt(ctx, s, request, service, candidate)
-		if last.Outcome != fault.NotRun {
+	mayHaveRun := false
+	for tried, candidate := range plan.Candidates[:plan.Count] {
+		if tried > 0 && !e.again(ctx, request, tried, last) {
+			break
+		}
+		last = e.attempt(ctx, s, attemptOf(request, tried), service, candidate)
+		if last.Outcome == fault.Ran {
 			return last
 		}
-		if ctx.Err() != nil {
+		mayHaveRun = mayHaveRun || last.Outcome == fault.Unknown
+		if mayHaveRun && !service.Idempotent {
 			return last
 		}
 	}
+	if mayHaveRun {
+		return work.Refuse(request.ID, last.Failure.WithOutcome(fault.Unknown))
+	}
 	return last
 }
 
+// attemptOf gives each attempt an identifier of its own, so that an attempt
+// whose outcome is unknown never shares its task with the next.
+func attemptOf(request work.Request, tried int) work.Request {
+	if tried > 0 {
+		request.ID = ident.RequestID(fmt.Sprintf("%s/%d", request.ID, tried+1))
+	}
+	return request
+}
+
+// again reports whether another worker is tried after a failed attempt, and
+// waits as long as the retry decision asks.
+func (e *Engine) again(ctx context.Context, request work.Request, tried int, last work.Answer) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	if e.Retry == nil {
+		return last.Outcome == fault.NotRun
+	}
+	wait, allowed := e.Retry.Allow(request, tried, last.Failure, e.Clock.Now())
+	if !allowed {
+		return false
+	}
+	if wait > 0 {
+		e.pause(ctx, wait)
+	}
+	return ctx.Err() == nil
+}
+
 // noCandidate explains an empty plan.
 func noCandidate(plan placement.Plan) error {
 	switch {
@@ -135,31 +237,18 @@
 		return e.runHere(ctx, request, service, candidate.Worker)
 	}
 	request.Worker = candidate.Worker
-	request.Hops++
-	answer, err := e.Peers.Forward(ctx, owner, request)
-	if err != nil {
-		return work.Refuse(request.ID, err)
+	tries := 0
+	if service.Idempotent {
+		tries = idempotentResolves
 	}
-	return answer
-}
-
-// Forwarded answers a request that another instance sent to this owner.
-func (e *Engine) Forwarded(ctx context.Context, request work.Request) work.Answer {
-	s, err := e.load()
-	if err != nil {
-		return work.Refuse(request.ID, err)
-	}
-	service, found := s.rules.Services[request.Service]
-	if !found {
-		return work.Refuse(request.ID, fault.New(fault.UnknownService, "%q", request.Service))
-	}
-	ctx, cancel := context.WithTimeout(ctx, request.Remaining)
-	defer cancel()
-	return e.runHere(ctx, request, service, request.Worker)
+	return e.forward(ctx, owner, request, tries)
 }
 
 // runHere starts the request on a worker that this instance owns.
 func (e *Engine) runHere(ctx context.Context, request work.Request, service rules.Service, worker ident.WorkerID) work.Answer {
+	if ctx.Err() != nil {
+		return work.Refuse(request.ID, ended(ctx).WithOutcome(fault.NotRun))
+	}
 	report, err := e.Start.Call(ctx, start.Task{
 		ID:      ident.TaskID(request.ID),
 		Worker:  worker,
