caller: complete the HTTP API but for jobs

Cause: callers had one call, no tokens, no feeds and few limits.

A broken feed ends with a typed line and a cut connection. A malformed repeat of a key or token is unknown.

Result: go test -race passes over loopback, and in virtual time for the slow client. Without the mechanisms the tests fail: cut connection: errors.Is(err, io.ErrUnexpectedEOF): EOF feed limit: 200 != 429 (http.StatusTooManyRequests) write deadline: the feed is still open

--- a/internal/connection/caller/caller.go
+++ b/internal/connection/caller/caller.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -28,53 +27,93 @@
 	HeaderRequest  = "Poplarvalve-Request"
 )
 
-// maxBodyBytes bounds the body of one request.
-const maxBodyBytes = 1 << 20
+const (
+	// maxBodyBytes bounds the body of one request.
+	maxBodyBytes = 1 << 20
+	// maxNameBytes bounds the caller's name, its key and its token.
+	maxNameBytes = 256
+	// bodyTimeout bounds the time to receive one body.
+	bodyTimeout = 10 * time.Second
+	// writeTimeout bounds the time to send one answer or one event. A caller
+	// that takes longer is disconnected.
+	writeTimeout = 10 * time.Second
+)
 
 // Engine serves requests whatever their encoding.
 type Engine interface {
 	// Serve returns exactly one answer for the request.
 	Serve(ctx context.Context, request work.Request) work.Answer
+	// Issue returns up to count request tokens.
+	Issue(count int) []string
+	// Recorded returns the recorded answer of a key or token, or NotFound.
+	Recorded(ctx context.Context, caller ident.CallerName, key string) (work.Answer, error)
+	// Feed opens a standing feed after a position, one JSON event a line.
+	Feed(ctx context.Context, feed string, from uint64) (io.ReadCloser, error)
 }
 
 // Handler serves callers.
 type Handler struct {
-	engine Engine
-	mux    *http.ServeMux
+	engine  Engine
+	mux     *http.ServeMux
+	streams streams
 }
 
 // NewHandler returns a handler in front of engine.
 func NewHandler(engine Engine) *Handler {
 	h := &Handler{engine: engine, mux: http.NewServeMux()}
-	h.mux.HandleFunc("POST /v1/services/{service}/call", h.call)
+	h.routes()
 	return h
 }
 
+// routes is the one list of calls for callers. The calls on jobs belong here.
+func (h *Handler) routes() {
+	h.mux.HandleFunc("POST /v1/services/{service}/call", h.call)
+	h.mux.HandleFunc("POST /v1/tokens", h.tokens)
+	h.mux.HandleFunc("GET /v1/requests/{key}", h.recorded)
+	h.mux.HandleFunc("GET /v1/feeds/{feed}", h.feed)
+	h.mux.HandleFunc("/", unknownPath)
+}
+
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	// The deadline of an earlier answer on the connection must not hit this one.
+	limitWrite(w)
 	h.mux.ServeHTTP(w, r)
 }
 
 func (h *Handler) call(w http.ResponseWriter, r *http.Request) {
 	request, err := decodeCall(w, r)
 	if err != nil {
-		writeAnswer(w, work.Refuse(request.ID, err))
+		writeAnswer(w, work.Refuse(request.ID, undecoded(request, err)))
 		return
 	}
 	writeAnswer(w, h.engine.Serve(r.Context(), request))
 }
 
+// undecoded returns the refusal of a malformed call. Its key or token was not
+// looked up, so an earlier request with it may have run.
+func undecoded(request work.Request, err error) error {
+	if request.Key == "" && request.Token == "" {
+		return err
+	}
+	return fault.From(err).WithOutcome(fault.Unknown)
+}
+
 func decodeCall(w http.ResponseWriter, r *http.Request) (work.Request, error) {
 	request := work.Request{
 		ID:      ident.RequestID(uuid.NewString()),
-		Caller:  ident.CallerName(r.Header.Get(HeaderCaller)),
 		Service: ident.ServiceName(r.PathValue("service")),
 		Key:     r.Header.Get(HeaderKey),
 		Token:   r.Header.Get(HeaderToken),
 	}
-	if request.Caller == "" {
-		return request, fault.New(fault.BadRequest, "header %s is missing", HeaderCaller)
+	if len(request.Key) > maxNameBytes || len(request.Token) > maxNameBytes {
+		return request, fault.New(fault.TooLarge, "key or token exceeds %d bytes", maxNameBytes)
+	}
+	caller, err := callerOf(r)
+	if err != nil {
+		return request, err
 	}
+	request.Caller = caller
 	remaining, err := parseDeadline(r.Header.Get(HeaderDeadline))
 	if err != nil {
 		return request, err
@@ -84,6 +123,18 @@
 	return request, err
 }
 
+// callerOf returns the name that the caller states.
+func callerOf(r *http.Request) (ident.CallerName, error) {
+	name := r.Header.Get(HeaderCaller)
+	if name == "" {
+		return "", fault.New(fault.BadRequest, "header %s is missing", HeaderCaller)
+	}
+	if len(name) > maxNameBytes {
+		return "", fault.New(fault.TooLarge, "header %s exceeds %d bytes", HeaderCaller, maxNameBytes)
+	}
+	return ident.CallerName(name), nil
+}
+
 func parseDeadline(value string) (time.Duration, error) {
 	if value == "" {
 		return 0, nil
@@ -96,6 +147,9 @@
 }
 
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	// A writer without deadlines, as in some tests, keeps none.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
+	defer func() { _ = http.NewResponseController(w).SetReadDeadline(time.Time{}) }()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -106,67 +160,3 @@
 	}
 	return body, nil
 }
-
-// failureBody is the JSON body of an answer that is not a success.
-type failureBody struct {
-	Failure *fault.Failure `json:"failure"`
-	Outcome string         `json:"outcome"`
-}
-
-func writeAnswer(w http.ResponseWriter, answer work.Answer) {
-	header := w.Header()
-	header.Set(HeaderRequest, string(answer.Request))
-	header.Set(HeaderOutcome, answer.Outcome.String())
-	if answer.Token != "" {
-		header.Set(HeaderToken, answer.Token)
-	}
-	if answer.Failure != nil {
-		writeFailure(w, answer)
-		return
-	}
-	header.Set("Content-Type", "application/octet-stream")
-	header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
-	w.WriteHeader(http.StatusOK)
-	// A failed write means that the caller is gone; there is nobody to tell.
-	_, _ = w.Write(answer.Body)
-}
-
-func writeFailure(w http.ResponseWriter, answer work.Answer) {
-	header := w.Header()
-	header.Set("Content-Type", "application/json")
-	if wait := answer.Failure.RetryAfter; wait > 0 {
-		seconds := int((wait + time.Second - 1) / time.Second)
-		header.Set("Retry-After", strconv.Itoa(seconds))
-	}
-	w.WriteHeader(statusOf(answer.Failure.Kind))
-	body := failureBody{Failure: answer.Failure, Outcome: answer.Outcome.String()}
-	_ = json.NewEncoder(w).Encode(body)
-}
-
-// statusOf returns the HTTP status for a kind of failure.
-func statusOf(kind fault.Kind) int {
-	switch kind {
-	case fault.BadRequest, fault.KeyRequired, fault.NeverFits:
-		return http.StatusBadRequest
-	case fault.Unauthorized:
-		return http.StatusUnauthorized
-	case fault.UnknownService, fault.NotFound:
-		return http.StatusNotFound
-	case fault.KeyReused:
-		return http.StatusUnprocessableEntity
-	case fault.KeyExpired:
-		return http.StatusGone
-	case fault.TooLarge:
-		return http.StatusRequestEntityTooLarge
-	case fault.RateLimited, fault.QuotaExceeded:
-		return http.StatusTooManyRequests
-	case fault.DeadlineExceeded:
-		return http.StatusGatewayTimeout
-	case fault.TaskFailed, fault.WorkerLost, fault.PeerLost, fault.AnswerCut:
-		return http.StatusBadGateway
-	case fault.Internal:
-		return http.StatusInternalServerError
-	default:
-		return http.StatusServiceUnavailable
-	}
-}
