serve: look up the outcome of a token in the issuer's memory

Cause: GET /v1/requests found only outcomes that had been recorded.

Change: the issuing instance answers from its table of results first.

Result: go test -race -count=10 passes for serve, peer, token and caller.

--- a/internal/process/token/table.go
+++ b/internal/process/token/table.go
@@ -74,6 +74,18 @@
 	return known.wait(ctx, request.ID)
 }
 
+// Recorded returns the answer of a token's request, if it has ended and is
+// still remembered. The token must have been checked.
+func (t *Table) Recorded(token Token) (work.Answer, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known, found := t.entries[token.Number]
+	if !found || !known.over() {
+		return work.Answer{}, false
+	}
+	return known.answer, true
+}
+
 // wait returns the first request's answer under the identifier of a repeat.
 func (e *entry) wait(ctx context.Context, id ident.RequestID) work.Answer {
 	select {
--- a/internal/request/serve/once.go
+++ b/internal/request/serve/once.go
@@ -124,8 +124,12 @@
 	return e.Tokens.Issue(e.Clock.Now(), count)
 }
 
-// Recorded returns the recorded answer of a key or token.
+// Recorded returns the recorded answer of a key or token: from memory for a
+// token that was issued here, otherwise from Outcomes.
 func (e *Engine) Recorded(ctx context.Context, caller ident.CallerName, key string) (work.Answer, error) {
+	if answer, found := e.remembered(key); found {
+		return answer, nil
+	}
 	if e.Outcomes != nil {
 		if answer, found := e.Outcomes.Recorded(ctx, caller, key); found {
 			return answer, nil
@@ -133,3 +137,15 @@
 	}
 	return work.Answer{}, fault.New(fault.NotFound, "no outcome is recorded").WithOutcome(fault.Unknown)
 }
+
+// remembered returns the answer of a valid token that was issued here.
+func (e *Engine) remembered(key string) (work.Answer, bool) {
+	if e.Tokens == nil {
+		return work.Answer{}, false
+	}
+	parsed, err := token.Parse(key)
+	if err != nil || e.Tokens.Check(parsed, e.Clock.Now()) != nil {
+		return work.Answer{}, false
+	}
+	return e.Results.Recorded(parsed)
+}
--- a/internal/request/serve/serve_test.go
+++ b/internal/request/serve/serve_test.go
@@ -363,6 +363,10 @@
 
 		old := work.Request{ID: "old", Service: "issue", Body: []byte("old"), Token: c.engines[1].Issue(1)[0]}
 		assert.Equal(t, c.engines[1].Serve(t.Context(), old).Outcome, fault.Ran)
+		c.engines[1].Outcomes = nil
+		remembered, err := c.engines[1].Recorded(t.Context(), "", old.Token)
+		assert.NilError(t, err)
+		assert.Equal(t, string(remembered.Body), "old")
 		time.Sleep(token.Window)
 		assert.Equal(t, c.engines[1].Serve(t.Context(), old).Failure.Kind, fault.KeyExpired)
 		assert.Equal(t, c.worker.ran("old"), 1)
