serve: count no bytes of a forward that was forgotten while it ran

Cause: its bytes stayed counted for ever, so that a front with large answers would in time have been remembered no forward at all.

Change: finish counts an answer only while its forward is in the table. A second test holds an answer in flight to its window.

--- a/internal/connection/peer/peer_test.go
+++ b/internal/connection/peer/peer_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -228,6 +229,28 @@
 	})
 }
 
+// Guards against a large answer that fills memory while its receiver takes
+// nothing.
+func TestWindowBoundsAnAnswerInFlight(t *testing.T) {
+	pair(t, func(t *testing.T, network *peer.Memory, front *peer.Node, _ *echo) {
+		var sent atomic.Int64
+		network.Intercept(func(data []byte) peer.Verdict {
+			frame, err := codec.DecodePeer(data)
+			assert.Check(t, err)
+			switch message := frame.Message.(type) {
+			case *codec.AnswerFrame:
+				sent.Add(int64(len(message.Data)))
+			case *codec.Window:
+				return peer.Drop
+			}
+			return peer.Deliver
+		})
+		_, err := forward(t, front, time.Second, request(1, 200_000))
+		assert.Equal(t, fault.KindOf(err), fault.DeadlineExceeded)
+		assert.Equal(t, sent.Load(), int64(peer.WindowBytes))
+	})
+}
+
 // Guards against a break between the WebSocket transport and the links.
 func TestWebSocketLinkCarriesAnswers(t *testing.T) {
 	handler := &echo{runs: map[ident.RequestID]int{}}
--- a/internal/request/serve/recent.go
+++ b/internal/request/serve/recent.go
@@ -43,6 +43,7 @@
 
 // forwarded is one forward.
 type forwarded struct {
+	number uint64
 	// done is closed when answer is set.
 	done   chan struct{}
 	answer work.Answer
@@ -86,10 +87,12 @@
 	defer r.mu.Unlock()
 	entry.answer = answer
 	close(entry.done)
-	if known, found := r.fronts[from]; found {
-		known.bytes += len(answer.Body)
-		known.trim()
+	known, found := r.fronts[from]
+	if !found || known.entries[entry.number] != entry {
+		return // It was forgotten while it ran.
 	}
+	known.bytes += len(answer.Body)
+	known.trim()
 }
 
 func (r *recent) front(now time.Time, from ident.Incarnation) (*front, error) {
@@ -120,7 +123,7 @@
 }
 
 func (f *front) add(number uint64) *forwarded {
-	entry := &forwarded{done: make(chan struct{})}
+	entry := &forwarded{number: number, done: make(chan struct{})}
 	f.entries[number] = entry
 	f.order = append(f.order, number)
 	f.trim()
