peer: send the head of a new answer before frames in progress

Cause: TestSmallAnswerPassesLargeOne failed in 12 of 73 runs under load. A new answer went to the end of the line, so its head could wait for the message in flight and for one more frame of a large answer: two messages where the bound allows one. The failure was hidden by a panic, because the test ended while its other goroutine still ran. Ruled out: Hello and Window messages, which are counted in the bound.

Change: answers whose head was not sent stand before the others. The test waits for its goroutine also when it fails; its bound is unchanged.

Result: 720 runs under the race detector on 12 processes in parallel, no failure.

--- a/internal/connection/peer/outbox.go
+++ b/internal/connection/peer/outbox.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -38,13 +39,15 @@
 	taken    int64
 }
 
-// outbox orders the messages of one link. Small messages go first, then one
-// frame of each answer in turn, then bulk messages.
+// outbox orders the messages of one link. Small messages go first, then the
+// heads of new answers, then one frame of each answer in turn, then bulk
+// messages.
 type outbox struct {
 	mu          sync.Mutex
 	urgent      []*item
 	bulk        []*item
 	queuedBytes int
+	// answers holds those whose head was not sent before all others.
 	answers     []*outAnswer
 	answerBytes int
 	// wake holds one signal for the writer.
@@ -88,7 +91,11 @@
 		return false
 	}
 	o.answerBytes += len(answer.answer.Body)
-	o.answers = append(o.answers, answer)
+	begun := slices.IndexFunc(o.answers, func(other *outAnswer) bool { return other.headSent })
+	if begun < 0 {
+		begun = len(o.answers)
+	}
+	o.answers = slices.Insert(o.answers, begun, answer)
 	o.signal()
 	return true
 }
--- a/internal/connection/peer/peer_test.go
+++ b/internal/connection/peer/peer_test.go
@@ -209,6 +209,7 @@
 			return peer.Deliver
 		})
 		var group sync.WaitGroup
+		defer group.Wait()
 		group.Go(func() {
 			_, err := forward(t, front, time.Minute, request(1, 200_000))
 			assert.Check(t, err)
