serve: let tests wait until owners have settled lost starts

Change: the harness waits longer than one start can be asked about before it closes the nodes. No check changed.

--- a/internal/request/serve/serve_test.go
+++ b/internal/request/serve/serve_test.go
@@ -172,7 +172,11 @@
 	nodes   []*peer.Node
 }
 
-const instances = 3
+const (
+	instances = 3
+	// settleTime is longer than an owner asks a worker about one lost start.
+	settleTime = time.Minute
+)
 
 // run builds a cluster in a bubble of virtual time and ends it after test.
 func run(t *testing.T, test func(t *testing.T, c *cluster)) {
@@ -199,6 +203,8 @@
 		}
 		time.Sleep(3 * time.Second)
 		test(t, c)
+		// Owners settle lost starts beyond the deadline of the request.
+		time.Sleep(settleTime)
 		for _, node := range c.nodes {
 			node.Close()
 		}
