caller, poplarvalve: add the calls on jobs

Cause: callers could not submit, look up or cancel jobs, and the tool made identifiers that are not UUIDv7.

Change: POST, GET and DELETE on /v1/jobs in front of the interface Jobs, which may be nil. The tool makes UUIDv7, prints the full identifier of the reply and has 'job ID'.

--- a/cmd/poplarvalve/commands.go
+++ b/cmd/poplarvalve/commands.go
@@ -75,16 +75,17 @@
 	flags.DurationVar(&t.timeout, 0, "timeout", defaultTimeout, "time for the whole command")
 	flags.BoolVar(&t.json, 0, "json", "print JSON")
 	flags.StringVar(&t.tokenFile, 0, "token-file", "", "file with the operator token")
-	flags.StringVar(&t.caller, 0, "caller", "poplarvalve", "name of the caller for submit, call and cancel")
+	flags.StringVar(&t.caller, 0, "caller", "poplarvalve", "name of the caller for submit, call, job and cancel")
 	return &ff.Command{
 		Name:  "poplarvalve",
 		Usage: "poplarvalve [FLAGS] SUBCOMMAND ...",
 		LongHelp: "Operator commands need the operator address of an instance and --token-file;\n" +
-			"submit, call and cancel need the caller address.\n\n" +
+			"submit, call, job and cancel need the caller address.\n\n" +
 			"Exit codes: 0 done, 1 failure, 2 usage, 3 refused and not run, 4 lost the race, 5 outcome unknown.",
 		Flags: flags,
 		Subcommands: []*ff.Command{
-			t.rulesCommand(flags), t.submitCommand(flags), t.callCommand(flags), t.cancelCommand(flags),
+			t.rulesCommand(flags), t.submitCommand(flags), t.callCommand(flags),
+			t.jobCommand(flags), t.cancelCommand(flags),
 			t.get(flags, "status", "", "show the state of an instance", statusPath),
 			t.get(flags, "explain", "JOB", "say where a job stands and why", explainPath),
 			t.get(flags, "dump", "", "print the state dump of an instance", dumpPath),
--- a/cmd/poplarvalve/work.go
+++ b/cmd/poplarvalve/work.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -22,8 +23,8 @@
 
 const pathJobs = "/v1/jobs"
 
-// submission is the body of POST /v1/jobs. A repeat with the same ID is
-// harmless.
+// submission is the body of POST /v1/jobs. Its ID is a UUIDv7, and a repeat
+// with the same one is harmless.
 type submission struct {
 	ID      ident.JobID       `json:"id"`
 	Service ident.ServiceName `json:"service"`
@@ -34,7 +35,7 @@
 
 func (t *tool) submitCommand(parent *ff.FlagSet) *ff.Command {
 	flags := ff.NewFlagSet("submit").SetParent(parent)
-	id := flags.StringLong("id", "", "job identifier; a repeat with the same one is harmless (default: a new one)")
+	id := flags.StringLong("id", "", "job identifier, a UUIDv7; a repeat with the same one is harmless (default: a new one)")
 	body := flags.StringLong("body", "", "file with the body, or - for the standard input")
 	cpu := flags.Uint64Long("cpu-millis", 0, "thousandths of a processor core, if not as in the rules")
 	memory := flags.Uint64Long("memory-mib", 0, "mebibytes of memory, if not as in the rules")
@@ -52,7 +53,7 @@
 
 func orNew(id string) string {
 	if id == "" {
-		return uuid.NewString()
+		return uuid.Must(uuid.NewV7()).String()
 	}
 	return id
 }
@@ -79,10 +80,24 @@
 	if err != nil {
 		return err
 	}
+	return t.printSubmitted(got, job.ID)
+}
+
+// printSubmitted prints the full identifier from the reply, which later
+// commands need.
+func (t *tool) printSubmitted(got reply, id ident.JobID) error {
+	var status struct {
+		ID ident.JobID `json:"id"`
+	}
+	err := json.Unmarshal(got.body, &status)
+	if err != nil || !strings.HasSuffix(string(status.ID), "."+string(id)) {
+		return fail(exitUnknown, "the reply doesn't name job %s; repeat with --id %s", id, id)
+	}
 	if t.json {
-		return json.NewEncoder(t.out).Encode(map[string]ident.JobID{"id": job.ID})
+		_, err = t.out.Write(got.body)
+		return err
 	}
-	_, err = fmt.Fprintln(t.out, job.ID)
+	_, err = fmt.Fprintln(t.out, status.ID)
 	return err
 }
 
@@ -121,13 +136,28 @@
 	return err
 }
 
+func (t *tool) jobCommand(parent *ff.FlagSet) *ff.Command {
+	return command(parent, "job", "JOB", "show the status of a job", 1, func(ctx context.Context, args []string) error {
+		got, err := t.onJob(ctx, http.MethodGet, args[0])
+		if err != nil {
+			return err
+		}
+		return t.print(got.body)
+	})
+}
+
 func (t *tool) cancelCommand(parent *ff.FlagSet) *ff.Command {
 	return command(parent, "cancel", "JOB", "cancel a job", 1, func(ctx context.Context, args []string) error {
-		path := pathJobs + "/" + url.PathEscape(args[0])
-		got, err := t.send(ctx, message{method: http.MethodDelete, path: path, headers: t.callerHeaders()})
-		if err == nil && !got.ok() {
-			err = refusal(got)
-		}
+		_, err := t.onJob(ctx, http.MethodDelete, args[0])
 		return err
 	})
 }
+
+func (t *tool) onJob(ctx context.Context, method, job string) (reply, error) {
+	path := pathJobs + "/" + url.PathEscape(job)
+	got, err := t.send(ctx, message{method: method, path: path, headers: t.callerHeaders()})
+	if err == nil && !got.ok() {
+		err = refusal(got)
+	}
+	return got, err
+}
--- a/internal/connection/caller/caller.go
+++ b/internal/connection/caller/caller.go
@@ -54,22 +54,27 @@
 // Handler serves callers.
 type Handler struct {
 	engine  Engine
+	jobs    Jobs
 	mux     *http.ServeMux
 	streams streams
 }
 
-// NewHandler returns a handler in front of engine.
-func NewHandler(engine Engine) *Handler {
-	h := &Handler{engine: engine, mux: http.NewServeMux()}
+// NewHandler returns a handler in front of engine and jobs. If jobs is nil, the
+// calls on jobs are refused and all others work.
+func NewHandler(engine Engine, jobs Jobs) *Handler {
+	h := &Handler{engine: engine, jobs: jobs, mux: http.NewServeMux()}
 	h.routes()
 	return h
 }
 
-// routes is the one list of calls for callers. The calls on jobs belong here.
+// routes is the one list of calls for callers.
 func (h *Handler) routes() {
 	h.mux.HandleFunc("POST /v1/services/{service}/call", h.call)
 	h.mux.HandleFunc("POST /v1/tokens", h.tokens)
 	h.mux.HandleFunc("GET /v1/requests/{key}", h.recorded)
+	h.mux.HandleFunc("POST /v1/jobs", h.submit)
+	h.mux.HandleFunc("GET /v1/jobs/{id}", h.job)
+	h.mux.HandleFunc("DELETE /v1/jobs/{id}", h.cancel)
 	h.mux.HandleFunc("GET /v1/feeds/{feed}", h.feed)
 	h.mux.HandleFunc("/", unknownPath)
 }
