workerstub: name the body of each start in the history

Cause: a task's identifier is chosen by the system, so a driver could not tell how often its own request ran; and each command went through all tasks ever started, so a stand-in became slower with time.

Change: a start event holds the first line of the body as its label, GET /exceeded reports whether the capacity was exceeded, and tasks that are over are no longer visited by each command.

--- a/test/workerstub/http.go
+++ b/test/workerstub/http.go
@@ -47,6 +47,7 @@
 	add(mux, "GET /v1/usage", func(ctx context.Context, _ string, _ none) (any, error) { return w.Usage(ctx) })
 	mux.HandleFunc("GET /v1/feeds/{id}", w.serveFeed)
 	add(mux, "GET /history", func(context.Context, string, none) (any, error) { return w.History(), nil })
+	add(mux, "GET /exceeded", func(context.Context, string, none) (any, error) { return w.Exceeded(), nil })
 	add(mux, "POST /control/lose", func(_ context.Context, _ string, loss Loss) (any, error) { w.Lose(loss); return none{}, nil })
 	add(mux, "POST /control/restart", func(context.Context, string, none) (any, error) { w.Restart(); return none{}, nil })
 	add(mux, "POST /control/settings", func(_ context.Context, _ string, edit json.RawMessage) (reply any, err error) {
--- a/test/workerstub/workerstub.go
+++ b/test/workerstub/workerstub.go
@@ -61,6 +61,17 @@
 	At    time.Time      `json:"at"`
 	// From is the work that a checkpoint had done before the start.
 	From time.Duration `json:"from_ns,omitempty"`
+	// Label is the first line of the body of a start, cut at labelBytes. Callers
+	// use it to find their requests, whose tasks the system names.
+	Label string `json:"label,omitempty"`
+}
+
+// labelBytes bounds the label of an event.
+const labelBytes = 64
+
+func labelOf(body []byte) string {
+	line, _, _ := bytes.Cut(body, []byte("\n"))
+	return string(line[:min(len(line), labelBytes)])
 }
 
 // directive is the part of a body that the stand-in obeys.
@@ -96,6 +107,9 @@
 	leases   map[ident.LeaseID]time.Time
 	started  map[string]bool
 	tasks    map[ident.TaskID]*task
+	// running holds the tasks that are not over, so that a command takes no
+	// longer after many tasks than after few.
+	running  map[ident.TaskID]*task
 	history  []Event
 	exceeded bool
 	mux      *http.ServeMux
@@ -117,6 +131,7 @@
 func (w *Worker) clear() {
 	w.leases = map[ident.LeaseID]time.Time{}
 	w.tasks = map[ident.TaskID]*task{}
+	w.running = map[ident.TaskID]*task{}
 }
 
 // Change edits the settings.
@@ -136,7 +151,7 @@
 // Restart ends every task and forgets tasks and leases.
 func (w *Worker) Restart() {
 	_, _ = locked(w, func() (none, error) {
-		for _, t := range w.tasks {
+		for _, t := range w.running {
 			w.stop(t)
 		}
 		w.clear()
@@ -173,7 +188,7 @@
 // update brings every task up to the present.
 func (w *Worker) update() {
 	now := time.Now()
-	for _, t := range w.tasks {
+	for _, t := range w.running {
 		w.advance(t, now)
 	}
 }
@@ -211,6 +226,7 @@
 
 func (w *Worker) end(t *task, state work.TaskState, at time.Time) {
 	t.state, t.ended = state, at
+	delete(w.running, t.command.Task)
 	w.history = append(w.history, Event{Task: t.command.Task, State: state, At: at})
 }
 
@@ -326,8 +342,10 @@
 	w.started[key] = true
 	t := w.plan(command)
 	w.tasks[command.Task] = t
+	w.running[command.Task] = t
 	w.history = append(w.history, Event{
 		Task: command.Task, Lease: command.StartLease, State: work.TaskRunning, At: t.seen, From: t.done,
+		Label: labelOf(command.Body),
 	})
 	w.measure()
 	w.advance(t, t.seen)
@@ -372,10 +390,8 @@
 // measure records whether the running tasks exceed the capacity.
 func (w *Worker) measure() {
 	var held resource.Vector
-	for _, t := range w.tasks {
-		if t.state == work.TaskRunning {
-			held = held.Add(t.command.Demand)
-		}
+	for _, t := range w.running {
+		held = held.Add(t.command.Demand)
 	}
 	w.exceeded = w.exceeded || !held.Fits(w.settings.Capacity)
 }
@@ -409,10 +425,8 @@
 func (w *Worker) Inventory(context.Context) ([]worker.TaskReport, error) {
 	return run(w, "Inventory", func() ([]worker.TaskReport, error) {
 		reports := []worker.TaskReport{}
-		for _, t := range w.tasks {
-			if t.state == work.TaskRunning {
-				reports = append(reports, t.report())
-			}
+		for _, t := range w.running {
+			reports = append(reports, t.report())
 		}
 		return reports, nil
 	})
