instance: assemble a whole instance from its parts

Cause: the parts for members, configuration, ownership, sessions, peers and requests stood alone; nothing connected them, so the promises of the design could not be tested together.

Change: Instance keeps what lives for the process and builds an incarnation when it has become a member; the old one stays until then, since its links carry promises. A bound fence ends the starts of an old incarnation for good. Each epoch ends the starts on workers that it gives away before it can be acknowledged. The instance list confirms the end of a removed member that vanished from it, and a join at the same peer address does so too; without that, instances that all crashed together would wait for ever.

--- a/internal/connection/codec/peermessages.go
+++ b/internal/connection/codec/peermessages.go
@@ -7,6 +7,7 @@
 	"poplarvalve/internal/process/ident"
 	"poplarvalve/internal/process/resource"
 	"poplarvalve/internal/process/work"
+	"poplarvalve/internal/version/workers"
 )
 
 // PeerKind names the type of a peer message. Numbers are never reused.
@@ -85,19 +86,9 @@
 	Request ident.RequestID `cbor:"1,keyasint"`
 }
 
-// WorkerSummary is the state of one worker whose state has changed.
-type WorkerSummary struct {
-	Worker  ident.WorkerID  `cbor:"1,keyasint"`
-	Free    resource.Vector `cbor:"2,keyasint"`
-	CPUUsed int64           `cbor:"3,keyasint,omitempty"`
-	Health  uint8           `cbor:"4,keyasint,omitempty"`
-	Leaving bool            `cbor:"5,keyasint,omitempty"`
-	Ready   bool            `cbor:"6,keyasint,omitempty"`
-}
-
 // Summary reports the owner's workers that have changed.
 type Summary struct {
-	Workers []WorkerSummary `cbor:"1,keyasint"`
+	Workers []workers.Summary `cbor:"1,keyasint"`
 }
 
 // ZoneTotal reports a whole zone to other zones.
@@ -110,8 +101,8 @@
 // ConfigOffer passes a version of the configuration on.
 type ConfigOffer struct {
 	Version ident.Offset `cbor:"1,keyasint"`
-	Offset  ident.Offset `cbor:"2,keyasint"`
-	Rules   []byte       `cbor:"3,keyasint,omitempty"`
+	Author  string       `cbor:"2,keyasint"`
+	Rules   string       `cbor:"3,keyasint,omitempty"`
 }
 
 // Promise asks the receiver not to act on an epoch without the sender.
--- a/internal/connection/platform/platform.go
+++ b/internal/connection/platform/platform.go
@@ -59,8 +59,17 @@
 	Entries [][]byte     `cbor:"4,keyasint"`
 }
 
+// The kinds and states of a listed instance.
+const (
+	KindEntry    = "entry"
+	KindWorker   = "worker"
+	StateLive    = "live"
+	StateLeaving = "leaving"
+)
+
 // ListedInstance is one line of the instance list, which lags.
 type ListedInstance struct {
+	// ID is the name of an entry instance or the identifier of a worker.
 	ID       string           `json:"id"`
 	Address  string           `json:"address"`
 	Kind     string           `json:"kind"`
--- /dev/null
+++ b/internal/instance/front.go
@@ -0,0 +1,133 @@
+package instance
+
+import (
+	"context"
+	"io"
+
+	"poplarvalve/internal/process/fault"
+	"poplarvalve/internal/process/ident"
+	"poplarvalve/internal/process/work"
+)
+
+// front serves callers by the current incarnation and counts their requests, so
+// that a drain waits for them. It implements caller.Engine and caller.Jobs.
+type front struct {
+	process *Instance
+}
+
+// drainingFailure returns the refusal of a draining instance. A key or token
+// was not looked up, so an earlier request with it may have run.
+func drainingFailure(request work.Request, self ident.Incarnation) *fault.Failure {
+	failure := fault.New(fault.Draining, "instance %s", self.Instance)
+	if request.Worker == "" && (request.Key != "" || request.Token != "") {
+		return failure.WithOutcome(fault.Unknown)
+	}
+	return failure
+}
+
+// begin returns the current incarnation, which is counted as used until done.
+func (f front) begin() (current *incarnation, done func(), err error) {
+	done, ok := f.process.gate.Begin()
+	if !ok {
+		return nil, nil, fault.New(fault.Draining, "instance %s", f.process.options.Name)
+	}
+	current = f.process.current.Load()
+	if current == nil {
+		done()
+		return nil, nil, fault.New(fault.Fenced, "instance %s is not a member yet", f.process.options.Name)
+	}
+	return current, done, nil
+}
+
+// Serve implements caller.Engine.
+func (f front) Serve(ctx context.Context, request work.Request) work.Answer {
+	current, done, err := f.begin()
+	if err != nil {
+		failure := fault.From(err)
+		if request.Key != "" || request.Token != "" {
+			failure = failure.WithOutcome(fault.Unknown)
+		}
+		return work.Refuse(request.ID, failure)
+	}
+	defer done()
+	return f.process.measured(request, func() work.Answer { return current.engine.Serve(ctx, request) })
+}
+
+// Issue implements caller.Engine.
+func (f front) Issue(count int) []string {
+	current, done, err := f.begin()
+	if err != nil {
+		return nil
+	}
+	defer done()
+	return current.engine.Issue(count)
+}
+
+// Recorded implements caller.Engine.
+func (f front) Recorded(ctx context.Context, caller ident.CallerName, key string) (work.Answer, error) {
+	current, done, err := f.begin()
+	if err != nil {
+		return work.Answer{}, fault.From(err).WithOutcome(fault.Unknown)
+	}
+	defer done()
+	return current.engine.Recorded(ctx, caller, key)
+}
+
+// Feed implements caller.Engine. A feed has no end that a drain could wait for,
+// so a drain ends it; the caller resumes it elsewhere from its position.
+func (f front) Feed(ctx context.Context, feed string, from uint64) (io.ReadCloser, error) {
+	current, done, err := f.begin()
+	if err != nil {
+		return nil, err
+	}
+	defer done()
+	stream, err := current.engine.Feed(ctx, feed, from)
+	if err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(f.process.draining, func() { _ = stream.Close() })
+	return feedStream{ReadCloser: stream, stop: stop}, nil
+}
+
+// feedStream is a feed that a drain closes.
+type feedStream struct {
+	io.ReadCloser
+	stop func() bool
+}
+
+// Close implements io.Closer.
+func (s feedStream) Close() error {
+	s.stop()
+	return s.ReadCloser.Close()
+}
+
+// Submit implements caller.Jobs.
+func (f front) Submit(ctx context.Context, job work.Job) (work.JobStatus, error) {
+	current, done, err := f.begin()
+	if err != nil {
+		// The job's identifier was not looked up, so it may be known already.
+		return work.JobStatus{}, fault.From(err).WithOutcome(fault.Unknown)
+	}
+	defer done()
+	return current.home.Submit(ctx, job)
+}
+
+// Job implements caller.Jobs.
+func (f front) Job(ctx context.Context, id ident.JobID) (work.JobStatus, error) {
+	current, done, err := f.begin()
+	if err != nil {
+		return work.JobStatus{}, fault.From(err).WithOutcome(fault.Unknown)
+	}
+	defer done()
+	return current.home.Job(ctx, id)
+}
+
+// Cancel implements caller.Jobs.
+func (f front) Cancel(ctx context.Context, id ident.JobID) (work.JobStatus, error) {
+	current, done, err := f.begin()
+	if err != nil {
+		return work.JobStatus{}, fault.From(err).WithOutcome(fault.Unknown)
+	}
+	defer done()
+	return current.home.Cancel(ctx, id)
+}
--- a/internal/instance/member.go
+++ b/internal/instance/member.go
@@ -54,6 +54,9 @@
 	// OnIncarnation is called when the agent has taken a new incarnation. It must
 	// neither block nor call the agent.
 	OnIncarnation func(self ident.Incarnation)
+	// OnEpoch is called with each new set of members before it can be seen or
+	// acknowledged. It must neither block nor call the agent.
+	OnEpoch func(next *membership.State)
 	// OnPromise is called with each promise of a peer.
 	OnPromise func(from membership.Member, promise Promise)
 }
@@ -325,6 +328,9 @@
 		a.rejoin()
 	}
 	a.tracking.follow(next, a.config.Region, a.mine, now)
+	if a.config.OnEpoch != nil && next.Epoch != a.cell.Load().Epoch {
+		a.config.OnEpoch(next)
+	}
 	a.cell.Publish(next)
 	if present && !a.member {
 		a.member = true
@@ -356,3 +362,10 @@
 	a.config.Fence.Renew(sent, membership.Lease)
 	a.opened = a.opened || a.config.Fence.Open(now)
 }
+
+// LogReachable reports whether a recent heartbeat was read back.
+func (a *MemberAgent) LogReachable() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.logReachable(a.config.Clock.Now())
+}
--- /dev/null
+++ b/internal/instance/owner.go
@@ -0,0 +1,239 @@
+package instance
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"poplarvalve/internal/connection/worker"
+	"poplarvalve/internal/process/clock"
+	"poplarvalve/internal/process/fence"
+	"poplarvalve/internal/process/ident"
+	"poplarvalve/internal/process/ledger"
+	"poplarvalve/internal/process/logging"
+	"poplarvalve/internal/process/publish"
+	"poplarvalve/internal/request/start"
+	"poplarvalve/internal/version/membership"
+	"poplarvalve/internal/version/ownership"
+	"poplarvalve/internal/version/workers"
+)
+
+// readyCheck is the time between looks at whether earlier owners are over, while
+// a takeover waits for that.
+const readyCheck = 250 * time.Millisecond
+
+// ownerOptions are what an ownerAgent uses. All fields are required but Log.
+type ownerOptions struct {
+	Self      ident.Incarnation
+	Clock     clock.Clock
+	Fence     *fence.Fence
+	Ledger    *ledger.Ledger
+	Ownership *publish.Cell[ownership.Table]
+	Listing   *publish.Cell[Listing]
+	// Ready says whether the instance may act on the newest epoch.
+	Ready  func() membership.Readiness
+	Dial   func(w workers.Listed) worker.API
+	Random func() float64
+	Log    *logging.Logger
+}
+
+// ownerAgent keeps a session with each worker that this incarnation owns. A
+// session gets ready only after earlier owners can't act any more, and no start
+// leaves for a worker after an epoch without its ownership was acknowledged.
+type ownerAgent struct {
+	options ownerOptions
+	table   *worker.Table
+
+	// mu is never held during I/O. It orders the opening of a session and the
+	// epoch that takes its worker away.
+	mu sync.Mutex
+	// newest is the table of the newest epoch that epoch was told.
+	newest *ownership.Table
+	// opened holds the listed worker of each session.
+	opened map[ident.WorkerID]workers.Listed
+	// lost holds the workers whose sessions were handed over.
+	lost map[ident.WorkerID]bool
+}
+
+func newOwnerAgent(options ownerOptions) *ownerAgent {
+	return &ownerAgent{
+		options: options,
+		table:   worker.NewTable(),
+		opened:  map[ident.WorkerID]workers.Listed{},
+		lost:    map[ident.WorkerID]bool{},
+	}
+}
+
+// Session implements start.Sessions.
+func (a *ownerAgent) Session(id ident.WorkerID) (start.Session, bool) {
+	session, found := a.table.Find(id)
+	if !found {
+		return nil, false
+	}
+	return session, true
+}
+
+// epoch ends starts on the workers that the next table gives to others. It
+// does no I/O. A table that is older than one told before has no effect.
+func (a *ownerAgent) epoch(next *ownership.Table) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if next == nil || a.newest != nil && next.Epoch <= a.newest.Epoch {
+		return
+	}
+	a.newest = next
+	for _, session := range a.table.List() {
+		if a.owns(next, a.opened[session.Worker()]) {
+			continue
+		}
+		session.HandOver()
+		a.lost[session.Worker()] = true
+	}
+}
+
+func (a *ownerAgent) owns(table *ownership.Table, listed workers.Listed) bool {
+	owner, found := table.Owner(listed.ID, listed.Zone, listed.Region)
+	return found && owner.ID == a.options.Self
+}
+
+// handOver ends starts on all workers.
+func (a *ownerAgent) handOver() {
+	for _, session := range a.table.List() {
+		session.HandOver()
+	}
+}
+
+// run opens and closes sessions until ctx ends.
+func (a *ownerAgent) run(ctx context.Context) {
+	defer a.closeAll()
+	ticker := a.options.Clock.NewTicker(readyCheck)
+	defer ticker.Stop()
+	for {
+		ownershipChanged := a.options.Ownership.Changed()
+		listingChanged := a.options.Listing.Changed()
+		a.follow(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ownershipChanged:
+		case <-listingChanged:
+		case <-ticker.C:
+		}
+	}
+}
+
+// follow makes the sessions those of the newest table and listing.
+func (a *ownerAgent) follow(ctx context.Context) {
+	table := a.options.Ownership.Load()
+	if table == nil {
+		return
+	}
+	wanted := map[ident.WorkerID]workers.Listed{}
+	for _, listed := range a.options.Listing.Load().Workers {
+		if a.owns(table, listed) {
+			wanted[listed.ID] = listed
+		}
+	}
+	for _, id := range a.unwanted(wanted) {
+		a.close(id)
+	}
+	for _, listed := range wanted {
+		a.open(ctx, listed)
+	}
+	a.clear()
+}
+
+// unwanted returns the workers whose session has to end, because the worker
+// moved, vanished or changed its address or capacity.
+func (a *ownerAgent) unwanted(wanted map[ident.WorkerID]workers.Listed) []ident.WorkerID {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var found []ident.WorkerID
+	for id, listed := range a.opened {
+		now, still := wanted[id]
+		same := still && now.Address == listed.Address && now.Capacity == listed.Capacity
+		if !same || a.lost[id] {
+			found = append(found, id)
+		}
+	}
+	return found
+}
+
+// close ends a session and waits until it sends nothing more.
+func (a *ownerAgent) close(id ident.WorkerID) {
+	a.table.Close(id)
+	a.options.Ledger.Close(id)
+	a.mu.Lock()
+	delete(a.opened, id)
+	delete(a.lost, id)
+	a.mu.Unlock()
+	a.options.Log.WorkerOwned(id, false)
+}
+
+// open begins a session with a worker, unless there is one or the newest epoch
+// gives the worker to another member.
+func (a *ownerAgent) open(ctx context.Context, listed workers.Listed) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	_, open := a.opened[listed.ID]
+	if open || a.newest == nil || !a.owns(a.newest, listed) {
+		return
+	}
+	account := ledger.NewAccount(listed.Capacity)
+	session := worker.NewTakeover(worker.Options{
+		API:     a.options.Dial(listed),
+		Clock:   a.options.Clock,
+		Worker:  listed.ID,
+		Holder:  a.options.Self,
+		Fence:   a.options.Fence,
+		Account: account,
+		Random:  a.options.Random,
+	})
+	a.options.Ledger.Open(listed.ID, account)
+	a.opened[listed.ID] = listed
+	a.table.Open(ctx, session)
+	a.options.Log.WorkerOwned(listed.ID, true)
+}
+
+// clear tells the sessions when earlier owners can't act any more. Sessions
+// that were opened under the newest epoch are in the table before Ready is
+// asked, so an answer for that epoch covers them.
+func (a *ownerAgent) clear() {
+	sessions := a.table.List()
+	if !a.options.Ready().Ready {
+		return
+	}
+	for _, session := range sessions {
+		session.EarlierOwnersOver()
+	}
+}
+
+func (a *ownerAgent) closeAll() {
+	for _, id := range a.unwanted(nil) {
+		a.close(id)
+	}
+}
+
+// owned returns what is known of the owned workers for the view.
+func (a *ownerAgent) owned() []workers.Owned {
+	var list []workers.Owned
+	for _, session := range a.table.List() {
+		account, found := a.options.Ledger.Find(session.Worker())
+		if !found {
+			continue
+		}
+		known := workers.Owned{
+			Worker:  session.Worker(),
+			Free:    account.Free(),
+			Ready:   session.Ready(),
+			Leaving: session.Leaving(),
+		}
+		if measured := session.Measured(); measured != nil {
+			for _, usage := range measured.Tasks {
+				known.CPUUsed += usage.Used.CPU
+			}
+		}
+		list = append(list, known)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/instance/system_test.go
@@ -0,0 +1,257 @@
+package instance_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"poplarvalve/internal/connection/operator"
+	"poplarvalve/internal/connection/peer"
+	"poplarvalve/internal/connection/platform"
+	"poplarvalve/internal/connection/worker"
+	"poplarvalve/internal/instance"
+	"poplarvalve/internal/process/clock"
+	"poplarvalve/internal/process/fault"
+	"poplarvalve/internal/process/ident"
+	"poplarvalve/internal/process/resource"
+	"poplarvalve/internal/process/work"
+	"poplarvalve/internal/version/config"
+	"poplarvalve/internal/version/workers"
+	"poplarvalve/test/platformstub"
+	"poplarvalve/test/workerstub"
+)
+
+// systemSeed makes the faults and the random numbers of a system the same on
+// each run.
+const systemSeed = 20261204
+
+// settleTime is longer than a start or a forward is asked about, and than a
+// takeover takes.
+const settleTime = time.Minute
+
+const systemRules = `team permits weight 8 reserve 4cpu 8GB # ranger desk: checks must not wait
+team rebuilds weight 2 # ranger desk: rebuilds fill what is left
+service permit-check team permits class urgent cpu 250m memory 128MB idempotent # ranger desk: lookups only
+service issue-permit team permits class urgent cpu 250m memory 128MB # ranger desk: must not run twice
+service quota-rebuild team rebuilds class batch cpu 4 memory 8GB evict last # ranger desk: losing one turns groups away
+`
+
+// system is a set of whole instances over stand-ins, in virtual time.
+type system struct {
+	t        *testing.T
+	platform *platformstub.Platform
+	network  *peer.Memory
+	workers  map[ident.WorkerID]*workerstub.Worker
+	listed   []platform.ListedInstance
+	nodes    []*instance.Instance
+	names    []string
+	random   *rand.Rand
+}
+
+// runSystem runs test over instances in two zones with three workers each.
+func runSystem(t *testing.T, instances int, test func(t *testing.T, s *system)) {
+	synctest.Test(t, func(t *testing.T) {
+		t.Logf("seed %d", systemSeed)
+		s := &system{
+			t:       t,
+			network: peer.NewMemory(systemSeed),
+			workers: map[ident.WorkerID]*workerstub.Worker{},
+			random:  rand.New(rand.NewPCG(systemSeed, 0)),
+		}
+		for i := range 6 {
+			s.addWorker(fmt.Sprintf("worker-%d", i), zoneOf(i))
+		}
+		s.platform = platformstub.New(s.listed)
+		for i := range instances {
+			s.start(fmt.Sprintf("entry-%d", i), zoneOf(i))
+		}
+		time.Sleep(3 * time.Second)
+		s.apply(0, 0, systemRules)
+		time.Sleep(10 * time.Second)
+		test(t, s)
+		time.Sleep(settleTime)
+		for _, node := range s.nodes {
+			if node != nil {
+				node.Stop()
+			}
+		}
+	})
+}
+
+func zoneOf(i int) ident.ZoneName {
+	return []ident.ZoneName{"cascades-a", "cascades-b"}[i%2]
+}
+
+func (s *system) addWorker(id string, zone ident.ZoneName) {
+	capacity := resource.Vector{CPU: 32000, Memory: 125000, Slots: 8, Connections: 64}
+	stub := workerstub.New()
+	stub.Change(func(settings *workerstub.Settings) {
+		settings.Capacity = capacity
+		settings.ServiceTime = 20 * time.Millisecond
+		settings.Duration = 30 * time.Second
+	})
+	s.workers[ident.WorkerID(id)] = stub
+	s.listed = append(s.listed, platform.ListedInstance{
+		ID: id, Address: id, Kind: platform.KindWorker, Zone: zone, Region: "cascades",
+		State: platform.StateLive, Capacity: capacity,
+	})
+}
+
+// instances is the list as an instance reads it.
+type instances struct{ system *system }
+
+func (l instances) Instances(context.Context) ([]platform.ListedInstance, error) {
+	return l.system.listed, nil
+}
+
+// start runs an instance and returns its index.
+func (s *system) start(name string, zone ident.ZoneName) int {
+	var mu sync.Mutex
+	random := rand.New(rand.NewPCG(s.random.Uint64(), 1))
+	node := instance.New(instance.Options{
+		Name:        ident.InstanceName(name),
+		Place:       workers.Place{Zone: zone, Region: "cascades"},
+		PeerAddress: name,
+		RegionCut:   instance.RegionCutRefuse,
+		Shards:      4,
+		Appends:     200,
+		Retention:   time.Hour,
+		Clock:       clock.System{},
+		Log:         s.platform.Client(name),
+		List:        instances{s},
+		Dialer:      s.network,
+		Dial:        func(w workers.Listed) worker.API { return s.workers[w.ID] },
+		Nonce:       func() uint64 { mu.Lock(); defer mu.Unlock(); return random.Uint64() },
+		Random:      func() float64 { mu.Lock(); defer mu.Unlock(); return random.Float64() },
+	})
+	s.network.Listen(name, node.AcceptPeer)
+	node.Start()
+	s.nodes = append(s.nodes, node)
+	s.names = append(s.names, name)
+	return len(s.nodes) - 1
+}
+
+// kill ends an instance without a word to the others.
+func (s *system) kill(i int) {
+	s.network.Listen(s.names[i], nil)
+	s.nodes[i].Stop()
+	s.nodes[i] = nil
+}
+
+// apply changes the rules through one instance and returns the new version.
+func (s *system) apply(through int, base ident.Offset, rules string) ident.Offset {
+	s.t.Helper()
+	proposal := operator.Proposal{ID: ident.RecordID(fmt.Sprint("change-", s.random.Uint64())), Base: base, Rules: rules, Author: "ann"}
+	entry, err := s.nodes[through].Propose(s.t.Context(), proposal)
+	assert.NilError(s.t, err)
+	assert.Equal(s.t, entry.Verdict, config.Accepted, "%v", entry)
+	return entry.Offset
+}
+
+// call sends one request through an instance.
+func (s *system) call(through int, request work.Request) work.Answer {
+	request.Caller = "hiker"
+	request.Remaining = 2 * time.Second
+	return s.nodes[through].Front().Serve(s.t.Context(), request)
+}
+
+// starts returns how often a request with a body was started.
+func (s *system) starts(body string) int {
+	count := 0
+	for _, stub := range s.workers {
+		for _, event := range stub.History() {
+			if event.State == work.TaskRunning && event.Label == body {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// Guards against a break anywhere on the path of an urgent request, from the
+// front over placement, forward, ledger and start lease to the worker and back.
+func TestRequestsAreServedThroughEachInstance(t *testing.T) {
+	runSystem(t, 3, func(t *testing.T, s *system) {
+		for i := range 60 {
+			body := fmt.Sprintf("check-%d", i)
+			got := s.call(i%3, work.Request{ID: ident.RequestID(body), Service: "permit-check", Body: []byte(body)})
+			assert.Equal(t, got.Outcome, fault.Ran, "%v", got.Failure)
+			assert.Equal(t, string(got.Body), body)
+		}
+	})
+}
+
+// Guards against a token that runs twice when it is repeated through other
+// instances, and against a loss of the service when an instance is killed.
+func TestTokensRunOnceWhileAnInstanceIsKilled(t *testing.T) {
+	runSystem(t, 4, func(t *testing.T, s *system) {
+		outcomes := map[fault.Outcome]int{}
+		for i := range 400 {
+			if i == 100 {
+				s.kill(3)
+			}
+			body := fmt.Sprintf("issue-%d", i)
+			tokens := s.nodes[i%3].Front().Issue(1)
+			if len(tokens) == 0 {
+				continue
+			}
+			for repeat := range 2 {
+				id := ident.RequestID(fmt.Sprintf("%s-%d", body, repeat))
+				got := s.call((i+repeat)%3, work.Request{ID: id, Service: "issue-permit", Token: tokens[0], Body: []byte(body)})
+				outcomes[got.Outcome]++
+				if got.Outcome == fault.NotRun {
+					assert.Equal(t, s.starts(body), 0, "%v", got.Failure)
+				}
+			}
+			assert.Assert(t, s.starts(body) <= 1, "%s ran %d times", body, s.starts(body))
+		}
+		t.Logf("ran %d, not run %d, unknown %d", outcomes[fault.Ran], outcomes[fault.NotRun], outcomes[fault.Unknown])
+		assert.Assert(t, outcomes[fault.Ran] > 600)
+	})
+}
+
+// Guards against a change that is not in force on every instance within 5 s, or
+// that reverts, also on an instance that does not reach the log.
+func TestConfigurationIsInForceEverywhereWithinSeconds(t *testing.T) {
+	runSystem(t, 4, func(t *testing.T, s *system) {
+		first := s.nodes[0].Configuration().Version
+		s.platform.Cut("entry-3", true)
+		second := s.apply(0, first, systemRules+"drain backend worker-0 # ranger desk: disk swap\n")
+		time.Sleep(5 * time.Second)
+		for i, node := range s.nodes {
+			assert.Equal(t, node.Configuration().Version, second, "instance %d", i)
+		}
+		s.platform.Cut("entry-3", false)
+		s.start("entry-4", "cascades-b")
+		for range 20 {
+			time.Sleep(time.Second)
+			assert.Equal(t, s.nodes[3].Configuration().Version, second)
+		}
+		assert.Equal(t, s.nodes[4].Configuration().Version, second)
+	})
+}
+
+// Guards against an outage of the log that stops urgent requests or lets a
+// change of the rules through, and against an instance that stays out after it.
+func TestUrgentRequestsGoOnWhileTheLogIsDown(t *testing.T) {
+	runSystem(t, 3, func(t *testing.T, s *system) {
+		s.platform.Set(func(control *platformstub.Control) { control.Outage = true })
+		for i := range 120 {
+			time.Sleep(time.Second)
+			body := fmt.Sprintf("check-%d", i)
+			got := s.call(i%3, work.Request{ID: ident.RequestID(body), Service: "permit-check", Body: []byte(body)})
+			assert.Equal(t, got.Outcome, fault.Ran, "second %d: %v", i, got.Failure)
+		}
+		s.platform.Set(func(control *platformstub.Control) { control.Outage = false })
+		time.Sleep(30 * time.Second)
+		for i := range 3 {
+			assert.Assert(t, s.nodes[i].Status().LeaseHeld)
+		}
+	})
+}
--- a/internal/process/settings/entries.go
+++ b/internal/process/settings/entries.go
@@ -19,6 +19,7 @@
 	maxAppends     = 1000
 	maxShards      = 64
 	maxDrain       = 5 * time.Minute
+	maxRetention   = 90 * 24 * time.Hour
 )
 
 // entry is one key of the file, with its default.
@@ -41,6 +42,7 @@
 	{"platform", "log", true, "", func(s *Settings, v string) error { return setRemote(&s.Platform.Log, v) }},
 	{"platform", "instances", true, "", func(s *Settings, v string) error { return setRemote(&s.Platform.Instances, v) }},
 	{"platform", "shards", false, "16", func(s *Settings, v string) error { return setCount(&s.Platform.Shards, v, maxShards) }},
+	{"platform", "retention", false, "24h", func(s *Settings, v string) error { return setDuration(&s.Platform.Retention, v, maxRetention) }},
 	{"limits", "body", false, "1MB", func(s *Settings, v string) error { return setBytes(&s.Limits.Body, v, maxBodyBytes) }},
 	{"limits", "queue", false, "1024", func(s *Settings, v string) error { return setCount(&s.Limits.Queue, v, maxQueue) }},
 	{"limits", "connections", false, "4096", func(s *Settings, v string) error { return setCount(&s.Limits.Connections, v, maxConnections) }},
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -45,6 +45,9 @@
 	// Shards is the number of work streams. It must be the same at all
 	// instances and can't change while jobs are known.
 	Shards int
+	// Retention is how long the log keeps a record. Snapshots are appended
+	// within half of it.
+	Retention time.Duration
 }
 
 // Limits bounds what the instance takes on.
--- a/internal/request/serve/parts.go
+++ b/internal/request/serve/parts.go
@@ -7,8 +7,10 @@
 
 	"poplarvalve/internal/process/fault"
 	"poplarvalve/internal/process/ident"
+	"poplarvalve/internal/process/resource"
 	"poplarvalve/internal/process/token"
 	"poplarvalve/internal/process/work"
+	"poplarvalve/internal/request/placement"
 	"poplarvalve/internal/version/membership"
 	"poplarvalve/internal/version/rules"
 )
@@ -37,6 +39,13 @@
 	Allow(request work.Request, tried int, failure *fault.Failure, now time.Time) (wait time.Duration, allowed bool)
 }
 
+// Elsewhere finds workers beyond the view, in other zones.
+type Elsewhere interface {
+	// Candidates returns workers that may have room for the demand, the best
+	// first. It is asked only if the view has none.
+	Candidates(ctx context.Context, demand resource.Vector) []placement.Candidate
+}
+
 // Outcomes holds the recorded outcomes of requests that carried a key or token.
 type Outcomes interface {
 	// Recorded returns the recorded answer, if there is one.
--- a/internal/request/serve/serve.go
+++ b/internal/request/serve/serve.go
@@ -50,6 +50,8 @@
 	Outcomes  Outcomes
 	Intents   Intents
 	Feeds     Feeds
+	// Elsewhere may be nil: then only workers of the view are used.
+	Elsewhere Elsewhere
 	// Shards is the number of shards of keys; zero means DefaultShards.
 	Shards int
 
@@ -163,12 +165,16 @@
 		Resources: service.Demand,
 		From:      e.Place,
 	})
-	if plan.Count == 0 {
+	candidates := plan.Candidates[:plan.Count]
+	if plan.Count == 0 && plan.LargeEnough > 0 && e.Elsewhere != nil {
+		candidates = e.Elsewhere.Candidates(ctx, service.Demand)
+	}
+	if len(candidates) == 0 {
 		return work.Refuse(request.ID, noCandidate(plan))
 	}
 	var last work.Answer
 	mayHaveRun := false
-	for tried, candidate := range plan.Candidates[:plan.Count] {
+	for tried, candidate := range candidates {
 		if tried > 0 && !e.again(ctx, request, tried, last) {
 			break
 		}
--- a/internal/version/membership/fold.go
+++ b/internal/version/membership/fold.go
@@ -62,7 +62,10 @@
 }
 
 // join adds the writer. An older incarnation of the same instance is removed
-// like a suspected one, since nothing proves that it has stopped.
+// like a suspected one. If it had the same peer address, its process has ended
+// or is the writer's own, since two processes can't listen on one address; then
+// the departure is settled. Without that, instances that all ended together
+// would wait for the platform's word on each of their predecessors.
 func (s *State) join(offset ident.Offset, writer ident.Incarnation, body record.Join) {
 	_, member := s.Find(writer)
 	_, departed := s.Departure(writer)
@@ -72,6 +75,7 @@
 	for _, other := range s.Members {
 		if other.ID.Instance == writer.Instance {
 			s.depart(offset, other.ID, false)
+			s.Departed[len(s.Departed)-1].Witnessed = other.PeerAddress == body.PeerAddress
 		}
 	}
 	joined := Member{
--- a/internal/version/workers/summary.go
+++ b/internal/version/workers/summary.go
@@ -48,18 +48,18 @@
 // identifier it takes 13 bytes; a two-byte index replaces that on the wire.
 // Free amounts are rounded down, so a summary never promises more than there is.
 type Summary struct {
-	Worker ident.WorkerID
+	Worker ident.WorkerID `cbor:"1,keyasint,omitempty"`
 	// FreeCPU and UsedCPU are in hundredths of a core.
-	FreeCPU uint16
-	UsedCPU uint16
+	FreeCPU uint16 `cbor:"2,keyasint,omitempty"`
+	UsedCPU uint16 `cbor:"3,keyasint,omitempty"`
 	// FreeMemory is in units of 64 MiB.
-	FreeMemory       uint16
-	FreeConnections  uint16
-	FreeAccelerators uint8
-	FreeSlots        uint8
-	Flags            Flags
+	FreeMemory       uint16 `cbor:"4,keyasint,omitempty"`
+	FreeConnections  uint16 `cbor:"5,keyasint,omitempty"`
+	FreeAccelerators uint8  `cbor:"6,keyasint,omitempty"`
+	FreeSlots        uint8  `cbor:"7,keyasint,omitempty"`
+	Flags            Flags  `cbor:"8,keyasint,omitempty"`
 	// Disturbance is in thousandths, as in Worker.
-	Disturbance uint16
+	Disturbance uint16 `cbor:"9,keyasint,omitempty"`
 }
 
 // Owned is what the owner's session, ledger and health know of a worker.
