poplarvalved: run an instance as a daemon

Cause: the daemon only printed its version, so no request could be served by separate processes.

Change: it loads and checks the settings, wires an instance to the platform, peers and workers, and serves callers, peers and operators on kratos' HTTP transport. SIGTERM drains before the servers stop.

--- a/cmd/poplarvalved/main.go
+++ b/cmd/poplarvalved/main.go
@@ -1,10 +1,41 @@
-// Command poplarvalved prints its version.
+// Command poplarvalved runs one entry instance.
+//
+// It ends on SIGTERM or SIGINT after it has finished the requests in flight, and
+// with exit code 1 if it can't start.
 package main
 
-import "fmt"
+import (
+	"flag"
+	"fmt"
+	"os"
+
+	"poplarvalve/internal/process/settings"
+)
 
 const version = "0.1.0"
 
 func main() {
-	fmt.Println("poplarvalved", version)
+	path := flag.String("settings", "", "settings file (INI)")
+	printVersion := flag.Bool("version", false, "print the version and end")
+	flag.Parse()
+	if *printVersion {
+		fmt.Println("poplarvalved", version)
+		return
+	}
+	if err := start(*path); err != nil {
+		fmt.Fprintln(os.Stderr, "poplarvalved:", err)
+		os.Exit(1)
+	}
+}
+
+func start(path string) error {
+	loaded, err := settings.Load(path)
+	if err != nil {
+		return err
+	}
+	d, err := newDaemon(loaded)
+	if err != nil {
+		return err
+	}
+	return d.run()
 }
--- a/internal/instance/reporting.go
+++ b/internal/instance/reporting.go
@@ -83,6 +83,27 @@
 // Configuration implements operator.Reader.
 func (i *Instance) Configuration() *config.State { return i.config.Configuration() }
 
+// Explain implements operator.Explainer.
+func (i *Instance) Explain(ctx context.Context, id ident.JobID) (operator.Explanation, error) {
+	status, err := i.Front().Job(ctx, id)
+	if err != nil {
+		return operator.Explanation{}, err
+	}
+	explanation := operator.Explanation{
+		Job:     status.ID,
+		State:   status.State.String(),
+		Attempt: status.Attempt,
+		Backend: status.Worker,
+	}
+	if status.Reason != "" {
+		explanation.Reasons = append(explanation.Reasons, string(status.Reason)+": "+status.Detail)
+	}
+	return explanation, nil
+}
+
+// Self returns the newest incarnation, which need not be a member yet.
+func (i *Instance) Self() ident.Incarnation { return i.members.Self() }
+
 // Propose implements operator.Proposer.
 func (i *Instance) Propose(ctx context.Context, proposal operator.Proposal) (config.Entry, error) {
 	return i.config.Propose(ctx, proposal)
