worker: ask for a fresh start lease each second

A start lease was renewed. A renewal of an old owner that arrived late extended the lease at the worker beyond the time that the next owner waits, so a late start could still arrive after the next owner had counted the worker's tasks.

The session now asks for a start lease with a new identifier each second and never renews one. A start lease states when it is over at the worker, so a lost start is settled by waiting for that time, and RetireLease is gone. Lease identifiers carry a number that is unique in the process: a session that regained a worker repeated the identifiers of its predecessor. The runner checks its fence at a time read after the start lease; a time read before let through a lease that was granted while the owner was paused.

Restarts of a worker were noticed by renewals of start leases. They are now noticed by a continuity lease of 20 s that no start names. It is the only user of RenewLease, which therefore stays. A lost renewal is no longer taken for a restart. A takeover of a leaving worker, which grants no start lease, now keeps the tasks that run there.

TestRetiredLeaseIsOverWhenSaid becomes TestStartLeaseIsOverWhenSaid, with the same late messages and the late grant in addition, and TestContinuityCountsRestarts. The fake of serve_test.go returns the new type.

--- a/internal/connection/worker/api.go
+++ b/internal/connection/worker/api.go
@@ -60,10 +60,11 @@
 // API is what a worker offers. An error of kind WorkerUnreachable or a refusal
 // guarantees that the command had no effect; after WorkerLost it may have had.
 type API interface {
-	// GrantLease creates a start lease. An identifier is granted once.
+	// GrantLease creates a lease. An identifier is granted once.
 	GrantLease(ctx context.Context, lease ident.LeaseID, period time.Duration) error
-	// RenewLease extends a start lease to period from now. A lapsed lease can't
-	// be renewed.
+	// RenewLease extends a lease to period from now. A lease that lapsed, or was
+	// forgotten in a restart, can't be renewed. It is never used on a lease that
+	// a start names: a late renewal would outlast the wait of a takeover.
 	RenewLease(ctx context.Context, lease ident.LeaseID, period time.Duration) error
 	// Start runs a task. An urgent task is over when Start returns; any other
 	// runs on.
--- a/internal/connection/worker/session.go
+++ b/internal/connection/worker/session.go
@@ -15,10 +15,11 @@
 )
 
 const (
-	// StartLeasePeriod is how long a start lease lasts without renewal.
+	// StartLeasePeriod is how long a start lease lasts.
 	StartLeasePeriod = 3 * time.Second
-	// startLeaseRenewal is the time between renewals of a start lease.
-	startLeaseRenewal = 1 * time.Second
+	// startLeaseGrant is the time between grants of start leases. Two grants in
+	// a row may fail before starts have to wait.
+	startLeaseGrant = 1 * time.Second
 	// RunLeasePeriod is how long a task runs without renewal.
 	RunLeasePeriod = 20 * time.Second
 	// runLeaseRenewal is the time between batches of run lease renewals.
@@ -32,8 +33,8 @@
 	ClockMargin = 500 * time.Millisecond
 )
 
-// Session holds the start lease at one owned worker and renews the run leases
-// of its tasks. StartLease takes no lock.
+// Session gets start leases at one owned worker and renews the run leases of
+// its tasks. StartLease takes no lock.
 type Session struct {
 	API
 	clock   clock.Clock
@@ -44,16 +45,19 @@
 	random  func() float64
 
 	// lease is the lease for new starts, or nil.
-	lease   atomic.Pointer[startLease]
+	lease   atomic.Pointer[Lease]
 	usage   atomic.Pointer[Measurement]
 	leaving atomic.Bool
 	// cleared is closed when earlier owners of the worker can't act any more.
 	cleared   chan struct{}
 	clearOnce sync.Once
-	// wake asks the lease loop for a beat before the next is due.
-	wake   chan struct{}
-	leases leaseBook
-	tasks  taskBook
+	// remembered is closed when the first continuity lease was granted.
+	remembered chan struct{}
+	// wake asks for a renewal of the continuity lease before the next is due.
+	wake       chan struct{}
+	leases     leaseBook
+	continuity continuityBook
+	tasks      taskBook
 }
 
 // Options are the parts of a session.
@@ -62,7 +66,8 @@
 	Clock  clock.Clock
 	Worker ident.WorkerID
 	Holder ident.Incarnation
-	// Fence is the instance's own lease; nothing is renewed while it is closed.
+	// Fence is the instance's own lease; no lease is asked for or renewed while
+	// it is closed.
 	Fence *fence.Fence
 	// Account receives the tasks that the takeover finds.
 	Account *ledger.Account
@@ -99,25 +104,27 @@
 		random:  options.Random,
 		cleared: make(chan struct{}),
 		wake:    make(chan struct{}, 1),
-		leases:  leaseBook{retired: map[ident.LeaseID]time.Time{}},
 		tasks:   taskBook{entries: map[ident.TaskID]*runTask{}},
+
+		remembered: make(chan struct{}),
 	}
 }
 
 // Worker returns the worker that the session is with.
 func (s *Session) Worker() ident.WorkerID { return s.worker }
 
-// StartLease returns the lease for a start sent now. The lease is counted from
-// before its renewal was sent, so it ends here before it ends at the worker.
-func (s *Session) StartLease(now time.Time) (ident.LeaseID, error) {
+// StartLease returns the lease for a start sent now, which is the newest that
+// was granted. A caller that may have paused since it read now checks its fence
+// after the call.
+func (s *Session) StartLease(now time.Time) (Lease, error) {
 	if s.leaving.Load() {
-		return "", fault.New(fault.WorkerLeaving, "worker %s", s.worker)
+		return Lease{}, fault.New(fault.WorkerLeaving, "worker %s", s.worker)
 	}
 	lease := s.lease.Load()
-	if lease == nil || !now.Before(lease.until) {
-		return "", fault.New(fault.OwnerNotReady, "no start lease at worker %s", s.worker)
+	if lease == nil || !now.Before(lease.Until) {
+		return Lease{}, fault.New(fault.OwnerNotReady, "no start lease at worker %s", s.worker)
 	}
-	return lease.id, nil
+	return *lease, nil
 }
 
 // MarkLeaving records that the worker refused work because it is leaving. No
@@ -139,7 +146,8 @@
 	defer s.abandon()
 	var group sync.WaitGroup
 	defer group.Wait()
-	group.Go(func() { s.repeat(ctx, s.wake, startLeaseRenewal, s.keepLease) })
+	group.Go(func() { s.repeat(ctx, s.wake, continuityRenewal, s.keepContinuity) })
+	group.Go(func() { s.keepStartLease(ctx) })
 	group.Go(func() { s.repeat(ctx, nil, runLeaseRenewal, s.renewTasks) })
 	group.Go(func() { s.repeat(ctx, nil, usagePeriod, s.poll) })
 	if s.account != nil {
@@ -147,6 +155,16 @@
 	}
 }
 
+// keepStartLease gets start leases until ctx ends. It begins after the first
+// continuity lease, so that Continuity covers every start of the session.
+func (s *Session) keepStartLease(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-s.remembered:
+	}
+	s.repeat(ctx, nil, startLeaseGrant, s.grantLease)
+}
+
 // repeat runs step each period, after a failure with growing jittered delays.
 func (s *Session) repeat(ctx context.Context, wake <-chan struct{}, period time.Duration, step func(context.Context) error) {
 	failures := 0
--- a/internal/connection/worker/session_test.go
+++ b/internal/connection/worker/session_test.go
@@ -72,42 +72,78 @@
 	})
 }
 
-// Guards against a retired lease that is valid at the worker after the time
-// that RetireLease gave, and against a new lease that never comes.
-func TestRetiredLeaseIsOverWhenSaid(t *testing.T) {
-	for _, delay := range []time.Duration{0, 2500 * time.Millisecond} {
-		t.Run(delay.String(), func(t *testing.T) {
+// Guards against a start lease that is valid at the worker after its stated
+// end, whatever message arrives late, and against a lease that is used twice.
+func TestStartLeaseIsOverWhenSaid(t *testing.T) {
+	for _, command := range []string{"", "GrantLease", "RenewLease"} {
+		t.Run("late "+command, func(t *testing.T) {
 			bubble(t, func(t *testing.T, session *worker.Session, stub *counted) {
 				time.Sleep(10 * time.Second)
 				old, err := session.StartLease(time.Now())
 				assert.NilError(t, err)
-				if delay > 0 {
-					stub.Lose(workerstub.Loss{Command: "RenewLease", Count: 1, Delay: delay})
-				}
-				over := session.RetireLease(old)
-				assert.Assert(t, !session.Ready())
-				assert.Equal(t, session.RetireLease(old), over)
-				time.Sleep(time.Second)
+				stub.Lose(workerstub.Loss{Command: command, Count: 1, Delay: 2500 * time.Millisecond})
+				time.Sleep(1900 * time.Millisecond)
 				next, err := session.StartLease(time.Now())
 				assert.NilError(t, err)
-				assert.Assert(t, next != old)
-				breaks, _ := session.Continuity()
-				assert.Equal(t, breaks > 0, delay > 0)
-				time.Sleep(time.Until(over))
-				_, err = stub.Start(t.Context(), worker.StartCommand{Task: "late", StartLease: old})
+				assert.Assert(t, next.ID != old.ID)
+				assert.Assert(t, !old.Over.Before(old.Until.Add(worker.ClockMargin)))
+				time.Sleep(time.Until(old.Over))
+				_, err = stub.Start(t.Context(), worker.StartCommand{Task: "late", StartLease: old.ID})
 				assert.Equal(t, fault.KindOf(err), fault.LeaseLapsed)
 			})
 		})
 	}
 }
 
+// Guards against a session that repeats the lease identifiers of an earlier
+// session of the same incarnation: its grants would be refused, or a start
+// under the earlier lease would be accepted late.
+func TestNextSessionUsesNewLeaseIdentifiers(t *testing.T) {
+	bubble(t, func(t *testing.T, first *worker.Session, stub *counted) {
+		time.Sleep(5 * time.Second)
+		first.HandOver()
+		next := worker.NewSession(stub, clock.System{}, "w", ident.Incarnation{Instance: "a", Nonce: 1})
+		table := worker.NewTable()
+		table.Open(t.Context(), next)
+		defer table.Close("w")
+		time.Sleep(100 * time.Millisecond)
+		assert.Assert(t, next.Ready())
+	})
+}
+
+// Guards against a restart of the worker that continuity doesn't show, and
+// against a lost or late message that is taken for a restart.
+func TestContinuityCountsRestarts(t *testing.T) {
+	bubble(t, func(t *testing.T, session *worker.Session, stub *counted) {
+		first, _ := session.Continuity()
+		assert.Equal(t, first, uint64(1))
+		for _, command := range []string{"GrantLease", "RenewLease"} {
+			stub.Lose(workerstub.Loss{Command: command, Count: 1})
+			stub.Lose(workerstub.Loss{Command: command, Count: 1, BeforeEffect: true})
+			stub.Lose(workerstub.Loss{Command: command, Count: 1, Delay: 2 * time.Second})
+		}
+		time.Sleep(15 * time.Second)
+		asked := time.Now()
+		session.ProveContinuity()
+		synctest.Wait()
+		same, known := session.Continuity()
+		assert.Equal(t, same, first)
+		assert.Assert(t, !known.Before(asked))
+		stub.Restart()
+		session.ProveContinuity()
+		synctest.Wait()
+		changed, _ := session.Continuity()
+		assert.Assert(t, changed > first)
+	})
+}
+
 // Guards against a renewal after GiveUp, and against a task that is dropped
 // before or long after its run lease is over.
 func TestGivenUpTaskIsNeverRenewed(t *testing.T) {
 	bubble(t, func(t *testing.T, session *worker.Session, stub *counted) {
 		lease, err := session.StartLease(time.Now())
 		assert.NilError(t, err)
-		command := worker.StartCommand{Task: "job/1", StartLease: lease, RunLease: worker.RunLeasePeriod, Class: work.Batch}
+		command := worker.StartCommand{Task: "job/1", StartLease: lease.ID, RunLease: worker.RunLeasePeriod, Class: work.Batch}
 		_, err = stub.Start(t.Context(), command)
 		assert.NilError(t, err)
 		ended := make(chan worker.TaskReport, 1)
--- a/internal/connection/worker/takeover.go
+++ b/internal/connection/worker/takeover.go
@@ -15,9 +15,8 @@
 }
 
 // takeOver opens the worker for starts once every start of earlier owners has
-// either been counted or will be refused by the worker. That holds if no
-// renewal of an earlier owner's start lease reaches the worker after
-// EarlierOwnersOver: a later one extends the lease beyond the wait.
+// either been counted or will be refused by the worker. Lease says why the
+// wait covers every start.
 func (s *Session) takeOver(ctx context.Context) {
 	select {
 	case <-ctx.Done():
@@ -38,7 +37,8 @@
 	if err := s.fenced(); err != nil {
 		return err
 	}
-	if !s.holdsLease() {
+	// A leaving worker grants no lease, but its tasks still have to be kept.
+	if !s.holdsLease() && !s.Leaving() {
 		return fault.New(fault.OwnerNotReady, "no start lease at worker %s", s.worker)
 	}
 	read := s.clock.Now()
@@ -57,14 +57,14 @@
 		return nil
 	}
 	s.leases.ready = true
-	s.lease.Store(s.leases.current)
+	s.lease.Store(s.leases.newest)
 	return nil
 }
 
 func (s *Session) holdsLease() bool {
 	s.leases.mu.Lock()
 	defer s.leases.mu.Unlock()
-	return s.leases.current != nil
+	return s.leases.newest != nil
 }
 
 // count adds a running task to the ledger until it is known to be over.
--- a/internal/request/serve/serve_test.go
+++ b/internal/request/serve/serve_test.go
@@ -50,7 +50,9 @@
 	runFor time.Duration
 }
 
-func (w *workerFake) StartLease(time.Time) (ident.LeaseID, error) { return "lease", nil }
+func (w *workerFake) StartLease(time.Time) (worker.Lease, error) {
+	return worker.Lease{ID: "lease", Over: time.Now()}, nil
+}
 
 func (w *workerFake) Start(ctx context.Context, command worker.StartCommand) (worker.TaskReport, error) {
 	w.mu.Lock()
@@ -89,8 +91,6 @@
 	return 0, time.Now().Add(time.Hour)
 }
 
-func (w *workerFake) RetireLease(ident.LeaseID) time.Time { return time.Now() }
-
 func (w *workerFake) ProveContinuity() {}
 
 func (w *workerFake) ran(body string) int {
--- a/internal/request/start/settle.go
+++ b/internal/request/start/settle.go
@@ -19,6 +19,9 @@
 	maxAsk = 1 * time.Second
 	// askTimeout bounds one question to a worker.
 	askTimeout = 1 * time.Second
+	// settleMinimum leaves time for a few questions about a start whose reply
+	// was lost late.
+	settleMinimum = 3 * time.Second
 )
 
 // settlement is how a start that got no reply ended.
@@ -92,13 +95,13 @@
 	return settled
 }
 
-// settle asks the worker for the task until the report is enough, then retires
-// the start lease and asks again when that is over. It ends at the latest when
-// a run lease that was granted under the start lease is over.
+// settle asks the worker for the task until the report is enough. If the worker
+// does not know the task, settle asks again when the lease under which the
+// start was sent is over. It ends at the latest when a run lease that was
+// granted under the start lease is over.
 func (r *Runner) settle(ctx context.Context, a *attempt, enough func(worker.TaskReport) bool) settlement {
-	var leaseOver time.Time
 	seen := false
-	last := r.Clock.Now().Add(3*worker.StartLeasePeriod + r.RunLease + 2*worker.ClockMargin)
+	last := r.lastQuestion(a)
 	for wait := firstAsk; r.Clock.Now().Before(last); wait = min(2*wait, maxAsk) {
 		asked := r.Clock.Now()
 		report, err := r.ask(ctx, a.session, a.task.ID)
@@ -112,13 +115,10 @@
 			if seen {
 				return settlement{err: fault.New(fault.WorkerLost, "worker %s forgot task %s", a.task.Worker, a.task.ID)}
 			}
-			if leaseOver.IsZero() {
-				leaseOver = a.session.RetireLease(a.lease)
-			}
-			if !asked.Before(leaseOver) {
+			if !asked.Before(a.lease.Over) {
 				return settlement{err: r.neverStarted(a, asked, last)}
 			}
-			r.sleep(leaseOver.Sub(asked))
+			r.sleep(a.lease.Over.Sub(asked))
 			continue
 		}
 		r.sleep(r.spread(wait))
@@ -126,6 +126,17 @@
 	return settlement{err: fault.New(fault.WorkerLost, "the run lease of task %s is over", a.task.ID)}
 }
 
+// lastQuestion returns when nothing of a start can run any more, but at least
+// settleMinimum from now.
+func (r *Runner) lastQuestion(a *attempt) time.Time {
+	taskOver := a.lease.Over.Add(r.RunLease + worker.ClockMargin)
+	minimum := r.Clock.Now().Add(settleMinimum)
+	if taskOver.Before(minimum) {
+		return minimum
+	}
+	return taskOver
+}
+
 // continuityPoll is the time between looks at the session's continuity.
 const continuityPoll = 200 * time.Millisecond
 
@@ -133,9 +144,10 @@
 // asked, after its start lease. Only a worker that did not restart since the
 // start was sent proves NotRun, since a restarted one has forgotten its tasks.
 func (r *Runner) neverStarted(a *attempt, asked, last time.Time) error {
+	a.session.ProveContinuity()
 	for r.Clock.Now().Before(last) {
-		breaks, known := a.session.Continuity()
-		if breaks != a.breaks {
+		count, known := a.session.Continuity()
+		if count != a.continuity {
 			break
 		}
 		if !known.Before(asked) {
--- a/internal/request/start/start.go
+++ b/internal/request/start/start.go
@@ -25,16 +25,16 @@
 // Session is the connection to an owned worker.
 type Session interface {
 	// StartLease returns the lease for a start sent now, or OwnerNotReady.
-	StartLease(now time.Time) (ident.LeaseID, error)
-	// RetireLease ends renewals of a lease and returns when it is over.
-	RetireLease(id ident.LeaseID) time.Time
+	StartLease(now time.Time) (worker.Lease, error)
 	// Keep renews a task's run lease and calls over once when it is over.
 	Keep(task ident.TaskID, started time.Time, over func(worker.TaskReport))
 	// GiveUp ends renewals of a task and returns when its run lease is over.
 	GiveUp(task ident.TaskID) (time.Time, bool)
-	// Continuity returns how often the worker may have restarted, and until
-	// when that is known.
-	Continuity() (breaks uint64, known time.Time)
+	// Continuity returns a count that changes when the worker may have
+	// restarted, and until when it is known.
+	Continuity() (count uint64, known time.Time)
+	// ProveContinuity has the known time of Continuity advanced soon.
+	ProveContinuity()
 	// Finish records that a kept task is over.
 	Finish(report worker.TaskReport)
 	// MarkLeaving ends starts at a worker that refused one as leaving.
@@ -99,9 +99,9 @@
 	session Session
 	account *ledger.Account
 	entry   *entry
-	lease   ident.LeaseID
-	// breaks is the session's continuity count before the send.
-	breaks uint64
+	lease   worker.Lease
+	// continuity is the session's continuity count before the send.
+	continuity uint64
 
 	// mu protects held and released.
 	mu sync.Mutex
@@ -203,7 +203,9 @@
 	return &attempt{task: task, session: session, account: account, entry: first, held: task.Demand}, nil
 }
 
-// send checks the leases last, immediately before the command leaves.
+// send checks the leases last, immediately before the command leaves. The fence
+// is checked at a time read after the start lease: at an earlier time it would
+// let through a lease that was granted after the fence closed.
 func (r *Runner) send(ctx context.Context, a *attempt) (worker.TaskReport, error) {
 	command := worker.StartCommand{
 		Task:       a.task.ID,
@@ -214,19 +216,18 @@
 		Demand:     a.task.Demand,
 		Checkpoint: a.task.Checkpoint,
 	}
-	a.breaks, _ = a.session.Continuity()
+	a.continuity, _ = a.session.Continuity()
 	if ctx.Err() != nil {
 		return worker.TaskReport{}, fault.Wrap(fault.DeadlineExceeded, ctx.Err(), "before the start of %s", a.task.ID).WithOutcome(fault.NotRun)
 	}
-	now := r.Clock.Now()
-	lease, err := a.session.StartLease(now)
+	lease, err := a.session.StartLease(r.Clock.Now())
 	if err != nil {
 		return worker.TaskReport{}, err
 	}
-	if !r.Fence.Open(now) {
+	if !r.Fence.Open(r.Clock.Now()) {
 		return worker.TaskReport{}, fault.New(fault.Fenced, "before the start of %s", a.task.ID)
 	}
-	a.lease, command.StartLease = lease, lease
+	a.lease, command.StartLease = lease, lease.ID
 	report, err := a.session.Start(ctx, command)
 	if fault.KindOf(err) == fault.WorkerLeaving {
 		a.session.MarkLeaving()
--- a/internal/request/start/start_test.go
+++ b/internal/request/start/start_test.go
@@ -119,6 +119,68 @@
 	}
 }
 
+// Guards against a message about a lease of a paused owner that arrives late,
+// lets a late start in after the next owner has counted, and so exceeds the
+// worker's capacity. The start arrives 5.1 s after it was sent; the next owner
+// is ready after 4.55 s.
+func TestLateLeaseMessageLetsNoStartPastTakeover(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context, stub *workerstub.Worker) {
+		old := ready(ctx, "old", stub)
+		time.Sleep(500 * time.Millisecond)
+		stub.Lose(workerstub.Loss{Command: "Start", Count: 1, Delay: 5100 * time.Millisecond})
+		stub.Lose(workerstub.Loss{Command: "RenewLease", Count: 1, Delay: 1900 * time.Millisecond})
+		stub.Lose(workerstub.Loss{Command: "GrantLease", Count: 1, Delay: 1900 * time.Millisecond})
+		short, stop := context.WithTimeout(ctx, time.Millisecond)
+		defer stop()
+		_, _ = old.Begin(short, batch("late/1"))
+		time.Sleep(1050 * time.Millisecond)
+		old.Fence.Close()
+		next := newOwner(ctx, "next", stub)
+		next.session.EarlierOwnersOver()
+		time.Sleep(3600 * time.Millisecond)
+		assert.Assert(t, next.session.Ready())
+		for i := range 4 {
+			_, err := next.Begin(ctx, batch(fmt.Sprintf("new/%d", i)))
+			assert.NilError(t, err)
+		}
+		time.Sleep(time.Second)
+		assert.Equal(t, stub.Starts("late/1"), 0)
+		assert.Assert(t, !stub.Exceeded())
+	})
+}
+
+// pausing is a session whose owner is paused while it reads its start lease,
+// during which another thread may still adopt a late grant.
+type pausing struct {
+	start.Session
+	pause time.Duration
+}
+
+func (p pausing) StartLease(now time.Time) (worker.Lease, error) {
+	time.Sleep(p.pause)
+	return p.Session.StartLease(now)
+}
+
+func (p pausing) find(ident.WorkerID) (start.Session, bool) { return p, true }
+
+// sessionsFunc implements start.Sessions.
+type sessionsFunc func(ident.WorkerID) (start.Session, bool)
+
+func (f sessionsFunc) Session(id ident.WorkerID) (start.Session, bool) { return f(id) }
+
+// Guards against a fence check at a time read before the start lease.
+func TestFenceIsCheckedAfterStartLease(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context, stub *workerstub.Worker) {
+		o := ready(ctx, "a", stub)
+		o.Fence.Close()
+		o.Fence.Renew(time.Now(), time.Second)
+		o.Sessions = sessionsFunc(pausing{o.session, 2 * time.Second}.find)
+		_, err := o.Call(ctx, urgent("paused"))
+		assert.Equal(t, fault.KindOf(err), fault.Fenced)
+		assert.Equal(t, stub.Starts("paused"), 0)
+	})
+}
+
 // Guards against a start that was checked before a pause and sent after it.
 func TestStartAfterPauseIsRefused(t *testing.T) {
 	bubble(t, func(t *testing.T, ctx context.Context, stub *workerstub.Worker) {
@@ -129,7 +191,7 @@
 		_, err = o.Call(ctx, urgent("fenced at once"))
 		assert.Equal(t, fault.KindOf(err), fault.Fenced)
 		time.Sleep(worker.StartLeasePeriod + worker.ClockMargin)
-		_, err = stub.Start(ctx, worker.StartCommand{Task: "paused", StartLease: lease})
+		_, err = stub.Start(ctx, worker.StartCommand{Task: "paused", StartLease: lease.ID})
 		assert.Equal(t, fault.KindOf(err), fault.LeaseLapsed)
 		_, err = o.Call(ctx, urgent("fenced"))
 		assert.Equal(t, fault.From(err).Outcome, fault.NotRun)
@@ -376,3 +438,20 @@
 		assert.Equal(t, handle.Report().State, work.TaskSucceeded)
 	})
 }
+
+// Guards against tasks of a leaving worker that end with a change of owner,
+// because the new owner gets no start lease there.
+func TestTakeoverOfLeavingWorkerKeepsTasks(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context, stub *workerstub.Worker) {
+		old := ready(ctx, "old", stub)
+		_, err := old.Begin(ctx, batch("job/1"))
+		assert.NilError(t, err)
+		stub.Change(func(s *workerstub.Settings) { s.Leaving = true })
+		old.table.Close("w")
+		next := ready(ctx, "next", stub)
+		assert.DeepEqual(t, next.session.Tasks(), []ident.TaskID{"job/1"})
+		time.Sleep(time.Minute)
+		events := stub.History()
+		assert.Equal(t, events[len(events)-1].State, work.TaskSucceeded)
+	})
+}
