--- a/internal/connection/codec/record.go
+++ b/internal/connection/codec/record.go
@@ -32,6 +32,7 @@
 	ID      ident.RecordID    `cbor:"3,keyasint"`
 	Writer  ident.Incarnation `cbor:"4,keyasint"`
 	Body    cbor.RawMessage   `cbor:"5,keyasint"`
+	At      int64             `cbor:"6,keyasint,omitempty"`
 }
 
 var (
@@ -77,6 +78,7 @@
 		ID:      envelope.ID,
 		Writer:  envelope.Writer,
 		Body:    body,
+		At:      envelope.At,
 	})
 	if err != nil {
 		return nil, fault.Wrap(fault.Internal, err, "encode record %s", envelope.ID)
@@ -123,7 +125,7 @@
 	if err != nil {
 		return record.Envelope{}, malformed(&TornError{Reason: err.Error()})
 	}
-	return record.Envelope{ID: frame.ID, Writer: frame.Writer, Record: body}, nil
+	return record.Envelope{ID: frame.ID, Writer: frame.Writer, At: frame.At, Record: body}, nil
 }
 
 type bodyDecoder func(body []byte) (record.Record, error)
--- a/internal/process/record/record.go
+++ b/internal/process/record/record.go
@@ -45,6 +45,9 @@
 	ID ident.RecordID
 	// Writer is the incarnation that appended the record; zero for a tool.
 	Writer ident.Incarnation
+	// At is the writer's wall clock in milliseconds since 1970, or zero. Only
+	// the age of jobs and keys is derived from it.
+	At     int64
 	Record Record
 }
 
@@ -82,18 +85,26 @@
 
 // Home makes its writer the home of the shard. Later records of the stream by
 // any other writer are void.
-type Home struct{}
+type Home struct {
+	// After is the offset of the Home record that this one replaces, or zero.
+	// It voids a repeated append that arrives after the next home's record.
+	After ident.Offset `cbor:"1,keyasint,omitempty"`
+}
 
 // Accepted makes a job known. From then on it is never lost.
 type Accepted struct {
 	Job work.Job `cbor:"1,keyasint"`
 }
 
-// Placing announces that an attempt may be started on a worker.
+// Placing announces that an attempt may be started on a worker. The place of
+// the worker lets a later home find its owner after the worker left the view.
 type Placing struct {
-	Job     ident.JobID    `cbor:"1,keyasint"`
-	Attempt ident.Attempt  `cbor:"2,keyasint"`
-	Worker  ident.WorkerID `cbor:"3,keyasint"`
+	Job     ident.JobID      `cbor:"1,keyasint"`
+	Attempt ident.Attempt    `cbor:"2,keyasint"`
+	Worker  ident.WorkerID   `cbor:"3,keyasint"`
+	Address string           `cbor:"4,keyasint,omitempty"`
+	Zone    ident.ZoneName   `cbor:"5,keyasint,omitempty"`
+	Region  ident.RegionName `cbor:"6,keyasint,omitempty"`
 }
 
 // Started says that an attempt was seen running.
@@ -109,9 +120,15 @@
 	Attempt    ident.Attempt `cbor:"2,keyasint"`
 	Checkpoint []byte        `cbor:"3,keyasint,omitempty"`
 	Reason     fault.Kind    `cbor:"4,keyasint,omitempty"`
+	// Ran is whether the attempt was started at all.
+	Ran bool `cbor:"5,keyasint,omitempty"`
+	// Counts is whether the failure counts against the job, because the worker
+	// was healthy.
+	Counts bool `cbor:"6,keyasint,omitempty"`
 }
 
-// Done ends a job with the result of its current attempt.
+// Done ends a job with the result of its newest attempt, which is known to be
+// over.
 type Done struct {
 	Job     ident.JobID   `cbor:"1,keyasint"`
 	Attempt ident.Attempt `cbor:"2,keyasint"`
@@ -120,17 +137,23 @@
 	Reason  fault.Kind    `cbor:"5,keyasint,omitempty"`
 }
 
-// Canceled ends a job at the caller's wish.
+// Canceled ends a job at the caller's wish. It is void unless Attempt is the
+// job's newest attempt, which is known to be over; zero is a job without one.
 type Canceled struct {
-	Job ident.JobID `cbor:"1,keyasint"`
+	Job     ident.JobID   `cbor:"1,keyasint"`
+	Attempt ident.Attempt `cbor:"2,keyasint,omitempty"`
 }
 
 // Intent announces that a request with an idempotency key may be started.
 type Intent struct {
 	Caller ident.CallerName `cbor:"1,keyasint"`
 	Key    string           `cbor:"2,keyasint"`
-	// Digest is a hash of service and body; a key with another digest is refused.
-	Digest uint64 `cbor:"3,keyasint"`
+	// Digest holds the bytes of the request's token.Digest; a key with another
+	// digest is refused.
+	Digest []byte `cbor:"3,keyasint"`
+	// After is the offset of the key's earlier intent whose request did not run,
+	// or zero. It voids a repeated append that arrives late.
+	After ident.Offset `cbor:"4,keyasint,omitempty"`
 }
 
 // Outcome records how a request with a key or token ended.
@@ -141,6 +164,8 @@
 	Outcome fault.Outcome `cbor:"3,keyasint"`
 	Body    []byte        `cbor:"4,keyasint,omitempty"`
 	Failure fault.Kind    `cbor:"5,keyasint,omitempty"`
+	// Intent is the offset of the intent that it settles; zero for a token.
+	Intent ident.Offset `cbor:"6,keyasint,omitempty"`
 }
 
 // Snapshot carries the state of a stream's fold after the record at offset At.
