home: keep jobs and keys at their home

Cause: jobs, live tasks and idempotency keys had no owner. Change: package home follows the shards that the ownership table assigns to this incarnation, appends Home, and acts only on records read back as valid. It places attempts by the plans of request/job, begins them at the worker's owner, records their ends, grants keys once, sends outcomes to the home of their key and serves Job messages of its peers. Package request/job holds the pure decisions Round and End.

--- /dev/null
+++ b/internal/instance/home/rounds.go
@@ -0,0 +1,296 @@
+package home
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"poplarvalve/internal/connection/codec"
+	"poplarvalve/internal/process/fault"
+	"poplarvalve/internal/process/ident"
+	"poplarvalve/internal/process/record"
+	"poplarvalve/internal/process/work"
+	"poplarvalve/internal/request/job"
+	"poplarvalve/internal/version/jobs"
+	"poplarvalve/internal/version/membership"
+	"poplarvalve/internal/version/rules"
+	"poplarvalve/internal/version/workers"
+)
+
+const (
+	// maxPlacing bounds the attempts of one shard that are placed at once.
+	maxPlacing = 64
+	// callTimeout bounds one message about an attempt.
+	callTimeout = 10 * time.Second
+	// maxAsked bounds the attempts in one question.
+	maxAsked = 64
+)
+
+// round plans and begins what is due.
+func (s *shard) round(now time.Time) {
+	config := s.home.config
+	set, view := config.Rules.Load(), config.Workers.Load()
+	if set == nil || view == nil {
+		return
+	}
+	plan := job.Round(s.input(view, set, now))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waits = plan.Waits
+	for _, placement := range plan.Place {
+		if s.beginPlacing(placement.Job.Spec.ID) {
+			s.group.Go(func() { s.place(placement) })
+		}
+	}
+	for _, offer := range plan.Offers {
+		if s.beginPlacing(offer.Job.Spec.ID) {
+			s.group.Go(func() { s.placeElsewhere(offer) })
+		}
+	}
+	s.ask(plan.Ask, now)
+}
+
+// input returns what a round looks at. Jobs with a step under way are left
+// alone. The table is loaded after them, so that a job whose step has ended
+// meanwhile counts with what the step recorded.
+func (s *shard) input(view *workers.View, set *rules.Set, now time.Time) job.Input {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	busy := maps.Clone(s.placing)
+	for id := range s.canceling {
+		busy[id] = true
+	}
+	return job.Input{
+		Table: s.current(),
+		Now:   now,
+		View:  view,
+		Rules: set,
+		Busy:  busy,
+		Heard: maps.Clone(s.heard),
+		Limit: max(maxPlacing-len(s.placing), 0),
+	}
+}
+
+// beginPlacing reports whether an attempt of the job may be placed now. The
+// caller holds mu.
+func (s *shard) beginPlacing(id ident.JobID) bool {
+	if len(s.placing) >= maxPlacing || s.placing[id] || s.canceling[id] > 0 {
+		return false
+	}
+	s.placing[id] = true
+	return true
+}
+
+// donePlacing lets rounds look at a job again.
+func (s *shard) donePlacing(id ident.JobID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.placing, id)
+}
+
+// placeElsewhere asks another zone for a worker and places the job there. If
+// there is none, the job is offered again after a pause.
+func (s *shard) placeElsewhere(offer job.Offer) {
+	worker, found := s.offered(offer)
+	placement, fits := job.Placement{}, false
+	if found {
+		set, view := s.home.config.Rules.Load(), s.home.config.Workers.Load()
+		placement, fits = job.PlaceOffered(view, set, offer, worker)
+	}
+	if fits {
+		s.place(placement)
+		return
+	}
+	s.home.sleep(s.ctx, offerPause)
+	s.donePlacing(offer.Job.Spec.ID)
+}
+
+// offerPause is the time between two offers of one job.
+const offerPause = 2 * time.Second
+
+func (s *shard) offered(offer job.Offer) (ident.WorkerID, bool) {
+	table := s.home.config.Ownership.Load()
+	if table == nil {
+		return "", false
+	}
+	gateway, found := table.Gateway(offer.Zone, s.home.config.Self)
+	if !found || gateway.ID == s.home.config.Self {
+		return "", false
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
+	defer cancel()
+	offered, err := s.home.config.Peers.Offer(ctx, gateway.ID, codec.Offer{Demand: offer.Job.Spec.Demand})
+	return offered.Worker, err == nil && offered.Worker != ""
+}
+
+// place records the next attempt of a job and begins it. Only this call may
+// begin the attempt, and it does so at most once.
+func (s *shard) place(placement job.Placement) {
+	id := placement.Job.Spec.ID
+	defer s.donePlacing(id)
+	at := placement.At
+	result, err := s.append(s.ctx, record.Placing{
+		Job:     id,
+		Attempt: placement.Attempt,
+		Worker:  at.Worker,
+		Address: at.Address,
+		Zone:    at.Zone,
+		Region:  at.Region,
+	})
+	if err != nil || result.verdict != jobs.Applied {
+		return
+	}
+	report := s.begin(placement)
+	s.learn(report)
+}
+
+// begin sends the attempt to the owner of its worker. The lease is checked
+// last, so a home that was paused begins nothing that a later one may place.
+func (s *shard) begin(placement job.Placement) codec.AttemptReport {
+	spec := placement.Job.Spec
+	begin := codec.BeginAttempt{
+		Ref:        codec.AttemptRef{Job: spec.ID, Attempt: placement.Attempt, Worker: placement.At.Worker},
+		Service:    spec.Service,
+		Class:      placement.Class,
+		Body:       spec.Body,
+		Checkpoint: placement.Job.Checkpoint,
+		Demand:     spec.Demand,
+	}
+	notBegun := codec.AttemptReport{Ref: begin.Ref, Standing: codec.AttemptNeverStarted}
+	owner, err := s.home.ownerOf(placement.At)
+	if err != nil {
+		notBegun.Reason = fault.KindOf(err)
+		return notBegun
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
+	defer cancel()
+	if !s.home.config.Open(s.home.now()) {
+		notBegun.Reason = fault.Fenced
+		return notBegun
+	}
+	report, err := s.home.beginAt(ctx, owner, begin)
+	if err == nil {
+		return report
+	}
+	if fault.From(err).Outcome == fault.NotRun {
+		notBegun.Reason = fault.KindOf(err)
+		return notBegun
+	}
+	return codec.AttemptReport{Ref: begin.Ref}
+}
+
+// ask asks the owners of the workers for attempts. The caller holds mu.
+func (s *shard) ask(running []*jobs.Job, now time.Time) {
+	byOwner := map[ident.Incarnation][]codec.AttemptRef{}
+	for _, running := range running {
+		owner, err := s.home.ownerOf(running.At)
+		if err != nil || len(byOwner[owner.ID]) >= maxAsked {
+			continue
+		}
+		s.heard[running.Spec.ID] = now.Add(askRetry - job.AskPeriod)
+		byOwner[owner.ID] = append(byOwner[owner.ID], refOf(running))
+	}
+	for owner, refs := range byOwner {
+		s.group.Go(func() { s.askOwner(owner, refs) })
+	}
+}
+
+// askRetry is the time after which an unanswered question is repeated.
+const askRetry = 5 * time.Second
+
+func refOf(running *jobs.Job) codec.AttemptRef {
+	return codec.AttemptRef{Job: running.Spec.ID, Attempt: running.Attempt, Worker: running.At.Worker}
+}
+
+func (s *shard) askOwner(owner ident.Incarnation, refs []codec.AttemptRef) {
+	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
+	defer cancel()
+	answer, err := s.home.askAt(ctx, owner, codec.AttemptRefs{Refs: refs})
+	if err != nil {
+		return
+	}
+	for _, report := range answer.Reports {
+		s.group.Go(func() { s.learn(report) })
+	}
+}
+
+// learn records what a report says of a job's newest attempt. Reports of other
+// attempts change nothing. It returns when the record was read back.
+func (s *shard) learn(report codec.AttemptReport) {
+	known, found := s.current().Find(report.Ref.Job)
+	if !found || known.State != work.JobRunning || known.Attempt != report.Ref.Attempt {
+		return
+	}
+	body := job.End(known, newsOf(report), s.healthy(known.At.Worker))
+	if body == nil {
+		s.hear(report)
+		return
+	}
+	task := ident.AttemptTask(report.Ref.Job, report.Ref.Attempt)
+	if _, over := body.(record.Started); !over && !s.beginEnding(task) {
+		return
+	}
+	_, _ = s.append(s.ctx, body)
+	s.doneEnding(task, report)
+}
+
+// hear notes that a running attempt was heard of.
+func (s *shard) hear(report codec.AttemptReport) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if report.Standing == codec.AttemptRunning {
+		s.heard[report.Ref.Job] = s.home.now()
+	}
+}
+
+// beginEnding reports whether no end of the attempt is being recorded.
+func (s *shard) beginEnding(task ident.TaskID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ending[task] {
+		return false
+	}
+	s.ending[task] = true
+	return true
+}
+
+func (s *shard) doneEnding(task ident.TaskID, report codec.AttemptReport) {
+	s.hear(report)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if report.Standing != codec.AttemptRunning {
+		delete(s.ending, task)
+		delete(s.heard, report.Ref.Job)
+	}
+}
+
+func (s *shard) healthy(worker ident.WorkerID) bool {
+	known, found := s.home.config.Workers.Load().Find(worker)
+	return found && known.Health == workers.Healthy && !known.Leaving
+}
+
+func newsOf(report codec.AttemptReport) job.News {
+	over := report.Standing == codec.AttemptOver
+	never := report.Standing == codec.AttemptNeverStarted
+	return job.News{
+		Over:       over || never,
+		Started:    over,
+		State:      report.State,
+		Result:     report.Result,
+		Checkpoint: report.Checkpoint,
+		Reason:     report.Reason,
+	}
+}
+
+// ownerOf returns the owner of the worker of an attempt.
+func (h *Home) ownerOf(at jobs.Place) (membership.Member, error) {
+	table := h.config.Ownership.Load()
+	if table == nil {
+		return membership.Member{}, fault.New(fault.NoConfiguration, "no members are known yet")
+	}
+	owner, found := table.Owner(at.Worker, at.Zone, at.Region)
+	if !found {
+		return membership.Member{}, fault.New(fault.NotOwner, "worker %s has no owner", at.Worker)
+	}
+	return owner, nil
+}
--- a/internal/version/jobs/fold.go
+++ b/internal/version/jobs/fold.go
@@ -192,7 +192,7 @@
 		return Void
 	}
 	job.State = work.JobFailed
-	if body.Outcome == fault.Ran && body.Reason == "" {
+	if body.Outcome == fault.Ran && (body.Reason == "" || body.Reason == fault.AnswerCut) {
 		job.State = work.JobSucceeded
 	}
 	job.Outcome = body.Outcome
