start: tell the home of a job where an attempt stands

After a change of owner, or after a lost reply, the home of a job could not learn whether an attempt runs, ran or never started.

The new reason TaskForgotten says that the attempt neither runs nor ever will, but may have run.

--- a/internal/connection/worker/continuity.go
+++ b/internal/connection/worker/continuity.go
@@ -43,6 +43,14 @@
 	return s.continuity.count, s.continuity.verified
 }
 
+// CoversAllStarts reports whether the continuity that a count stands for began
+// before any start was sent to the worker by this or an earlier owner. After a
+// takeover it never does: the worker may have restarted after a start of an
+// earlier owner and before this session's first lease.
+func (s *Session) CoversAllStarts(count uint64) bool {
+	return s.only && count == 1
+}
+
 // ProveContinuity asks for a renewal now, so that the known time of Continuity
 // soon passes the present if the worker answers.
 func (s *Session) ProveContinuity() {
--- a/internal/connection/worker/session.go
+++ b/internal/connection/worker/session.go
@@ -43,6 +43,8 @@
 	fence   *fence.Fence
 	account *ledger.Account
 	random  func() float64
+	// only is whether the worker never had another owner.
+	only bool
 
 	// lease is the lease for new starts, or nil.
 	lease   atomic.Pointer[Lease]
@@ -76,11 +78,12 @@
 	Random func() float64
 }
 
-// NewSession returns a session with a worker that never had another owner. It
+// NewSession returns the first session ever with a worker. It
 // is ready as soon as it has a start lease.
 func NewSession(api API, clock clock.Clock, worker ident.WorkerID, holder ident.Incarnation) *Session {
 	s := newSession(Options{API: api, Clock: clock, Worker: worker, Holder: holder})
 	s.leases.ready = true
+	s.only = true
 	return s
 }
 
--- a/internal/connection/worker/session_test.go
+++ b/internal/connection/worker/session_test.go
@@ -199,3 +199,26 @@
 	assert.NilError(t, err)
 	assert.Equal(t, line, "{\"feed\":\"counts\",\"position\":42}\n")
 }
+
+// noContinuity is a worker at which every grant of a continuity lease is lost.
+type noContinuity struct{ *workerstub.Worker }
+
+func (n noContinuity) GrantLease(ctx context.Context, lease ident.LeaseID, period time.Duration) error {
+	if period > worker.StartLeasePeriod {
+		return fault.New(fault.WorkerLost, "lease %s", lease)
+	}
+	return n.Worker.GrantLease(ctx, lease, period)
+}
+
+// Guards against a start that continuity doesn't cover, whose loss in a restart
+// would be reported as a task that never started.
+func TestNoStartLeaseBeforeContinuity(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		session := worker.NewSession(noContinuity{workerstub.New()}, clock.System{}, "w", ident.Incarnation{Instance: "a", Nonce: 1})
+		table := worker.NewTable()
+		table.Open(t.Context(), session)
+		defer table.Close("w")
+		time.Sleep(10 * time.Second)
+		assert.Assert(t, !session.Ready())
+	})
+}
--- a/internal/connection/worker/takeover.go
+++ b/internal/connection/worker/takeover.go
@@ -14,6 +14,14 @@
 	s.clearOnce.Do(func() { close(s.cleared) })
 }
 
+// TakenOver reports whether every start of earlier owners has been counted or
+// will be refused by the worker, and the worker was not handed over since.
+func (s *Session) TakenOver() bool {
+	s.leases.mu.Lock()
+	defer s.leases.mu.Unlock()
+	return s.leases.ready
+}
+
 // takeOver opens the worker for starts once every start of earlier owners has
 // either been counted or will be refused by the worker. Lease says why the
 // wait covers every start.
--- a/internal/process/fault/kinds.go
+++ b/internal/process/fault/kinds.go
@@ -77,6 +77,9 @@
 	WorkerUnreachable Kind = "worker_unreachable"
 	// WorkerLost: a request left for the worker and its reply was lost.
 	WorkerLost Kind = "worker_lost"
+	// TaskForgotten: the worker neither runs the task nor will, but may have run
+	// it and forgotten it.
+	TaskForgotten Kind = "task_forgotten"
 	// TaskFailed: the task ran and reported a failure.
 	TaskFailed Kind = "task_failed"
 	// LogUnavailable: the log can't be reached, and the record wasn't read back.
@@ -112,7 +115,7 @@
 	switch k {
 	case TaskFailed:
 		return Ran
-	case PeerLost, AnswerCut, Malformed, WorkerLost, LogUnavailable,
+	case PeerLost, AnswerCut, Malformed, WorkerLost, TaskForgotten, LogUnavailable,
 		IssuerGone, Canceled, DeadlineExceeded, Internal:
 		return Unknown
 	default:
--- a/internal/request/start/settle.go
+++ b/internal/request/start/settle.go
@@ -116,7 +116,7 @@
 				return settlement{err: fault.New(fault.WorkerLost, "worker %s forgot task %s", a.task.Worker, a.task.ID)}
 			}
 			if !asked.Before(a.lease.Over) {
-				return settlement{err: r.neverStarted(a, asked, last)}
+				return settlement{err: r.neverStarted(ctx, a, asked, last)}
 			}
 			r.sleep(a.lease.Over.Sub(asked))
 			continue
@@ -143,17 +143,11 @@
 // neverStarted returns the failure of a task that the worker did not know at
 // asked, after its start lease. Only a worker that did not restart since the
 // start was sent proves NotRun, since a restarted one has forgotten its tasks.
-func (r *Runner) neverStarted(a *attempt, asked, last time.Time) error {
-	a.session.ProveContinuity()
-	for r.Clock.Now().Before(last) {
-		count, known := a.session.Continuity()
-		if count != a.continuity {
-			break
-		}
-		if !known.Before(asked) {
-			return fault.New(fault.WorkerLost, "task %s never started", a.task.ID).WithOutcome(fault.NotRun)
-		}
-		r.sleep(continuityPoll)
+func (r *Runner) neverStarted(ctx context.Context, a *attempt, asked, last time.Time) error {
+	ctx, cancel := context.WithTimeout(ctx, last.Sub(asked))
+	defer cancel()
+	if r.remembers(ctx, a.session, a.continuity, asked) {
+		return fault.New(fault.WorkerLost, "task %s never started", a.task.ID).WithOutcome(fault.NotRun)
 	}
 	return fault.New(fault.WorkerLost, "worker %s may have forgotten task %s", a.task.Worker, a.task.ID)
 }
--- a/internal/request/start/start.go
+++ b/internal/request/start/start.go
@@ -35,6 +35,11 @@
 	Continuity() (count uint64, known time.Time)
 	// ProveContinuity has the known time of Continuity advanced soon.
 	ProveContinuity()
+	// CoversAllStarts reports whether the worker remembers, since Continuity
+	// had a count, every start that any owner sent to it.
+	CoversAllStarts(count uint64) bool
+	// TakenOver reports whether no start of an earlier owner can arrive.
+	TakenOver() bool
 	// Finish records that a kept task is over.
 	Finish(report worker.TaskReport)
 	// MarkLeaving ends starts at a worker that refused one as leaving.
