home: test the guarantees while homes fail

Cause: the guarantees of a home concern deaths, pauses, overlapping homes and lost replies, which no test combined. Change: a synctest test runs three instances over the log stand-in and does random faults for some minutes of virtual time: it kills, pauses, overlaps and replaces homes, leaves them with old views of the members, stops the log, loses replies, evicts tasks and restarts workers. It checks that no two attempts of a job run at once, that work resumes from its checkpoint, quotas, grants, refusals and cancellations. Home now carries the epoch, and one of an older epoch is void.

--- a/internal/instance/home/attempts.go
+++ b/internal/instance/home/attempts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"poplarvalve/internal/connection/codec"
@@ -19,6 +20,8 @@
 	endedTries = 3
 	// endedPause is the time between two of them.
 	endedPause = 2 * time.Second
+	// statusTimeout bounds the question about one attempt.
+	statusTimeout = 5 * time.Second
 	// maxReplyBytes bounds the bodies in the answer to one question.
 	maxReplyBytes = 512 << 10
 )
@@ -96,7 +99,7 @@
 	if report.State == work.TaskRunning {
 		return
 	}
-	ended := reportOf(ref, StandingOver, report)
+	ended := reportOf(ref, codec.AttemptOver, report)
 	for range endedTries {
 		if h.deliver(ended) || !h.sleep(h.base, endedPause) {
 			return
@@ -130,32 +133,54 @@
 // serveAsk answers for attempts on workers that this instance owns. Reports
 // that exceed the size of a message are left out and asked for again.
 func (h *Home) serveAsk(ctx context.Context, refs codec.AttemptRefs) codec.AttemptReports {
-	var answer codec.AttemptReports
+	reports := make([]codec.AttemptReport, len(refs.Refs))
+	var group sync.WaitGroup
+	for i, ref := range refs.Refs {
+		group.Go(func() { reports[i] = h.status(ctx, ref) })
+	}
+	group.Wait()
 	size := 0
-	for _, ref := range refs.Refs {
-		report := h.status(ctx, ref)
+	for i, report := range reports {
 		size += len(report.Result) + len(report.Checkpoint)
-		if size > maxReplyBytes && len(answer.Reports) > 0 {
+		if size > maxReplyBytes && i > 0 {
+			reports = reports[:i]
 			break
 		}
-		answer.Reports = append(answer.Reports, report)
 	}
-	return answer
+	return codec.AttemptReports{Reports: reports}
 }
 
 func (h *Home) status(ctx context.Context, ref codec.AttemptRef) codec.AttemptReport {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
 	standing, report, err := h.config.Starts.Status(ctx, ref.Worker, ident.AttemptTask(ref.Job, ref.Attempt))
-	if err != nil {
-		return codec.AttemptReport{Ref: ref}
+	return reportOf(ref, standingOf(standing, err), report)
+}
+
+// standingOf returns a standing in the form of a message. A forgotten task is
+// over, although nothing more is known of it.
+func standingOf(standing start.Standing, err error) codec.Standing {
+	switch {
+	case fault.KindOf(err) == fault.TaskForgotten:
+		return codec.AttemptOver
+	case err != nil:
+		return codec.AttemptUnknown
+	case standing == start.StandingRunning:
+		return codec.AttemptRunning
+	case standing == start.StandingOver:
+		return codec.AttemptOver
+	case standing == start.StandingNeverStarted:
+		return codec.AttemptNeverStarted
+	default:
+		return codec.AttemptUnknown
 	}
-	return reportOf(ref, standing, report)
 }
 
 // serveStop stops an attempt on a worker that this instance owns.
 func (h *Home) serveStop(ctx context.Context, ref codec.AttemptRef) codec.AttemptReport {
 	report, err := h.config.Starts.Stop(ctx, ref.Worker, ident.AttemptTask(ref.Job, ref.Attempt))
 	if err == nil && report.State.Over() {
-		return reportOf(ref, StandingOver, report)
+		return reportOf(ref, codec.AttemptOver, report)
 	}
 	return h.status(ctx, ref)
 }
@@ -163,11 +188,11 @@
 // reportOf returns a report in the form of a message. A result that doesn't fit
 // into one is kept longer than its limit by one byte, so that the home sees
 // that it was cut.
-func reportOf(ref codec.AttemptRef, standing Standing, report worker.TaskReport) codec.AttemptReport {
+func reportOf(ref codec.AttemptRef, standing codec.Standing, report worker.TaskReport) codec.AttemptReport {
 	result := report.Result
 	return codec.AttemptReport{
 		Ref:        ref,
-		Standing:   codec.Standing(standing),
+		Standing:   standing,
 		State:      report.State,
 		Result:     result[:min(len(result), maxReplyBytes+1)],
 		Checkpoint: checkpointOf(report),
--- a/internal/instance/home/home_test.go
+++ b/internal/instance/home/home_test.go
@@ -72,8 +72,8 @@
 }
 
 // tableOf returns the ownership among incarnations in one zone.
-func tableOf(members ...ident.Incarnation) *ownership.Table {
-	state := &membership.State{Epoch: 1}
+func tableOf(epoch ident.Epoch, members ...ident.Incarnation) *ownership.Table {
+	state := &membership.State{Epoch: epoch}
 	for _, member := range members {
 		state.Members = append(state.Members, membership.Member{ID: member, Zone: "z", Region: "r"})
 	}
@@ -101,7 +101,7 @@
 		Shards: 1, Retention: time.Hour,
 		Rules:     publish.New(set),
 		Workers:   publish.New(testView(3)),
-		Ownership: publish.New(tableOf(self)),
+		Ownership: publish.New(tableOf(1, self)),
 		Starts:    starts, Peers: peers,
 		Jitter: func() float64 { return 0.5 },
 	}
--- a/internal/instance/home/machine_test.go
+++ b/internal/instance/home/machine_test.go
@@ -30,9 +30,13 @@
 type machine struct {
 	mu     sync.Mutex
 	random *rand.Rand
-	// lose is the part of the replies that are lost, before or after the effect.
+	// lose is the part of the commands that are lost before or after their
+	// effect, and of the tasks that are refused.
 	lose float64
-	// hold makes each start wait until it is closed, before it takes effect.
+	// fail is the part of the tasks that fail at their end.
+	fail     float64
+	quota    map[string]int64
+	canceled map[ident.JobID]bool
 	tasks    map[ident.TaskID]*machineTask
 	refused  map[ident.TaskID]bool
 	saved    map[ident.JobID]int
@@ -41,11 +45,14 @@
 }
 
 type machineTask struct {
-	state work.TaskState
-	job   ident.JobID
-	from  int
-	began time.Time
-	saved int
+	state  work.TaskState
+	job    ident.JobID
+	from   int
+	began  time.Time
+	saved  int
+	demand resource.Vector
+	// forgotten is whether the worker lost the task when it restarted.
+	forgotten bool
 }
 
 func newMachine(seed uint64) *machine {
@@ -55,6 +62,7 @@
 		refused:  map[ident.TaskID]bool{},
 		saved:    map[ident.JobID]int{},
 		finished: map[ident.JobID]int{},
+		canceled: map[ident.JobID]bool{},
 	}
 }
 
@@ -70,8 +78,11 @@
 	}
 	task.saved = task.from + int(time.Since(task.began)/stepTime)
 	if task.saved >= taskSteps {
-		task.state = work.TaskSucceeded
-		m.finished[task.job]++
+		task.state = work.TaskErrored
+		if m.random.Float64() >= m.fail {
+			task.state = work.TaskSucceeded
+			m.finished[task.job]++
+		}
 	}
 }
 
@@ -107,6 +118,26 @@
 	}
 }
 
+// restart makes a worker forget a running attempt of a job.
+func (m *machine) restart(job ident.JobID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if task := m.runningTask(job); task != nil {
+		task.state = work.TaskUnknown
+		task.forgotten = true
+	}
+}
+
+// noteCanceled notes that a caller was told of the end of a job.
+func (m *machine) noteCanceled(job ident.JobID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.canceled[job] = true
+	if m.runningTask(job) != nil {
+		m.breaches = append(m.breaches, fmt.Sprintf("%s runs after its cancellation", job))
+	}
+}
+
 func (m *machine) end(task *machineTask) {
 	task.state = work.TaskStopped
 	m.saved[task.job] = task.saved
@@ -142,11 +173,30 @@
 	if m.finished[job] > 0 {
 		m.breaches = append(m.breaches, fmt.Sprintf("%s starts after the job finished", task.ID))
 	}
+	if m.canceled[job] {
+		m.breaches = append(m.breaches, fmt.Sprintf("%s starts after its cancellation", task.ID))
+	}
+	m.checkQuota(task)
 	from, _ := strconv.Atoi(string(task.Checkpoint))
 	if from != m.saved[job] {
 		m.breaches = append(m.breaches, fmt.Sprintf("%s resumes from %d instead of %d", task.ID, from, m.saved[job]))
 	}
-	m.tasks[task.ID] = &machineTask{state: work.TaskRunning, job: job, from: from, saved: from, began: time.Now()}
+	m.tasks[task.ID] = &machineTask{state: work.TaskRunning, job: job, from: from, saved: from, began: time.Now(), demand: task.Demand}
+}
+
+// checkQuota notes a start that exceeds the quota of its team.
+func (m *machine) checkQuota(started start.Task) {
+	team, _, _ := strings.Cut(string(started.ID), ".")
+	used := started.Demand.CPU
+	for _, task := range m.tasks {
+		m.progress(task)
+		if task.state == work.TaskRunning && strings.HasPrefix(string(task.job), team+".") {
+			used += task.demand.CPU
+		}
+	}
+	if limit := m.quota[team]; limit > 0 && used > limit {
+		m.breaches = append(m.breaches, fmt.Sprintf("%s takes team %s to %d of %d", started.ID, team, used, limit))
+	}
 }
 
 // Stop implements Starts.
@@ -154,7 +204,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	task := m.tasks[id]
-	if task == nil || m.lost() {
+	if task == nil || task.forgotten || m.lost() {
 		return worker.TaskReport{}, fault.New(fault.WorkerLost, "task %s", id)
 	}
 	m.progress(task)
@@ -169,20 +219,23 @@
 }
 
 // Status implements Starts.
-func (m *machine) Status(_ context.Context, _ ident.WorkerID, id ident.TaskID) (Standing, worker.TaskReport, error) {
+func (m *machine) Status(_ context.Context, _ ident.WorkerID, id ident.TaskID) (start.Standing, worker.TaskReport, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.lost() {
-		return StandingUnknown, worker.TaskReport{}, nil
+		return start.StandingUnknown, worker.TaskReport{}, fault.New(fault.WorkerLost, "task %s", id)
 	}
 	task := m.tasks[id]
 	if task == nil {
 		m.refused[id] = true
-		return StandingNeverStarted, worker.TaskReport{}, nil
+		return start.StandingNeverStarted, worker.TaskReport{}, nil
+	}
+	if task.forgotten {
+		return start.StandingUnknown, worker.TaskReport{}, fault.New(fault.TaskForgotten, "task %s", id)
 	}
 	m.progress(task)
 	if task.state == work.TaskRunning {
-		return StandingRunning, m.report(task), nil
+		return start.StandingRunning, m.report(task), nil
 	}
-	return StandingOver, m.report(task), nil
+	return start.StandingOver, m.report(task), nil
 }
--- a/internal/instance/home/shard.go
+++ b/internal/instance/home/shard.go
@@ -26,6 +26,9 @@
 	// snapshotRetry is the time after which a snapshot that was not read back is
 	// appended again.
 	snapshotRetry = 30 * time.Second
+	// claimRetry is the time after which a Home record that was void is followed
+	// by another one.
+	claimRetry = 1 * time.Second
 	// roundPeriod is the longest time between two rounds of a shard.
 	roundPeriod = 1 * time.Second
 	// roundPause is the shortest, so that records that are read in a row are
@@ -52,6 +55,8 @@
 
 	// collector belongs to the follower.
 	collector jobs.Collector
+	// claimed is when a Home record was last added. It belongs to run.
+	claimed time.Time
 	// snapshotAdded is when a snapshot was last added. It belongs to run.
 	snapshotAdded time.Time
 
@@ -133,7 +138,7 @@
 	}
 	table := s.current()
 	if table.Home != s.home.config.Self {
-		s.claim(table)
+		s.claim(table, now)
 		return
 	}
 	s.appendSnapshot(table, now)
@@ -159,8 +164,13 @@
 	return now.Sub(s.follower.Progress().LastRead) <= logSilence
 }
 
-// claim appends the Home record of this incarnation, unless one is on its way.
-func (s *shard) claim(table *jobs.Table) {
+// claim appends the Home record of this incarnation, unless one is on its way
+// or a later view of the members named another home.
+func (s *shard) claim(table *jobs.Table, now time.Time) {
+	epoch := s.home.config.Ownership.Load().Epoch
+	if epoch < table.Epoch || now.Sub(s.claimed) < claimRetry {
+		return
+	}
 	s.mu.Lock()
 	busy := s.claiming
 	s.claiming = true
@@ -168,8 +178,9 @@
 	if busy {
 		return
 	}
+	s.claimed = now
 	s.group.Go(func() {
-		_, _ = s.append(s.ctx, record.Home{After: table.HomeAt})
+		_, _ = s.append(s.ctx, record.Home{After: table.HomeAt, Epoch: epoch})
 		s.mu.Lock()
 		s.claiming = false
 		s.mu.Unlock()
--- a/internal/instance/home/starts.go
+++ b/internal/instance/home/starts.go
@@ -8,19 +8,7 @@
 	"poplarvalve/internal/request/start"
 )
 
-// Standing says what is known of a task at its worker.
-type Standing uint8
-
-const (
-	// StandingUnknown: the task may run now or later.
-	StandingUnknown Standing = iota
-	// StandingRunning: the task runs.
-	StandingRunning
-	// StandingOver: the task ran or may have run, and never runs again.
-	StandingOver
-	// StandingNeverStarted: the task did not run and never will.
-	StandingNeverStarted
-)
+var _ Starts = (*start.Runner)(nil)
 
 // Starts begins and ends tasks on the workers that this instance owns.
 // *start.Runner implements it.
@@ -30,6 +18,7 @@
 	Begin(ctx context.Context, task start.Task) (*start.Handle, error)
 	// Stop ends a task. An error means that the task may still run.
 	Stop(ctx context.Context, at ident.WorkerID, task ident.TaskID) (worker.TaskReport, error)
-	// Status says what is known of a task.
-	Status(ctx context.Context, at ident.WorkerID, task ident.TaskID) (Standing, worker.TaskReport, error)
+	// Status says what is known of a task, and refuses it for good if it was not
+	// begun. Reason TaskForgotten says that it is over and may have run.
+	Status(ctx context.Context, at ident.WorkerID, task ident.TaskID) (start.Standing, worker.TaskReport, error)
 }
--- a/internal/process/record/record.go
+++ b/internal/process/record/record.go
@@ -89,6 +89,10 @@
 	// After is the offset of the Home record that this one replaces, or zero.
 	// It voids a repeated append that arrives after the next home's record.
 	After ident.Offset `cbor:"1,keyasint,omitempty"`
+	// Epoch is the membership in which the writer is the home. It voids the
+	// record of an instance with an older view of the members, which would
+	// otherwise take turns with the home until its view is up to date.
+	Epoch ident.Epoch `cbor:"2,keyasint,omitempty"`
 }
 
 // Accepted makes a job known. From then on it is never lost.
--- a/internal/version/jobs/fold.go
+++ b/internal/version/jobs/fold.go
@@ -87,7 +87,7 @@
 	if envelope.Writer.IsZero() {
 		return Void
 	}
-	if body.After != t.HomeAt && !t.Lost {
+	if body.After != t.HomeAt && !t.Lost || body.Epoch < t.Epoch {
 		return Void
 	}
 	if t.Lost {
@@ -96,6 +96,7 @@
 	}
 	t.Home = envelope.Writer
 	t.HomeAt = offset
+	t.Epoch = body.Epoch
 	return Applied
 }
 
--- a/internal/version/jobs/jobs.go
+++ b/internal/version/jobs/jobs.go
@@ -115,6 +115,8 @@
 	// Home wrote the record at HomeAt; records by any other writer are void.
 	Home   ident.Incarnation
 	HomeAt ident.Offset
+	// Epoch is that of the record at HomeAt.
+	Epoch ident.Epoch
 	// Clock is the newest time of a valid record.
 	Clock int64
 	// Floor is the newest time of an identifier that was forgotten. No new
--- a/internal/version/jobs/jobs_test.go
+++ b/internal/version/jobs/jobs_test.go
@@ -48,6 +48,7 @@
 type naive struct {
 	home    ident.Incarnation
 	homeAt  ident.Offset
+	epoch   ident.Epoch
 	jobs    map[ident.JobID]*naiveJob
 	intents map[string]ident.Offset
 	settled map[string]fault.Outcome
@@ -63,8 +64,8 @@
 }
 
 func (n *naive) apply(offset ident.Offset, envelope record.Envelope) {
-	if body, isHome := envelope.Record.(record.Home); isHome && body.After == n.homeAt {
-		n.home, n.homeAt = envelope.Writer, offset
+	if body, isHome := envelope.Record.(record.Home); isHome && body.After == n.homeAt && body.Epoch >= n.epoch {
+		n.home, n.homeAt, n.epoch = envelope.Writer, offset, body.Epoch
 	}
 	if envelope.Writer != n.home {
 		return
@@ -128,7 +129,7 @@
 		if exact {
 			after = n.homeAt
 		}
-		return record.Home{After: after}
+		return record.Home{After: after, Epoch: ident.Epoch(rapid.IntRange(0, 3).Draw(t, "epoch"))}
 	case 1:
 		return record.Accepted{Job: work.Job{ID: id, Service: "s", Body: []byte("b")}}
 	case 2:
--- a/internal/version/jobs/snapshot.go
+++ b/internal/version/jobs/snapshot.go
@@ -20,6 +20,8 @@
 	Count int   `cbor:"7,keyasint"`
 	Jobs  []Job `cbor:"8,keyasint,omitempty"`
 	Keys  []Key `cbor:"9,keyasint,omitempty"`
+	// Epoch is that of the home.
+	Epoch ident.Epoch `cbor:"10,keyasint,omitempty"`
 }
 
 // Snapshot returns the table in parts of about size bytes, at least one. It
@@ -44,7 +46,7 @@
 	for i := range cut.parts {
 		part := &cut.parts[i]
 		part.Offset, part.Home, part.HomeAt = t.Offset, t.Home, t.HomeAt
-		part.Clock, part.Floor = t.Clock, t.Floor
+		part.Clock, part.Floor, part.Epoch = t.Clock, t.Floor, t.Epoch
 		part.Index, part.Count = i, len(cut.parts)
 	}
 	return cut.parts, true
@@ -77,7 +79,7 @@
 	first := parts[0]
 	table := Empty()
 	table.Offset, table.Home, table.HomeAt = first.Offset, first.Home, first.HomeAt
-	table.Clock, table.Floor = first.Clock, first.Floor
+	table.Clock, table.Floor, table.Epoch = first.Clock, first.Floor, first.Epoch
 	for i, part := range parts {
 		if part.Index != i || part.Count != len(parts) || part.Offset != first.Offset || part.Home != first.Home {
 			return nil, fault.New(fault.Malformed, "part %d of a snapshot of %d parts", part.Index, len(parts))
