home: test each rule that keeps two homes apart

Change: one test for each of these; the stand-in of the owners forgets a refusal after two minutes, as start.Runner does.

--- a/internal/instance/home/chaos_test.go
+++ b/internal/instance/home/chaos_test.go
@@ -92,22 +92,25 @@
 	return batch, err
 }
 
-// startsGate delays the commands of a paused node after the check of its lease.
-type startsGate struct{ *node }
+// startsGate delays the commands of a paused process after its own checks.
+type startsGate struct {
+	gate *gate
+	*machine
+}
 
 func (g startsGate) Begin(ctx context.Context, task start.Task) (*start.Handle, error) {
 	g.gate.pass()
-	return g.chaos.machine.Begin(context.WithoutCancel(ctx), task)
+	return g.machine.Begin(context.WithoutCancel(ctx), task)
 }
 
 func (g startsGate) Stop(ctx context.Context, at ident.WorkerID, task ident.TaskID) (worker.TaskReport, error) {
 	g.gate.pass()
-	return g.chaos.machine.Stop(ctx, at, task)
+	return g.machine.Stop(ctx, at, task)
 }
 
 func (g startsGate) Status(ctx context.Context, at ident.WorkerID, task ident.TaskID) (start.Standing, worker.TaskReport, error) {
 	g.gate.pass()
-	return g.chaos.machine.Status(ctx, at, task)
+	return g.machine.Status(ctx, at, task)
 }
 
 // peersGate loses and delays messages between nodes.
@@ -204,7 +207,7 @@
 		Open:   func(time.Time) bool { return !n.dead.Load() },
 		Shards: 3, Retention: 2 * time.Minute,
 		Rules: publish.New(set), Workers: publish.New(testView(6)), Ownership: n.table,
-		Starts: startsGate{n}, Peers: peersGate{n},
+		Starts: startsGate{&n.gate, c.machine}, Peers: peersGate{n},
 		Jitter: func() float64 { return 0.5 },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/instance/home/home_test.go
+++ b/internal/instance/home/home_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +17,7 @@
 	"poplarvalve/internal/process/ident"
 	"poplarvalve/internal/process/logstream"
 	"poplarvalve/internal/process/publish"
+	"poplarvalve/internal/process/record"
 	"poplarvalve/internal/process/token"
 	"poplarvalve/internal/process/work"
 	"poplarvalve/internal/request/serve"
@@ -107,6 +110,33 @@
 	}
 }
 
+// pausedClock stops its readers while the gate is shut.
+type pausedClock struct {
+	clock.System
+	gate *gate
+}
+
+func (c pausedClock) Now() time.Time {
+	c.gate.pass()
+	return time.Now()
+}
+
+// watchedLog calls seen with each record that was read.
+type watchedLog struct {
+	logstream.Log
+	seen func(record.Record)
+}
+
+func (l watchedLog) Read(ctx context.Context, s ident.StreamName, from ident.Offset, limit int, wait time.Duration) (logstream.Batch, error) {
+	batch, err := l.Log.Read(ctx, s, from, limit, wait)
+	for _, entry := range batch.Entries {
+		if envelope, err := codec.DecodeRecord(entry); err == nil {
+			l.seen(envelope.Record)
+		}
+	}
+	return batch, err
+}
+
 // running runs a home until the returned function is called.
 func running(t *testing.T, home *Home) func() {
 	ctx, cancel := context.WithCancel(t.Context())
@@ -237,3 +267,107 @@
 		assert.Assert(t, !machine.runs(submitted.ID))
 	})
 }
+
+// Guards against a home that was paused between the read-back of a placement
+// and the start for longer than the owner remembers its refusal.
+func TestPausedHomeBeginsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stub := platformstub.New(nil)
+		machine := newMachine(1)
+		machine.steps = 1000
+		paused, next := incarnation("a", 1), incarnation("b", 2)
+		var lease atomic.Bool
+		var once sync.Once
+		shut := &gate{}
+		lease.Store(true)
+		log := watchedLog{stub.Client("a"), func(body record.Record) {
+			if _, placing := body.(record.Placing); placing {
+				once.Do(func() { shut.pause(5 * time.Minute) })
+			}
+		}}
+		config := testConfig(t, paused, log, startsGate{shut, machine}, &network{})
+		config.Clock = pausedClock{gate: shut}
+		config.Open = func(time.Time) bool { return lease.Load() }
+		first := New(config)
+		defer running(t, first)()
+		time.Sleep(2 * time.Second)
+		submitted := jobAt(time.Now(), 1)
+		_, err := first.Submit(t.Context(), submitted)
+		assert.NilError(t, err)
+		time.Sleep(10 * time.Second)
+		lease.Store(false)
+		config = testConfig(t, next, stub.Client("b"), machine, &network{})
+		config.Ownership.Publish(tableOf(2, next))
+		defer running(t, New(config))()
+		eventually(t, "the next home starts nothing", func() bool { return machine.runs(submitted.ID) })
+		time.Sleep(10 * time.Minute)
+		assert.Equal(t, len(machine.breaches), 0, "%v", machine.breaches)
+	})
+}
+
+// Guards against a placement of a replaced home that counts, and with it more
+// running than the quota of the team.
+func TestLatePlacementOfReplacedHomeIsVoid(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stub := platformstub.New(nil)
+		machine := newMachine(1)
+		machine.quota = map[string]int64{"t": 8000}
+		old, next := incarnation("a", 1), incarnation("b", 2)
+		config := testConfig(t, old, stub.Client("a"), machine, &network{})
+		late := &node{log: stub.Client("a")}
+		config.Log = late
+		config.Workers.Publish(workers.New(nil))
+		first := New(config)
+		defer running(t, first)()
+		time.Sleep(2 * time.Second)
+		for i := range byte(4) {
+			_, err := first.Submit(t.Context(), jobAt(time.Now(), i))
+			assert.NilError(t, err)
+		}
+		late.gate.pause(20 * time.Second)
+		config.Workers.Publish(testView(3))
+		time.Sleep(5 * time.Second)
+		config = testConfig(t, next, stub.Client("b"), machine, &network{})
+		config.Ownership.Publish(tableOf(2, next))
+		config.Workers.Publish(workers.New(nil))
+		second := New(config)
+		defer running(t, second)()
+		time.Sleep(2 * time.Second)
+		for i := range byte(8) {
+			live := jobAt(time.Now(), 10+i)
+			live.Service = "watch"
+			_, err := second.Submit(t.Context(), live)
+			assert.NilError(t, err)
+		}
+		config.Workers.Publish(testView(3))
+		time.Sleep(time.Minute)
+		assert.Equal(t, len(machine.breaches), 0, "%v", machine.breaches)
+	})
+}
+
+// Guards against jobs that are lost when the log drops their records.
+func TestJobsOutliveTheRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stub := platformstub.New(nil)
+		stub.Set(func(c *platformstub.Control) { c.Retain = 100 })
+		machine := newMachine(1)
+		config := testConfig(t, incarnation("a", 1), stub.Client("a"), machine, &network{})
+		config.Retention = time.Minute
+		config.Workers.Publish(workers.New(nil))
+		first := New(config)
+		stop := running(t, first)
+		time.Sleep(2 * time.Second)
+		submitted := jobAt(time.Now(), 1)
+		_, err := first.Submit(t.Context(), submitted)
+		assert.NilError(t, err)
+		for i := range byte(200) {
+			_, err := first.Begin(t.Context(), "c", uuidAt(time.Now(), i), token.Digest{})
+			assert.NilError(t, err)
+			time.Sleep(time.Second)
+		}
+		stop()
+		config = testConfig(t, incarnation("b", 2), stub.Client("b"), machine, &network{})
+		defer running(t, New(config))()
+		eventually(t, "the job is lost", func() bool { return machine.finishedCount(submitted.ID) == 1 })
+	})
+}
--- a/internal/instance/home/machine_test.go
+++ b/internal/instance/home/machine_test.go
@@ -20,7 +20,6 @@
 var testCapacity = resource.Vector{CPU: 4000, Memory: 8192, Slots: 4, Connections: 8}
 
 const (
-	// taskSteps is the work of one job; its checkpoint is the number of steps done.
 	taskSteps = 40
 	stepTime  = time.Second
 )
@@ -38,7 +37,9 @@
 	quota    map[string]int64
 	canceled map[ident.JobID]bool
 	tasks    map[ident.TaskID]*machineTask
-	refused  map[ident.TaskID]bool
+	refused  map[ident.TaskID]time.Time
+	// steps is the work of one job; its checkpoint is the number of steps done.
+	steps    int
 	saved    map[ident.JobID]int
 	finished map[ident.JobID]int
 	breaches []string
@@ -59,10 +60,11 @@
 	return &machine{
 		random:   rand.New(rand.NewPCG(seed, 1)),
 		tasks:    map[ident.TaskID]*machineTask{},
-		refused:  map[ident.TaskID]bool{},
+		refused:  map[ident.TaskID]time.Time{},
 		saved:    map[ident.JobID]int{},
 		finished: map[ident.JobID]int{},
 		canceled: map[ident.JobID]bool{},
+		steps:    taskSteps,
 	}
 }
 
@@ -77,7 +79,7 @@
 		return
 	}
 	task.saved = task.from + int(time.Since(task.began)/stepTime)
-	if task.saved >= taskSteps {
+	if task.saved >= max(m.steps, 1) {
 		task.state = work.TaskErrored
 		if m.random.Float64() >= m.fail {
 			task.state = work.TaskSucceeded
@@ -152,7 +154,7 @@
 	if ctx.Err() != nil || m.lost() {
 		return nil, fault.New(fault.WorkerLost, "before the start")
 	}
-	if m.refused[task.ID] || m.tasks[task.ID] != nil {
+	if m.refuses(task.ID) || m.tasks[task.ID] != nil {
 		return nil, fault.New(fault.Resolved, "task %s", task.ID)
 	}
 	if m.random.Float64() < m.lose {
@@ -165,6 +167,13 @@
 	return nil, nil
 }
 
+// refuses reports whether the owner still remembers that it refused a task, as
+// start.Runner does for two minutes.
+func (m *machine) refuses(task ident.TaskID) bool {
+	at, known := m.refused[task]
+	return known && time.Since(at) < 2*time.Minute
+}
+
 func (m *machine) begin(task start.Task) {
 	job := jobOf(task.ID)
 	if m.runningTask(job) != nil {
@@ -227,7 +236,7 @@
 	}
 	task := m.tasks[id]
 	if task == nil {
-		m.refused[id] = true
+		m.refused[id] = time.Now()
 		return start.StandingNeverStarted, worker.TaskReport{}, nil
 	}
 	if task.forgotten {
