home: grant no key on what was read before its outcome

Cause: a grant is forgotten once its outcome was read back. A repeat that had loaded the table before, or that held a stopped shard, could then be granted the key again. Change: an intent is granted only if, under the mutex of the grants, the shard is the one in use, has read all of the stream and shows no outcome. A test carries a job from its home through another owner, an eviction and its checkpoint to the end, over start.Runner and the worker stand-in. Waits for a record end after 5 s, a negative demand is refused, and a change of members makes all attempts due to be asked about. Result: go test -race passes; without the check the new test of the key fails.

--- a/internal/instance/home/keys.go
+++ b/internal/instance/home/keys.go
@@ -48,13 +48,19 @@
 	running map[string]grantName
 }
 
-// claim returns the grant of a key's intent and whether the caller made it.
-func (b *grantBook) claim(name grantName, key *jobs.Key) (*grant, bool) {
+// claim returns the grant of a key's intent and whether the caller made it. It
+// returns nil if the intent is not granted and may not be. mayGrant is called
+// under the mutex, since an intent is forgotten once its outcome was read back,
+// and must not be granted again on what was read before.
+func (b *grantBook) claim(name grantName, key *jobs.Key, mayGrant func() bool) (*grant, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if known, found := b.granted[name]; found {
 		return known, false
 	}
+	if !mayGrant() {
+		return nil, false
+	}
 	if b.granted == nil {
 		b.granted = map[grantName]*grant{}
 		b.running = map[string]grantName{}
@@ -148,6 +154,8 @@
 	if err := s.appendable(); err != nil {
 		return err
 	}
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
 	result, err := s.append(ctx, body)
 	if err != nil {
 		return err
@@ -175,7 +183,10 @@
 	if known.Writer != s.home.config.Self {
 		return s.foreign(ctx, changed, known)
 	}
-	granted, first := s.home.grants.claim(grantName{s.id, known.Intent}, known)
+	granted, first := s.home.grants.claim(grantName{s.id, known.Intent}, known, func() bool { return s.mayGrant(known) })
+	if granted == nil {
+		return serve.IntentState{}, unproven(fault.OwnerNotReady, "key %s is looked up", known.Key)
+	}
 	if first {
 		return serve.IntentState{Granted: true}, nil
 	}
@@ -187,6 +198,16 @@
 	}
 }
 
+// mayGrant reports whether an intent has no outcome as far as the whole stream
+// says. A shard that was stopped may hold an old table.
+func (s *shard) mayGrant(known *jobs.Key) bool {
+	if newest, err := s.home.local(s.id); err != nil || newest != s || s.ready() != nil {
+		return false
+	}
+	newest, found := s.current().Key(known.Caller, known.Key)
+	return found && newest.Intent == known.Intent && !newest.Settled
+}
+
 // foreign waits for the outcome of an intent that an earlier home granted. That
 // home sends it if it still lives; until then nothing is known.
 func (s *shard) foreign(ctx context.Context, changed <-chan struct{}, known *jobs.Key) (serve.IntentState, error) {
--- a/internal/instance/home/rounds.go
+++ b/internal/instance/home/rounds.go
@@ -56,6 +56,7 @@
 func (s *shard) input(view *workers.View, set *rules.Set, now time.Time) job.Input {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.forgetOwners()
 	busy := maps.Clone(s.placing)
 	for id := range s.canceling {
 		busy[id] = true
@@ -71,6 +72,17 @@
 	}
 }
 
+// forgetOwners makes all attempts due to be asked about after a change of the
+// members, since a new owner reports no end of an attempt that it did not begin.
+// The caller holds mu.
+func (s *shard) forgetOwners() {
+	table := s.home.config.Ownership.Load()
+	if table != nil && table.Epoch != s.heardEpoch {
+		s.heardEpoch = table.Epoch
+		clear(s.heard)
+	}
+}
+
 // beginPlacing reports whether an attempt of the job may be placed now. The
 // caller holds mu.
 func (s *shard) beginPlacing(id ident.JobID) bool {
@@ -265,7 +277,11 @@
 }
 
 func (s *shard) healthy(worker ident.WorkerID) bool {
-	known, found := s.home.config.Workers.Load().Find(worker)
+	view := s.home.config.Workers.Load()
+	if view == nil {
+		return false
+	}
+	known, found := view.Find(worker)
 	return found && known.Health == workers.Healthy && !known.Leaving
 }
 
--- /dev/null
+++ b/internal/instance/home/runner_test.go
@@ -0,0 +1,98 @@
+package home
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"poplarvalve/internal/connection/worker"
+	"poplarvalve/internal/process/clock"
+	"poplarvalve/internal/process/fence"
+	"poplarvalve/internal/process/ident"
+	"poplarvalve/internal/process/ledger"
+	"poplarvalve/internal/process/work"
+	"poplarvalve/internal/request/start"
+	"poplarvalve/internal/version/membership"
+	"poplarvalve/internal/version/ownership"
+	"poplarvalve/test/platformstub"
+	"poplarvalve/test/workerstub"
+)
+
+// newRunner returns a runner that owns worker "a" of the test's view.
+func newRunner(ctx context.Context, name string, api worker.API) *start.Runner {
+	account := ledger.NewAccount(testCapacity)
+	table := worker.NewTable()
+	runner := &start.Runner{
+		Clock: clock.System{}, Fence: fence.New(time.Now()), Ledger: ledger.New(), RunLease: worker.RunLeasePeriod,
+		Sessions: sessions{table}, Random: func() float64 { return 0.5 },
+	}
+	runner.Fence.Renew(time.Now(), time.Hour)
+	runner.Ledger.Open("a", account)
+	session := worker.NewTakeover(worker.Options{
+		API: api, Clock: clock.System{}, Worker: "a", Fence: runner.Fence, Account: account, Random: runner.Random,
+		Holder: ident.Incarnation{Instance: ident.InstanceName(name), Nonce: 1},
+	})
+	table.Open(ctx, session)
+	session.EarlierOwnersOver()
+	return runner
+}
+
+type sessions struct{ table *worker.Table }
+
+func (s sessions) Session(id ident.WorkerID) (start.Session, bool) { return s.table.Find(id) }
+
+// Guards against an eviction that the job's home learns only by asking, or
+// whose checkpoint is lost on the way from the owner through the log to the
+// next start.
+func TestEvictedJobResumesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer time.Sleep(2 * time.Minute)
+		defer cancel()
+		machine := workerstub.New()
+		machine.Change(func(s *workerstub.Settings) { s.Capacity = testCapacity })
+		platform := platformstub.New(nil)
+		peers := &network{homes: map[ident.Incarnation]*Home{}}
+		members := ownership.New(&membership.State{Epoch: 1, Members: []membership.Member{
+			{ID: incarnation("far", 1), Zone: "other", Region: "other"},
+			{ID: incarnation("near", 1), Zone: "z", Region: "r"},
+		}})
+		home, _ := members.Home(0)
+		assert.Equal(t, home.ID, incarnation("far", 1), "the test needs a home that is not the owner")
+		runner := newRunner(ctx, "near", machine)
+		for _, name := range []string{"far", "near"} {
+			self := incarnation(name, 1)
+			config := testConfig(t, self, platform.Client(name), runner, peers)
+			config.Ownership.Publish(members)
+			config.Workers.Publish(testView(1))
+			peers.homes[self] = New(config)
+			defer running(t, peers.homes[self])()
+		}
+		time.Sleep(5 * time.Second)
+		submitted := jobAt(time.Now(), 1)
+		submitted.Body = []byte(`{"sleep_ms":60000,"steps":60}`)
+		near := peers.homes[incarnation("near", 1)]
+		began := time.Now()
+		_, err := near.Submit(ctx, submitted)
+		assert.NilError(t, err)
+		time.Sleep(20 * time.Second)
+		evicted, err := runner.Evict(ctx, "a", ident.AttemptTask(submitted.ID, 1))
+		assert.NilError(t, err)
+		assert.Assert(t, evicted.Over)
+		eventually(t, "the job does not succeed", func() bool {
+			status, err := near.Job(ctx, submitted.ID)
+			assert.NilError(t, err)
+			return status.State == work.JobSucceeded
+		})
+		assert.Assert(t, time.Since(began) < 65*time.Second, "%s", time.Since(began))
+		second := machine.History()[2]
+		assert.Equal(t, second.Task, ident.AttemptTask(submitted.ID, 2))
+		assert.Assert(t, second.From >= 15*time.Second, "%s", second.From)
+		status, err := near.Job(ctx, submitted.ID)
+		assert.NilError(t, err)
+		assert.Equal(t, status.Evictions, 1)
+	})
+}
--- a/internal/instance/home/shard.go
+++ b/internal/instance/home/shard.go
@@ -73,6 +73,8 @@
 	ending map[ident.TaskID]bool
 	// heard holds when there was last news of a running attempt.
 	heard map[ident.JobID]time.Time
+	// heardEpoch is the epoch whose owners were heard.
+	heardEpoch ident.Epoch
 	// waits says why jobs wait, as of the newest round.
 	waits map[ident.JobID]*fault.Failure
 	// snapshot is the time of the newest whole snapshot in the stream.
--- a/internal/instance/home/submit.go
+++ b/internal/instance/home/submit.go
@@ -9,6 +9,7 @@
 	"poplarvalve/internal/process/fault"
 	"poplarvalve/internal/process/ident"
 	"poplarvalve/internal/process/record"
+	"poplarvalve/internal/process/resource"
 	"poplarvalve/internal/process/work"
 	"poplarvalve/internal/request/job"
 	"poplarvalve/internal/version/jobs"
@@ -20,6 +21,9 @@
 	maxBodyBytes = 256 << 10
 	// maxOpen bounds the jobs of one shard that are not over.
 	maxOpen = 20_000
+	// acceptTimeout bounds the wait for the record of a job or key. Most calls
+	// of the log take milliseconds.
+	acceptTimeout = 5 * time.Second
 	// cancelRetry is the time between two tries to stop a running job.
 	cancelRetry = 1 * time.Second
 )
@@ -113,6 +117,8 @@
 	if err := s.appendable(); err != nil {
 		return work.JobStatus{}, err
 	}
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
 	result, err := s.append(ctx, record.Accepted{Job: checked})
 	if err != nil {
 		return work.JobStatus{}, err
@@ -162,6 +168,9 @@
 	if service.Class != work.Batch && service.Class != work.Live {
 		return submitted, fault.New(fault.BadRequest, "service %s has class %s", service.Name, service.Class)
 	}
+	if !(resource.Vector{}).Fits(submitted.Demand) {
+		return submitted, fault.New(fault.BadRequest, "the demand is negative: %s", submitted.Demand)
+	}
 	if table.Counts().Open >= maxOpen {
 		return submitted, fault.New(fault.Overloaded, "%d jobs of the shard are not over", maxOpen)
 	}
