peer: let nothing begin on a node that closes

Cause: a test run ended with "WaitGroup.Add called from inside and outside synctest bubble" once in about 400 runs. A request that arrived on an accepted link could add to the node's wait group while Close waited for it at zero.

Change: a group counts itself until it is closed, and refuses to start a goroutine afterwards.

--- a/internal/connection/peer/handle.go
+++ b/internal/connection/peer/handle.go
@@ -49,10 +49,13 @@
 		cancel()
 		return
 	}
-	s.node.group.Go(func() {
+	started := s.node.group.start(func() {
 		defer s.leave(frame.Sequence)
 		s.answer(ctx, frame)
 	})
+	if !started {
+		s.leave(frame.Sequence)
+	}
 }
 
 // enter registers a running request. A repeated frame of a request that still
--- a/internal/connection/peer/node.go
+++ b/internal/connection/peer/node.go
@@ -21,7 +21,7 @@
 	// base ends with Run and bounds everything the node has started.
 	base  context.Context
 	stop  context.CancelFunc
-	group sync.WaitGroup
+	group *group
 	// links is replaced by Keep and read without a lock.
 	links atomic.Pointer[linkTable]
 	// keep serialises Keep.
@@ -43,7 +43,7 @@
 
 // NewNode returns a node without links. Close ends it.
 func NewNode(config Config) *Node {
-	node := &Node{config: config}
+	node := &Node{config: config, group: newGroup()}
 	node.base, node.stop = context.WithCancel(context.Background())
 	node.links.Store(&linkTable{})
 	return node
@@ -56,7 +56,7 @@
 // Close ends all links and waits for what the node has started.
 func (n *Node) Close() {
 	n.stop()
-	n.group.Wait()
+	n.group.close()
 }
 
 // Late returns how many messages came for requests that had ended.
@@ -113,7 +113,7 @@
 func (n *Node) open(member membership.Member) *link {
 	ctx, cancel := context.WithCancel(n.base)
 	kept := &link{to: member, cancel: cancel}
-	n.group.Go(func() { n.maintain(ctx, kept) })
+	n.group.start(func() { n.maintain(ctx, kept) })
 	return kept
 }
 
