--- a/internal/instance/front.go
+++ b/internal/instance/front.go
@@ -100,34 +100,3 @@
 	s.stop()
 	return s.ReadCloser.Close()
 }
-
-// Submit implements caller.Jobs.
-func (f front) Submit(ctx context.Context, job work.Job) (work.JobStatus, error) {
-	current, done, err := f.begin()
-	if err != nil {
-		// The job's identifier was not looked up, so it may be known already.
-		return work.JobStatus{}, fault.From(err).WithOutcome(fault.Unknown)
-	}
-	defer done()
-	return current.home.Submit(ctx, job)
-}
-
-// Job implements caller.Jobs.
-func (f front) Job(ctx context.Context, id ident.JobID) (work.JobStatus, error) {
-	current, done, err := f.begin()
-	if err != nil {
-		return work.JobStatus{}, fault.From(err).WithOutcome(fault.Unknown)
-	}
-	defer done()
-	return current.home.Job(ctx, id)
-}
-
-// Cancel implements caller.Jobs.
-func (f front) Cancel(ctx context.Context, id ident.JobID) (work.JobStatus, error) {
-	current, done, err := f.begin()
-	if err != nil {
-		return work.JobStatus{}, fault.From(err).WithOutcome(fault.Unknown)
-	}
-	defer done()
-	return current.home.Cancel(ctx, id)
-}
--- a/internal/instance/incarnation.go
+++ b/internal/instance/incarnation.go
@@ -5,10 +5,9 @@
 	"io"
 	"sync"
 
-	"poplarvalve/internal/connection/caller"
-	"poplarvalve/internal/connection/codec"
 	"poplarvalve/internal/connection/peer"
 	"poplarvalve/internal/connection/worker"
+	"poplarvalve/internal/instance/home"
 	"poplarvalve/internal/process/fault"
 	"poplarvalve/internal/process/fence"
 	"poplarvalve/internal/process/ident"
@@ -19,16 +18,6 @@
 	"poplarvalve/internal/request/start"
 )
 
-// homeKeeper is the home of job shards.
-type homeKeeper interface {
-	caller.Jobs
-	serve.Intents
-	serve.Outcomes
-	Run(ctx context.Context)
-	HandleJob(ctx context.Context, from ident.Incarnation, job codec.Job) (codec.JobDone, error)
-	State() any
-}
-
 // incarnation is what one incarnation of the process owns. It is built when the
 // incarnation has become a member, and nothing of it is used by the next one.
 type incarnation struct {
@@ -39,7 +28,7 @@
 	owner   *ownerAgent
 	runner  *start.Runner
 	engine  *serve.Engine
-	home    homeKeeper
+	home    *home.Home
 	view    *viewAgent
 
 	cancel context.CancelFunc
--- a/internal/instance/system_test.go
+++ b/internal/instance/system_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -10,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/uuid"
 	"gotest.tools/v3/assert"
 
 	"poplarvalve/internal/connection/operator"
@@ -267,3 +269,90 @@
 		}
 	})
 }
+
+// newID returns a UUID of version 7 for a job or key, at the time of the bubble.
+func (s *system) newID() string {
+	var id uuid.UUID
+	now := uint64(time.Now().UnixMilli())
+	binary.BigEndian.PutUint64(id[:8], now<<16|s.random.Uint64N(1<<12)|7<<12)
+	binary.BigEndian.PutUint64(id[8:], s.random.Uint64()>>2|1<<63)
+	return id.String()
+}
+
+// Guards against a keyed request that runs twice when it is repeated through
+// every instance, and against a repeat that gets another answer.
+func TestKeysRunOnceThroughEachInstance(t *testing.T) {
+	runSystem(t, 3, func(t *testing.T, s *system) {
+		for i := range 20 {
+			body := fmt.Sprintf("issue-%d", i)
+			key := s.newID()
+			for through := range 3 {
+				id := ident.RequestID(fmt.Sprintf("%s-%d", body, through))
+				got := s.call(through, work.Request{ID: id, Service: "issue-permit", Key: key, Body: []byte(body)})
+				assert.Equal(t, got.Outcome, fault.Ran, "%v", got.Failure)
+				assert.Equal(t, string(got.Body), body)
+			}
+			assert.Equal(t, s.starts(body), 1)
+		}
+	})
+}
+
+// Guards against an accepted job that is lost, or runs in two places, when the
+// home of its shard and the owner of its worker are killed.
+func TestJobsEndOnceAlthoughInstancesAreKilled(t *testing.T) {
+	runSystem(t, 4, func(t *testing.T, s *system) {
+		var ids []ident.JobID
+		for i := range 30 {
+			status, err := s.nodes[i%3].Front().Submit(t.Context(), work.Job{
+				ID: ident.JobID(s.newID()), Caller: "ranger", Service: "quota-rebuild", Body: fmt.Appendf(nil, "rebuild-%d", i)})
+			assert.NilError(t, err)
+			ids = append(ids, status.ID)
+		}
+		time.Sleep(10 * time.Second)
+		s.kill(3)
+		time.Sleep(15 * time.Second)
+		s.kill(2)
+		time.Sleep(5 * time.Minute)
+		for i, id := range ids {
+			status, err := s.nodes[0].Front().Job(t.Context(), id)
+			assert.NilError(t, err)
+			assert.Equal(t, status.State, work.JobSucceeded, "%s: %v %s", id, status.Reason, status.Detail)
+			assert.Assert(t, s.overlaps(fmt.Sprintf("rebuild-%d", i)) == 0)
+		}
+		for id, stub := range s.workers {
+			assert.Assert(t, !stub.Exceeded(), "%s held more than its capacity", id)
+		}
+	})
+}
+
+// overlaps returns how many starts of a body began while another start of it
+// had not ended.
+func (s *system) overlaps(body string) int {
+	type span struct{ from, to time.Time }
+	var spans []span
+	for _, stub := range s.workers {
+		history := stub.History()
+		for i, event := range history {
+			if event.State != work.TaskRunning || event.Label != body {
+				continue
+			}
+			to := time.Now().Add(time.Hour)
+			for _, later := range history[i+1:] {
+				if later.Task == event.Task {
+					to = later.At
+					break
+				}
+			}
+			spans = append(spans, span{event.At, to})
+		}
+	}
+	found := 0
+	for i, a := range spans {
+		for j, b := range spans {
+			if i != j && !b.from.Before(a.from) && b.from.Before(a.to) {
+				found++
+			}
+		}
+	}
+	return found
+}
