demo: add a run of separate processes that checks every answer

Cause: make demo named a program that did not exist.

Without a daemon the demo ends with 'entry-1 has ended'; it has not run against one yet.

--- /dev/null
+++ b/test/cmd/demo/table.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"poplarvalve/internal/process/work"
+)
+
+const (
+	// maxMicros and digits are the range and precision of the latencies.
+	maxMicros = 120_000_000
+	digits    = 3
+	columnGap = 2
+)
+
+// tally counts what became of the operations of one class.
+type tally struct {
+	sent, answered, refused, unknown int
+	// retries are the requests before the answer, repeats those after it that
+	// got an answer again.
+	retries, repeats int
+	latency          *hdrhistogram.Histogram
+}
+
+func (t *tally) add(o *operation) {
+	t.sent++
+	if o.answered >= 0 {
+		t.answered++
+		t.retries += o.answered
+		first, last := o.replies[0], o.replies[o.answered]
+		_ = t.latency.RecordValue(last.Received.Sub(first.Sent).Microseconds())
+		for _, reply := range o.replies[o.answered+1:] {
+			if reply.Whole() {
+				t.repeats++
+			}
+		}
+		return
+	}
+	t.retries += max(len(o.replies)-1, 0)
+	if o.uncertainBefore(len(o.replies)) {
+		t.unknown++
+		return
+	}
+	t.refused++
+}
+
+// printTable prints one line a class and one for the jobs.
+func printTable(out io.Writer, operations []*operation, jobs []*job) {
+	table := tabwriter.NewWriter(out, 0, 0, columnGap, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "class\trequests\tanswered\trefused\tunknown\tretries\trepeats\tp50 ms\tp99 ms\tmax ms\t")
+	for _, c := range clients {
+		t := tally{latency: hdrhistogram.New(1, maxMicros, digits)}
+		for _, o := range operations {
+			if o.class == c.class {
+				t.add(o)
+			}
+		}
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t\n", c.class, t.sent, t.answered, t.refused,
+			t.unknown, t.retries, t.repeats, millis(t.latency.ValueAtQuantile(50)),
+			millis(t.latency.ValueAtQuantile(99)), millis(t.latency.Max()))
+	}
+	_ = table.Flush()
+	states := map[string]int{}
+	accepted, resumed := 0, 0
+	for _, j := range jobs {
+		if j.full != "" {
+			accepted++
+		}
+		states[j.state]++
+		if j.attempt > 1 {
+			resumed++
+		}
+	}
+	fmt.Fprintf(out, "\njobs: %d submitted, %d accepted, %d succeeded, %d canceled, %d failed, %d resumed\n", len(jobs), accepted,
+		states[work.JobSucceeded.String()], states[work.JobCanceled.String()], states[work.JobFailed.String()], resumed)
+	printRefusals(out, operations)
+}
+
+// printRefusals prints how often each failure was received.
+func printRefusals(out io.Writer, operations []*operation) {
+	counts := map[string]int{}
+	for _, o := range operations {
+		for _, reply := range o.replies {
+			if !reply.Whole() {
+				counts[fmt.Sprintf("%s %s", reply.Outcome, reply.Kind)]++
+			}
+		}
+	}
+	fmt.Fprintln(out, "replies that were no answer:", counts)
+}
+
+func millis(micros int64) float64 {
+	return float64(micros) / 1000
+}
