demo: wait until owners may start work and fail a run that shows nothing

Cause: the first run against the daemon began before the takeover of the workers, so its first requests were refused; and a class without any answer could have passed.

Change: Publish waits until each instance sees the workers of its zone ready. An unanswered idempotent request or class fails the run. -slowest prints requests with their replies.

--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -24,6 +25,7 @@
 	"poplarvalve/internal/connection/worker"
 	"poplarvalve/internal/process/ident"
 	"poplarvalve/internal/process/resource"
+	"poplarvalve/internal/version/workers"
 )
 
 const (
@@ -175,8 +177,8 @@
 	var listed []platform.ListedInstance
 	for _, w := range c.Workers {
 		listed = append(listed, platform.ListedInstance{
-			ID: w.Name, Address: w.Address, Kind: "worker", Zone: ident.ZoneName(w.Zone), Region: region,
-			Rack: "rack-1", State: "live", Capacity: c.options.Capacity,
+			ID: w.Name, Address: w.Address, Kind: platform.KindWorker, Zone: ident.ZoneName(w.Zone), Region: region,
+			Rack: "rack-1", State: platform.StateLive, Capacity: c.options.Capacity,
 		})
 	}
 	body, err := json.Marshal(listed)
@@ -245,7 +247,8 @@
 }
 
 // Publish brings the rules into force with the command-line tool and returns
-// when every instance holds its lease and the rules, and every worker is owned.
+// when every instance holds its lease and the rules, and sees that the
+// owner of every worker of its zone may start work there.
 func (c *Cluster) Publish(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
@@ -276,7 +279,6 @@
 
 // ready returns why the system can't serve yet.
 func (c *Cluster) ready(ctx context.Context) error {
-	owned := 0
 	for _, instance := range c.Instances {
 		status, err := instance.Status(ctx)
 		if err != nil {
@@ -286,10 +288,27 @@
 			return fmt.Errorf("%s: lease held %t, rules version %d, members %d",
 				instance.Name, status.LeaseHeld, status.RulesVersion, status.Members)
 		}
-		owned += status.Backends
+		if err := instance.workersReady(ctx); err != nil {
+			return fmt.Errorf("%s: %w", instance.Name, err)
+		}
 	}
-	if owned != len(c.Workers) {
-		return fmt.Errorf("%d of %d workers are owned", owned, len(c.Workers))
+	return nil
+}
+
+// workersReady returns which worker of the instance's zone can't start work.
+// Of other zones an instance knows only totals.
+func (i *Instance) workersReady(ctx context.Context) error {
+	var dump struct{ Backends []workers.Worker }
+	if err := exchange(ctx, http.MethodGet, "http://"+i.Operator+operator.PathDump, operatorToken, nil, &dump); err != nil {
+		return err
+	}
+	if len(dump.Backends) == 0 {
+		return errors.New("no workers are known")
+	}
+	for _, w := range dump.Backends {
+		if !w.Ready && string(w.Zone) == i.Zone {
+			return fmt.Errorf("%s is not ready", w.ID)
+		}
 	}
 	return nil
 }
--- a/test/cmd/demo/main.go
+++ b/test/cmd/demo/main.go
@@ -48,22 +48,23 @@
 	bin := flag.String("bin", "bin", "folder of the programs")
 	seed := flag.Uint64("seed", 1, "seed of the bodies")
 	duration := flag.Duration("duration", 24*time.Second, "time for which requests are sent")
+	slowest := flag.Int("slowest", 0, "number of slow requests to print with their replies")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	ctx, cancel := context.WithTimeout(ctx, totalTime)
 	defer cancel()
-	os.Exit(run(ctx, *bin, *seed, *duration))
+	os.Exit(run(ctx, *bin, *seed, *duration, *slowest))
 }
 
 // run returns the exit code.
-func run(ctx context.Context, bin string, seed uint64, duration time.Duration) int {
+func run(ctx context.Context, bin string, seed uint64, duration time.Duration, slowest int) int {
 	dir, err := os.MkdirTemp("", "poplarvalve-demo-")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "demo:", err)
 		return 1
 	}
-	failures := demonstrate(ctx, dir, bin, seed, duration)
+	failures := demonstrate(ctx, dir, bin, seed, duration, slowest)
 	if len(failures) == 0 {
 		fmt.Println("\nEvery answer was whole and its own, and nothing ran twice.")
 		if err := os.RemoveAll(dir); err != nil {
@@ -80,7 +81,7 @@
 }
 
 // demonstrate runs the system and returns what failed.
-func demonstrate(ctx context.Context, dir, bin string, seed uint64, duration time.Duration) []string {
+func demonstrate(ctx context.Context, dir, bin string, seed uint64, duration time.Duration, slowest int) []string {
 	began := time.Now()
 	system, err := cluster.Start(ctx, dir, cluster.Options{
 		Bin: bin, Zones: 2, Instances: 3, Workers: 4,
@@ -104,6 +105,7 @@
 	fmt.Printf("settled after %.1f s\n\n", time.Since(began).Seconds())
 	failures := d.failures(ctx)
 	printTable(os.Stdout, d.operations, d.jobs)
+	printSlowest(os.Stdout, d.operations, slowest)
 	for _, err := range system.Drain() {
 		failures = append(failures, err.Error())
 	}
@@ -125,5 +127,6 @@
 		}
 		runs = append(runs, workerRuns{worker: w.Name, events: events, exceeded: exceeded})
 	}
+	failures = append(failures, unsettled(d.operations)...)
 	return append(failures, verify(d.operations, d.jobs, runs)...)
 }
--- a/test/cmd/demo/table.go
+++ b/test/cmd/demo/table.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"io"
+	"slices"
 	"text/tabwriter"
+	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
@@ -15,6 +18,8 @@
 	maxMicros = 120_000_000
 	digits    = 3
 	columnGap = 2
+	// maxReplies bounds the replies printed of one slow operation.
+	maxReplies = 12
 )
 
 // tally counts what became of the operations of one class.
@@ -80,6 +85,26 @@
 	printRefusals(out, operations)
 }
 
+// printSlowest prints the operations that took longest, with their first
+// replies.
+func printSlowest(out io.Writer, operations []*operation, count int) {
+	sorted := slices.SortedFunc(slices.Values(operations), func(a, b *operation) int { return cmp.Compare(b.took(), a.took()) })
+	for _, o := range sorted[:min(count, len(sorted))] {
+		fmt.Fprintf(out, "\n%s: %s\n", o.label, o.took())
+		for _, reply := range o.replies[:min(len(o.replies), maxReplies)] {
+			fmt.Fprintf(out, "  %s +%s %s\n", reply.Sent.Format("15:04:05.000"), reply.Received.Sub(reply.Sent), reply)
+		}
+	}
+}
+
+// took returns the time from the first request to the last reply.
+func (o *operation) took() time.Duration {
+	if len(o.replies) == 0 {
+		return 0
+	}
+	return o.replies[len(o.replies)-1].Received.Sub(o.replies[0].Sent)
+}
+
 // printRefusals prints how often each failure was received.
 func printRefusals(out io.Writer, operations []*operation) {
 	counts := map[string]int{}
--- a/test/cmd/demo/verify.go
+++ b/test/cmd/demo/verify.go
@@ -70,6 +70,26 @@
 	return failures
 }
 
+// unsettled returns what the run left undone: a class without any answer shows
+// nothing, and an idempotent request can be repeated until it is answered.
+func unsettled(operations []*operation) []string {
+	var failures []string
+	answers := map[string]int{}
+	for _, o := range operations {
+		if o.answered >= 0 {
+			answers[o.class]++
+		} else if o.class == idempotent {
+			failures = append(failures, o.label+": was not answered in time")
+		}
+	}
+	for _, c := range clients {
+		if answers[c.class] == 0 {
+			failures = append(failures, "no request of class "+c.class+" was answered")
+		}
+	}
+	return failures
+}
+
 func (o *operation) check(runs []*taskRun) []string {
 	var failures []string
 	if o.class != idempotent && len(runs) > 1 {
--- a/test/cmd/demo/verify_test.go
+++ b/test/cmd/demo/verify_test.go
@@ -77,6 +77,18 @@
 	check(t, "capacity", verify(nil, nil, []workerRuns{{worker: "w", exceeded: true}}), "capacity")
 }
 
+// Guards against a demo that passes although it has shown nothing.
+func TestUnansweredClassesFail(t *testing.T) {
+	var operations []*operation
+	for _, c := range clients {
+		operations = append(operations, &operation{class: c.class})
+	}
+	check(t, "all answered", unsettled(operations), "")
+	operations[0].answered = -1
+	assert.Equal(t, len(unsettled(operations)), 2)
+	check(t, "no key", unsettled(append(operations[1:2:2], &operation{class: idempotent})), "class key")
+}
+
 // Guards against a demo that passes although a job was lost, ran to its end
 // twice or ran in two places at once.
 func TestJobsAreChecked(t *testing.T) {
