--- a/test/cluster/process.go
+++ b/test/cluster/process.go
@@ -31,14 +31,6 @@
 	err     error
 }
 
-// Usage is what an ended process took in all.
-type Usage struct {
-	// Processor is user and system time.
-	Processor time.Duration
-	// PeakBytes is the largest resident memory.
-	PeakBytes int64
-}
-
 // startProcess runs a program whose output goes to dir/name.log. The kernel
 // ends it when the driver dies.
 func startProcess(dir, name, program string, arguments ...string) (*Process, error) {
@@ -142,12 +134,24 @@
 	return strings.TrimSpace(string(content[max(0, len(content)-lastBytes):]))
 }
 
-// Usage returns what the process took. It must have ended.
-func (p *Process) Usage() Usage {
+// Processor returns the user and system time of a process that has ended.
+func (p *Process) Processor() time.Duration {
 	state := p.command.ProcessState
-	used := Usage{Processor: state.UserTime() + state.SystemTime()}
-	if raw, known := state.SysUsage().(*syscall.Rusage); known {
-		used.PeakBytes = raw.Maxrss << 10
+	return state.UserTime() + state.SystemTime()
+}
+
+// PeakKiB returns the largest resident memory so far of a process that runs.
+// The figure that wait reports after the end is not used: it is at least the
+// memory that the driver had when it started the process.
+func (p *Process) PeakKiB() (int64, error) {
+	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
+	if err != nil {
+		return 0, err
+	}
+	_, after, _ := strings.Cut(string(content), "VmHWM:")
+	var peak int64
+	if _, err := fmt.Sscan(after, &peak); err != nil {
+		return 0, fmt.Errorf("%s: reading VmHWM: %w", p.Name, err)
 	}
-	return used
+	return peak, nil
 }
--- a/test/cmd/demo/main.go
+++ b/test/cmd/demo/main.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"fmt"
 	"os"
@@ -118,15 +117,13 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainTime)
 	defer cancel()
 	failures := d.problems
-	var runs []workerRuns
-	for _, w := range d.system.Workers {
-		events, err := w.History(ctx)
-		exceeded, errExceeded := w.Exceeded(ctx)
-		if err := errors.Join(err, errExceeded); err != nil {
-			failures = append(failures, fmt.Sprintf("%s: %v", w.Name, err))
-		}
-		runs = append(runs, workerRuns{worker: w.Name, events: events, exceeded: exceeded})
+	byLabel, exceeded, err := cluster.AllRuns(ctx, d.system.Workers)
+	if err != nil {
+		return append(failures, err.Error())
+	}
+	for _, worker := range exceeded {
+		failures = append(failures, worker+" held more than its capacity")
 	}
 	failures = append(failures, unsettled(d.operations)...)
-	return append(failures, verify(d.operations, d.jobs, runs)...)
+	return append(failures, verify(d.operations, d.jobs, byLabel)...)
 }
--- a/test/cmd/demo/verify.go
+++ b/test/cmd/demo/verify.go
@@ -3,60 +3,14 @@
 import (
 	"bytes"
 	"fmt"
-	"time"
 
-	"poplarvalve/internal/process/ident"
 	"poplarvalve/internal/process/work"
 	"poplarvalve/test/cluster"
-	"poplarvalve/test/workerstub"
 )
 
-// workerRuns is what one worker says it ran.
-type workerRuns struct {
-	worker   string
-	events   []workerstub.Event
-	exceeded bool
-}
-
-// taskRun is one start of a task and its end. A task that still runs has a zero
-// end.
-type taskRun struct {
-	worker string
-	task   ident.TaskID
-	from   time.Time
-	to     time.Time
-	state  work.TaskState
-}
-
-// runsByLabel joins the starts and ends of the tasks of each label.
-func runsByLabel(workers []workerRuns) map[string][]*taskRun {
-	byLabel := map[string][]*taskRun{}
-	for _, w := range workers {
-		open := map[ident.TaskID]*taskRun{}
-		for _, event := range w.events {
-			if event.State == work.TaskRunning {
-				run := &taskRun{worker: w.worker, task: event.Task, from: event.At, state: work.TaskRunning}
-				open[event.Task] = run
-				byLabel[event.Label] = append(byLabel[event.Label], run)
-				continue
-			}
-			if run, found := open[event.Task]; found {
-				run.to, run.state = event.At, event.State
-			}
-		}
-	}
-	return byLabel
-}
-
 // verify returns each answer that contradicts what the workers ran.
-func verify(operations []*operation, jobs []*job, workers []workerRuns) []string {
+func verify(operations []*operation, jobs []*job, byLabel map[string][]*cluster.Run) []string {
 	var failures []string
-	byLabel := runsByLabel(workers)
-	for _, w := range workers {
-		if w.exceeded {
-			failures = append(failures, w.worker+" held more than its capacity")
-		}
-	}
 	for _, o := range operations {
 		for _, failure := range o.check(byLabel[o.label]) {
 			failures = append(failures, o.label+": "+failure)
@@ -90,7 +44,7 @@
 	return failures
 }
 
-func (o *operation) check(runs []*taskRun) []string {
+func (o *operation) check(runs []*cluster.Run) []string {
 	var failures []string
 	if o.class != idempotent && len(runs) > 1 {
 		failures = append(failures, fmt.Sprintf("ran %d times: %s", len(runs), describe(runs)))
@@ -105,7 +59,7 @@
 			failures = append(failures, "answered, but no worker ran it")
 		}
 		if run := o.falseRefusal(at, runs); run != nil {
-			failures = append(failures, fmt.Sprintf("answered %q, but ran: %s", reply, describe([]*taskRun{run})))
+			failures = append(failures, fmt.Sprintf("answered %q, but ran: %s", reply, describe([]*cluster.Run{run})))
 		}
 	}
 	return failures
@@ -114,16 +68,16 @@
 // falseRefusal returns a run that the reply says did not happen. With a key or
 // token, "not run" speaks of every request under it so far; without, of this
 // request alone, which can't be told from an earlier one whose end is unknown.
-func (o *operation) falseRefusal(at int, runs []*taskRun) *taskRun {
+func (o *operation) falseRefusal(at int, runs []*cluster.Run) *cluster.Run {
 	reply := o.replies[at]
 	if reply.Outcome != cluster.NotRun {
 		return nil
 	}
 	for _, run := range runs {
-		if run.from.After(reply.Received) {
+		if run.From.After(reply.Received) {
 			continue
 		}
-		if o.class != idempotent || (!run.from.Before(reply.Sent) && !o.uncertainBefore(at)) {
+		if o.class != idempotent || (!run.From.Before(reply.Sent) && !o.uncertainBefore(at)) {
 			return run
 		}
 	}
@@ -139,7 +93,7 @@
 	return false
 }
 
-func (j *job) check(runs []*taskRun) []string {
+func (j *job) check(runs []*cluster.Run) []string {
 	if j.full == "" {
 		return []string{"was not accepted in time"}
 	}
@@ -157,42 +111,26 @@
 	if ends := succeeded(runs); j.state == work.JobSucceeded.String() && ends != 1 {
 		failures = append(failures, fmt.Sprintf("ran to its end %d times: %s", ends, describe(runs)))
 	}
-	if overlap(runs) {
+	if cluster.Overlap(runs) {
 		failures = append(failures, "ran in two places at once: "+describe(runs))
 	}
 	return failures
 }
 
-func succeeded(runs []*taskRun) int {
+func succeeded(runs []*cluster.Run) int {
 	count := 0
 	for _, run := range runs {
-		if run.state == work.TaskSucceeded {
+		if run.State == work.TaskSucceeded {
 			count++
 		}
 	}
 	return count
 }
 
-// overlap reports whether two runs share a moment.
-func overlap(runs []*taskRun) bool {
-	for at, run := range runs {
-		for _, other := range runs[:at] {
-			if !endsBefore(run, other) && !endsBefore(other, run) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
-func endsBefore(run, other *taskRun) bool {
-	return !run.to.IsZero() && !run.to.After(other.from)
-}
-
-func describe(runs []*taskRun) string {
+func describe(runs []*cluster.Run) string {
 	text := ""
 	for _, run := range runs {
-		text += fmt.Sprintf("[%s on %s at %s %s]", run.task, run.worker, run.from.Format("15:04:05.000"), run.state)
+		text += run.String()
 	}
 	return text
 }
--- a/test/cmd/demo/verify_test.go
+++ b/test/cmd/demo/verify_test.go
@@ -72,9 +72,8 @@
 		"unknown outcome of a run, no answer": {withToken, []cluster.Reply{reply(1, 4, cluster.Unknown, "")}, once, ""},
 	} {
 		o := &operation{class: c.class, label: "x", body: []byte("x\n"), replies: c.replies}
-		check(t, name, verify([]*operation{o}, nil, []workerRuns{{worker: "w", events: c.events}}), c.want)
+		check(t, name, verify([]*operation{o}, nil, cluster.Runs("w", c.events)), c.want)
 	}
-	check(t, "capacity", verify(nil, nil, []workerRuns{{worker: "w", exceeded: true}}), "capacity")
 }
 
 // Guards against a demo that passes although it has shown nothing.
@@ -116,10 +115,10 @@
 	} {
 		j := c.job
 		j.label, j.body = "x", []byte("x\n")
-		var workers []workerRuns
+		byLabel := map[string][]*cluster.Run{}
 		for _, events := range c.events {
-			workers = append(workers, workerRuns{worker: "w", events: events})
+			byLabel["x"] = append(byLabel["x"], cluster.Runs("w", events)["x"]...)
 		}
-		check(t, name, verify(nil, []*job{&j}, workers), c.want)
+		check(t, name, verify(nil, []*job{&j}, byLabel), c.want)
 	}
 }
--- /dev/null
+++ b/test/cmd/load/started.go
@@ -0,0 +1,171 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"sync"
+	"sync/atomic"
+	"text/tabwriter"
+	"time"
+
+	"github.com/google/uuid"
+
+	"poplarvalve/internal/connection/worker"
+	"poplarvalve/internal/process/fault"
+	"poplarvalve/internal/process/ident"
+	"poplarvalve/internal/process/resource"
+	"poplarvalve/internal/process/work"
+	"poplarvalve/test/cluster"
+)
+
+const (
+	// leaseSlack is added to the lease of direct calls.
+	leaseSlack = time.Minute
+	// directShare is the rate of direct calls relative to that of the others.
+	directShare = 0.25
+	kibPerMiB   = 1 << 10
+)
+
+const rulesFile = `team permits weight 8   # load: urgent work
+team rebuilds weight 2  # load: batch work
+service permit-check team permits class urgent cpu 250m memory 128MB idempotent deadline 2s   # load: lookups only
+service issue-permit team permits class urgent cpu 250m memory 128MB deadline 2s              # load: must not run twice
+service quota-rebuild team rebuilds class batch cpu 1 memory 1GB                              # load: batch work
+`
+
+// measureStarted starts and measures a system for each number of instances.
+func measureStarted(ctx context.Context, o options) ([]*report, error) {
+	var reports []*report
+	for _, count := range o.instances {
+		r, err := measureSystem(ctx, o, count)
+		if r != nil {
+			reports = append(reports, r)
+		}
+		if err != nil {
+			return reports, fmt.Errorf("%d instances: %w", count, err)
+		}
+		printSummary(r)
+	}
+	return reports, nil
+}
+
+// measureSystem measures one system. It keeps the logs if something failed.
+func measureSystem(ctx context.Context, o options, count int) (*report, error) {
+	dir, err := os.MkdirTemp("", "poplarvalve-load-")
+	if err != nil {
+		return nil, err
+	}
+	r, err := measureIn(ctx, dir, o, count)
+	if err != nil || r.faults() {
+		fmt.Fprintln(os.Stderr, "logs and settings:", dir)
+		return r, err
+	}
+	return r, os.RemoveAll(dir)
+}
+
+func measureIn(ctx context.Context, dir string, o options, count int) (*report, error) {
+	began := time.Now()
+	system, err := cluster.Start(ctx, dir, cluster.Options{
+		Bin: o.bin, Zones: 1, Instances: count, Workers: o.workers,
+		Capacity:    resource.Vector{CPU: 32000, Memory: 125000, Slots: 8, Connections: 64},
+		ServiceTime: o.service, Duration: o.job, Rules: rulesFile,
+	})
+	defer system.Close()
+	if err == nil {
+		err = system.Publish(ctx)
+	}
+	if err != nil {
+		return nil, err
+	}
+	var targets []string
+	for _, instance := range system.Instances {
+		targets = append(targets, instance.Caller)
+	}
+	var direct *summary
+	var directError error
+	var group sync.WaitGroup
+	group.Go(func() { direct, directError = measureDirect(ctx, o, system.Workers) })
+	d := newDriver(o, targets)
+	r := d.run(ctx)
+	group.Wait()
+	r.Instances, r.Direct = count, direct
+	r.finish()
+	err = d.compare(ctx, r, system.Workers)
+	failures := []error{err, directError}
+	for _, instance := range system.Instances {
+		peak, err := instance.PeakKiB()
+		failures = append(failures, err)
+		r.Processes = append(r.Processes, process{Name: instance.Name, PeakMiB: float64(peak) / kibPerMiB})
+	}
+	failures = append(failures, system.Drain()...)
+	for number, instance := range system.Instances {
+		instance.Kill()
+		r.Processes[number].Processor = instance.Processor().Seconds()
+		r.Processes[number].Lived = time.Since(began).Seconds()
+	}
+	return r, errors.Join(failures...)
+}
+
+// measureDirect sends requests to the workers in turn, without an instance
+// between. It runs beside the measured load, so that other work on the machine
+// disturbs both alike.
+func measureDirect(ctx context.Context, o options, workers []*cluster.Worker) (*summary, error) {
+	lease := ident.LeaseID("direct-" + uuid.NewString())
+	for _, w := range workers {
+		if err := w.API.GrantLease(ctx, lease, o.duration+leaseSlack); err != nil {
+			return nil, err
+		}
+	}
+	o.mix, o.rate, o.seed = mix{idempotent: 1}, o.rate*directShare, o.seed+1
+	d := newDriver(o, nil)
+	var next atomic.Uint64
+	d.open(ctx, plan(o, "direct"), func(ctx context.Context, p planned, due time.Time) {
+		w := workers[next.Add(1)%uint64(len(workers))]
+		d.note(p, due, startDirect(ctx, w, lease, p), "")
+	})
+	d.report.finish()
+	if d.report.faults() {
+		return nil, fmt.Errorf("direct calls: %v", d.report.Problems)
+	}
+	return d.report.Classes[idempotent], nil
+}
+
+// startDirect demands nothing, so that it does not count against the capacity
+// that the instances reserve.
+func startDirect(ctx context.Context, w *cluster.Worker, lease ident.LeaseID, p planned) cluster.Reply {
+	reply := cluster.Reply{Sent: time.Now(), Outcome: cluster.Ran, Status: 200}
+	report, err := w.API.Start(ctx, worker.StartCommand{
+		Task: ident.TaskID(p.label), StartLease: lease, RunLease: callTimeout, Service: "direct",
+		Class: work.Urgent, Body: p.body,
+	})
+	reply.Received, reply.Body = time.Now(), report.Result
+	if err != nil {
+		failure := fault.From(err)
+		reply.Outcome, reply.Status, reply.Kind = failure.Outcome.String(), 0, failure.Kind
+	}
+	return reply
+}
+
+// printSummary prints one line a class for people, beside the JSON.
+func printSummary(r *report) {
+	table := tabwriter.NewWriter(os.Stderr, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(table, "%d instances\tsent\tanswered\tper second\tp50 ms\tp99 ms\tp99.9 ms\t\n", r.Instances)
+	print := func(name string, s *summary) {
+		fmt.Fprintf(table, "%s\t%d\t%d\t%.1f\t%.2f\t%.2f\t%.2f\t\n", name, s.Sent, s.Answered, s.PerSecond, s.P50, s.P99, s.P999)
+	}
+	if r.Direct != nil {
+		print("direct", r.Direct)
+	}
+	for _, class := range classes {
+		if s, used := r.Classes[class]; used {
+			print(class, s)
+		}
+	}
+	_ = table.Flush()
+	for _, p := range r.Processes {
+		fmt.Fprintf(os.Stderr, "%s: %.1f MiB at most, %.2f s of processor time in %.1f s\n", p.Name, p.PeakMiB, p.Processor, p.Lived)
+	}
+	fmt.Fprintf(os.Stderr, "problems: %d\n\n", r.Found)
+}
