--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -113,7 +113,7 @@
 		ownership: publish.New[ownership.Table](nil),
 	}
 	i.draining, i.drained = context.WithCancel(context.Background())
-	i.list = newListAgent(options.Clock, options.List, i.vanished)
+	i.list = newListAgent(options.Clock, options.List, i.listed)
 	i.config = NewConfigAgent(ConfigOptions{
 		Clock:     options.Clock,
 		Log:       options.Log,
@@ -271,13 +271,20 @@
 	}
 }
 
-// vanished takes the platform's word that an entry instance is gone.
-func (i *Instance) vanished(name ident.InstanceName) {
+// listed takes the platform's word on which removed members have ended: those
+// that vanished from the list, and those that it lacks for longer than it lags.
+// A list without this instance says nothing about entry instances.
+func (i *Instance) listed(before, next *Listing) {
+	if !next.Entries[i.options.Name] {
+		return
+	}
 	for _, departure := range i.members.Members().Load().Departed {
-		if departure.Member.ID.Instance == name {
+		name := departure.Member.ID.Instance
+		if before.Entries[name] && !next.Entries[name] {
 			i.members.ConfirmEnded(departure.Member.ID)
 		}
 	}
+	i.members.ConfirmAbsent(next.Entries, listLag)
 }
 
 // writer returns the incarnation and its rank among the members.
--- a/internal/instance/listing.go
+++ b/internal/instance/listing.go
@@ -15,6 +15,9 @@
 	// listPeriod is the time between two reads of the instance list. With it a
 	// leaving worker gets nothing new after about three seconds.
 	listPeriod = 2 * time.Second
+	// listLag bounds how long the platform's list may lack a running instance. It
+	// is part of what is assumed of the platform.
+	listLag = 30 * time.Second
 	// maxListBackoff bounds the pause between reads that fail.
 	maxListBackoff = 8 * time.Second
 )
@@ -36,18 +39,18 @@
 	clock clock.Clock
 	list  InstanceList
 	cell  *publish.Cell[Listing]
-	// gone is called when an entry instance has vanished from the list.
-	gone func(name ident.InstanceName)
+	// read is called with each version and the one before it.
+	read func(before, next *Listing)
 }
 
-func newListAgent(clock clock.Clock, list InstanceList, gone func(ident.InstanceName)) *listAgent {
-	return &listAgent{clock: clock, list: list, cell: publish.New(&Listing{}), gone: gone}
+func newListAgent(clock clock.Clock, list InstanceList, read func(before, next *Listing)) *listAgent {
+	return &listAgent{clock: clock, list: list, cell: publish.New(&Listing{}), read: read}
 }
 
 func (a *listAgent) run(ctx context.Context) {
 	wait := listPeriod
 	for {
-		if a.read(ctx) == nil {
+		if a.poll(ctx) == nil {
 			wait = listPeriod
 		} else {
 			wait = min(2*wait, maxListBackoff)
@@ -62,7 +65,7 @@
 	}
 }
 
-func (a *listAgent) read(ctx context.Context) error {
+func (a *listAgent) poll(ctx context.Context) error {
 	listed, err := a.list.Instances(ctx)
 	if err != nil {
 		return err
@@ -70,11 +73,7 @@
 	before := a.cell.Load()
 	next := parseListing(listed)
 	a.cell.Publish(next)
-	for name := range before.Entries {
-		if !next.Entries[name] {
-			a.gone(name)
-		}
-	}
+	a.read(before, next)
 	return nil
 }
 
--- a/internal/instance/member_promise.go
+++ b/internal/instance/member_promise.go
@@ -132,6 +132,20 @@
 	a.tracking.settle(member, a.config.Clock.Now())
 }
 
+// ConfirmAbsent settles the removals of instances that are not listed, if they
+// were read at least lag ago. An instance that was a member before that time
+// and still runs would be listed by now.
+func (a *MemberAgent) ConfirmAbsent(listed map[ident.InstanceName]bool, lag time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.config.Clock.Now()
+	for _, removal := range a.tracking.removals {
+		if !listed[removal.Member.Instance] && now.Sub(removal.Read) >= lag {
+			a.tracking.settle(removal.Member, now)
+		}
+	}
+}
+
 // Ready returns whether this instance may act on what it gained in the newest
 // epoch, by points 1 and 2 of section 5a of the design. What it owned before
 // without interruption needs only the fence.
--- a/internal/instance/system_test.go
+++ b/internal/instance/system_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -31,6 +32,9 @@
 // each run.
 const systemSeed = 20261204
 
+// listLag is how late the list shows that an instance came or went.
+const listLag = 5 * time.Second
+
 // settleTime is longer than a start or a forward is asked about, and than a
 // takeover takes.
 const settleTime = time.Minute
@@ -48,10 +52,12 @@
 	platform *platformstub.Platform
 	network  *peer.Memory
 	workers  map[ident.WorkerID]*workerstub.Worker
-	listed   []platform.ListedInstance
-	nodes    []*instance.Instance
-	names    []string
-	random   *rand.Rand
+	// mu protects listed.
+	mu     sync.Mutex
+	listed []platform.ListedInstance
+	nodes  []*instance.Instance
+	names  []string
+	random *rand.Rand
 }
 
 // runSystem runs test over instances in two zones with three workers each.
@@ -107,7 +113,21 @@
 type instances struct{ system *system }
 
 func (l instances) Instances(context.Context) ([]platform.ListedInstance, error) {
-	return l.system.listed, nil
+	l.system.mu.Lock()
+	defer l.system.mu.Unlock()
+	return slices.Clone(l.system.listed), nil
+}
+
+// list adds an entry instance to the list, or removes it, after the list's lag.
+func (s *system) list(name string, live bool) {
+	time.AfterFunc(listLag, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.listed = slices.DeleteFunc(s.listed, func(l platform.ListedInstance) bool { return l.ID == name })
+		if live {
+			s.listed = append(s.listed, platform.ListedInstance{ID: name, Kind: platform.KindEntry, State: platform.StateLive})
+		}
+	})
 }
 
 // start runs an instance and returns its index.
@@ -132,6 +152,7 @@
 	})
 	s.network.Listen(name, node.AcceptPeer)
 	node.Start()
+	s.list(name, true)
 	s.nodes = append(s.nodes, node)
 	s.names = append(s.names, name)
 	return len(s.nodes) - 1
@@ -140,6 +161,7 @@
 // kill ends an instance without a word to the others.
 func (s *system) kill(i int) {
 	s.network.Listen(s.names[i], nil)
+	s.list(s.names[i], false)
 	s.nodes[i].Stop()
 	s.nodes[i] = nil
 }
@@ -162,17 +184,7 @@
 }
 
 // starts returns how often a request with a body was started.
-func (s *system) starts(body string) int {
-	count := 0
-	for _, stub := range s.workers {
-		for _, event := range stub.History() {
-			if event.State == work.TaskRunning && event.Label == body {
-				count++
-			}
-		}
-	}
-	return count
-}
+func (s *system) starts(body string) int { return len(s.startsOf(body)) }
 
 // Guards against a break anywhere on the path of an urgent request, from the
 // front over placement, forward, ledger and start lease to the worker and back.
