placement: rank on a compact index and say why a worker is left out

The ranking read the full record of each worker, gave equal scores to workers that were equally idle, and could not say why a worker was left out.

workers.New builds an index of one small entry a worker. Rank reads only the index, counts the workers by the reason for which they are left out, ranks workers under probe behind healthy ones, and spreads works that see the same view by a number from the caller.

--- a/internal/request/placement/placement.go
+++ b/internal/request/placement/placement.go
@@ -1,8 +1,9 @@
 // Package placement ranks the workers for one request or job attempt.
 //
-// The ranking is a pure function of a view, a demand and a place. It only
-// orders hints: whether the work fits is decided by the ledger of the worker's
-// owner.
+// The ranking is a pure function of a view, a demand and a place: equal inputs
+// give equal plans. It only orders hints; whether the work fits is decided by
+// the ledger of the worker's owner. serve calls Rank for each urgent request
+// and job calls it for each attempt.
 package placement
 
 import (
@@ -19,6 +20,17 @@
 type Demand struct {
 	Resources resource.Vector
 	From      workers.Place
+	// Spread separates works that see the same view, so that they don't all
+	// choose the worker that was idle when the view was built. A hash of the
+	// identifier of the work serves.
+	Spread uint64
+	// Probe lets a worker that was out of service rank like any other. Batch
+	// work sets it, since it bears a failed attempt; other work gets such a
+	// worker only after all healthy ones of the same place.
+	Probe bool
+	// Gather makes the work join workers that are disturbed already instead of
+	// avoiding them, so that noisy batch work leaves others quiet.
+	Gather bool
 }
 
 // Candidate is one eligible worker with its score; lower is better.
@@ -27,6 +39,39 @@
 	Zone   ident.ZoneName
 	Region ident.RegionName
 	Score  int64
+
+	at int
+}
+
+// Reason says why a worker is left out of a plan.
+type Reason uint8
+
+const (
+	// Eligible workers are not left out.
+	Eligible Reason = iota
+	// TooSmall workers would not hold the work when empty.
+	TooSmall
+	// Leaving workers get nothing new.
+	Leaving
+	// Drained workers are taken out of service by a rule.
+	Drained
+	// Failing workers are unhealthy.
+	Failing
+	// NotReady workers have no owner that has completed its takeover.
+	NotReady
+	// Full workers have no room now.
+	Full
+	// Reasons is the number of reasons.
+	Reasons
+)
+
+// String returns the reason as operators see it.
+func (r Reason) String() string {
+	names := [Reasons]string{"eligible", "too small", "leaving", "drained", "failing", "not ready", "full"}
+	if r >= Reasons {
+		return "unknown"
+	}
+	return names[r]
 }
 
 // Plan holds the best candidates in order.
@@ -37,63 +82,96 @@
 	Known int
 	// LargeEnough is the number of workers that would fit the work when empty.
 	LargeEnough int
+	// Counts holds the number of workers by reason. It is exact when the plan
+	// has fewer than MaxCandidates; otherwise workers that only the rules drain
+	// are counted as Eligible unless they would have been named.
+	Counts [Reasons]int
 }
 
 // The steps of the score. A worker in a nearer place always ranks before one
-// in a farther place.
+// in a farther place, and in one place a healthy worker before one to probe.
 const (
+	scoreProbe       int64 = 1 << 24
 	scoreOtherZone   int64 = 1 << 32
 	scoreOtherRegion int64 = 1 << 40
 )
 
-// Rank returns the best candidates for the demand. It allocates nothing.
+// spreadRange is the range of the part of the score that differs between works,
+// in thousandths of a worker. An eighth is one slot of the workers in use, the
+// load that a view misses when one more task has started since.
+const spreadRange = 125
+
+// Rank returns the best candidates for the demand. It takes no lock and
+// allocates nothing.
 func Rank(view *workers.View, set *rules.Set, demand Demand) Plan {
 	var plan Plan
+	scorer := newScorer(view, demand)
+	entries := view.Entries()
+	plan.Known = len(entries)
+	for i := range entries {
+		entry := &entries[i]
+		reason := leftOut(view, i, entry, demand)
+		if reason == Eligible {
+			reason = plan.consider(view, set, i, scorer.score(i, entry))
+		}
+		plan.Counts[reason]++
+	}
+	plan.LargeEnough = plan.Known - plan.Counts[TooSmall]
+	plan.name(view)
+	return plan
+}
+
+// Explain says why one worker is left out, for operators.
+func Explain(view *workers.View, set *rules.Set, demand Demand, worker ident.WorkerID) Reason {
 	for i := range view.List {
-		worker := &view.List[i]
-		plan.Known++
-		if !demand.Resources.Fits(worker.Capacity) {
+		if view.List[i].ID != worker {
 			continue
 		}
-		plan.LargeEnough++
-		if !eligible(worker, set, demand) {
-			continue
+		reason := leftOut(view, i, &view.Entries()[i], demand)
+		if reason == Eligible && set.Drained[worker] {
+			return Drained
 		}
-		plan.insert(Candidate{
-			Worker: worker.ID,
-			Zone:   worker.Zone,
-			Region: worker.Region,
-			Score:  score(worker, demand),
-		})
+		return reason
 	}
-	return plan
+	return NotReady
 }
 
-// eligible leaves out workers that must get nothing new.
-func eligible(worker *workers.Worker, set *rules.Set, demand Demand) bool {
-	if worker.Leaving || !worker.Ready {
-		return false
+// leftOut returns the first reason against a worker but for the rules. The
+// capacity lies outside the entry and is read only if the work doesn't fit.
+func leftOut(view *workers.View, at int, entry *workers.Entry, demand Demand) Reason {
+	fits := demand.Resources.Fits(entry.Free)
+	if !fits && !demand.Resources.Fits(view.List[at].Capacity) {
+		return TooSmall
 	}
-	if worker.Health == workers.Failing {
-		return false
+	switch entry.State {
+	case workers.Open, workers.OpenToProbe:
+	case workers.ClosedLeaving:
+		return Leaving
+	case workers.ClosedDrained:
+		return Drained
+	case workers.ClosedFailing:
+		return Failing
+	default:
+		return NotReady
 	}
-	if set.Drained[worker.ID] {
-		return false
+	if !fits {
+		return Full
 	}
-	return demand.Resources.Fits(worker.Free)
+	return Eligible
 }
 
-func score(worker *workers.Worker, demand Demand) int64 {
-	used := worker.Capacity.Sub(worker.Free)
-	points := int64(used.DominantShare(worker.Capacity) * 1000)
-	points += worker.Disturbance
-	if worker.Region != demand.From.Region {
-		return points + scoreOtherRegion
+// consider adds a worker to the plan if it is among the best. The rules may be
+// newer than the view; they are asked only about workers that would be named,
+// since a lookup for each worker would double the time of a ranking.
+func (p *Plan) consider(view *workers.View, set *rules.Set, at int, score int64) Reason {
+	if p.Count == MaxCandidates && score >= p.Candidates[MaxCandidates-1].Score {
+		return Eligible
 	}
-	if worker.Zone != demand.From.Zone {
-		return points + scoreOtherZone
+	if len(set.Drained) > 0 && set.Drained[view.List[at].ID] {
+		return Drained
 	}
-	return points
+	p.insert(Candidate{at: at, Score: score})
+	return Eligible
 }
 
 // insert keeps the candidates in order of score.
@@ -102,11 +180,19 @@
 	for at > 0 && candidate.Score < p.Candidates[at-1].Score {
 		at--
 	}
-	if at == MaxCandidates {
-		return
-	}
 	last := min(p.Count, MaxCandidates-1)
 	copy(p.Candidates[at+1:last+1], p.Candidates[at:last])
 	p.Candidates[at] = candidate
 	p.Count = min(p.Count+1, MaxCandidates)
 }
+
+// name fills in the names of the candidates.
+func (p *Plan) name(view *workers.View) {
+	for i := range p.Candidates[:p.Count] {
+		candidate := &p.Candidates[i]
+		worker := &view.List[candidate.at]
+		candidate.Worker = worker.ID
+		candidate.Zone = worker.Zone
+		candidate.Region = worker.Region
+	}
+}
--- a/internal/version/workers/workers.go
+++ b/internal/version/workers/workers.go
@@ -61,6 +61,8 @@
 type View struct {
 	// List is ordered by worker identifier.
 	List []Worker
+
+	index index
 }
 
 // Find returns a worker by its identifier.
@@ -80,5 +82,5 @@
 	slices.SortFunc(sorted, func(a, b Worker) int {
 		return strings.Compare(string(a.ID), string(b.ID))
 	})
-	return &View{List: sorted}
+	return &View{List: sorted, index: newIndex(sorted)}
 }
