fairness: order waiting work by class, reserve, weighted share and age

Nothing ordered the work that waits for capacity, so a flood of a large team would have gone before the work of a small one.

Less is a pure order for one moment. Batch work rises with its wait, and one grant in 16 goes by age alone. WithinQuota and LeavesReserve check what a team may take.

--- /dev/null
+++ b/internal/request/fairness/fairness_test.go
@@ -0,0 +1,101 @@
+package fairness_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"poplarvalve/internal/process/resource"
+	"poplarvalve/internal/process/work"
+	"poplarvalve/internal/request/fairness"
+	"poplarvalve/internal/version/rules"
+)
+
+var now = time.Unix(100000, 0)
+
+// Guards against a flood of a large team that goes before the small one, and
+// against a class that doesn't go first.
+func TestOrder(t *testing.T) {
+	total := resource.Vector{CPU: 100000, Memory: 100000}
+	small := rules.Team{Weight: 1, Reserve: resource.Vector{CPU: 2000}}
+	large := rules.Team{Weight: 4}
+	below := fairness.Stand(small, resource.Vector{CPU: 1000, Memory: 90000}, total)
+	light := fairness.Stand(large, resource.Vector{CPU: 40000}, total)
+	heavy := fairness.Stand(small, resource.Vector{CPU: 20000}, total)
+	assert.Assert(t, below.BelowReserve && !heavy.BelowReserve)
+	order := []fairness.Waiting{
+		{Class: work.Urgent, Standing: heavy, Since: now},
+		{Class: work.Live, Standing: heavy, Since: now},
+		{Class: work.Batch, Standing: below, Since: now},
+		{Class: work.Batch, Standing: light, Since: now.Add(-time.Second)},
+		{Class: work.Batch, Standing: light, Since: now},
+		{Class: work.Batch, Standing: heavy, Since: now.Add(-time.Minute)},
+	}
+	at := fairness.Moment{Now: now, Turn: 1}
+	for i := range order {
+		for j := range order {
+			assert.Equal(t, fairness.Less(order[i], order[j], at), i < j, "%d %d", i, j)
+		}
+	}
+}
+
+// Guards against batch work that waits for ever behind urgent work, and against
+// aged batch work that takes all grants.
+func TestAgedWorkGetsItsTurn(t *testing.T) {
+	old := fairness.Waiting{Class: work.Batch, Standing: fairness.Standing{Share: 9}, Since: now.Add(-time.Hour)}
+	urgent := fairness.Waiting{Class: work.Urgent, Since: now}
+	first := 0
+	for turn := range uint64(160) {
+		if fairness.Less(old, urgent, fairness.Moment{Now: now, Turn: turn}) {
+			first++
+		}
+	}
+	assert.Equal(t, first, 10)
+	feed := fairness.Waiting{Class: work.Feed, Since: now}
+	assert.Assert(t, fairness.Less(old, feed, fairness.Moment{Now: now, Turn: 1}))
+}
+
+// Guards against batch work on capacity that another team is promised, and
+// against a team beyond its quota.
+func TestReserveAndQuota(t *testing.T) {
+	team := rules.Team{Reserve: resource.Vector{CPU: 4000}, Quota: resource.Vector{CPU: 8000}}
+	unclaimed := fairness.Unclaimed(team, resource.Vector{CPU: 1000, Slots: 3})
+	assert.Equal(t, unclaimed, resource.Vector{CPU: 3000})
+	free, demand := resource.Vector{CPU: 5000, Memory: 10}, resource.Vector{CPU: 2500, Memory: 10}
+	assert.Assert(t, !fairness.LeavesReserve(work.Batch, free, unclaimed, demand))
+	assert.Assert(t, fairness.LeavesReserve(work.Urgent, free, unclaimed, demand))
+	assert.Assert(t, fairness.WithinQuota(team, resource.Vector{CPU: 5500, Memory: 1 << 30}, demand))
+	assert.Assert(t, !fairness.WithinQuota(team, resource.Vector{CPU: 5501}, demand))
+}
+
+// Guards against an order that sorting can't use.
+func TestLessIsStrict(t *testing.T) {
+	var all []fairness.Waiting
+	for i := range 200 {
+		all = append(all, fairness.Waiting{
+			Class:    work.Class(i % 4),
+			Standing: fairness.Standing{Share: float64(i % 3), BelowReserve: i%5 == 0},
+			Since:    now.Add(-time.Duration(i*7%40) * time.Minute),
+		})
+	}
+	for turn := range uint64(2) {
+		at := fairness.Moment{Now: now, Turn: turn}
+		slices.SortStableFunc(all, func(a, b fairness.Waiting) int {
+			switch {
+			case fairness.Less(a, b, at):
+				return -1
+			case fairness.Less(b, a, at):
+				return 1
+			default:
+				return 0
+			}
+		})
+		for i := range all {
+			for j := range i {
+				assert.Assert(t, !fairness.Less(all[i], all[j], at))
+			}
+		}
+	}
+}
