--- /dev/null
+++ b/internal/process/queue/queue_test.go
@@ -0,0 +1,105 @@
+package queue_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"poplarvalve/internal/process/fault"
+	"poplarvalve/internal/process/ident"
+	"poplarvalve/internal/process/ledger"
+	"poplarvalve/internal/process/queue"
+	"poplarvalve/internal/process/resource"
+	"poplarvalve/internal/process/work"
+)
+
+var start = time.Unix(1000, 0)
+
+func item(class work.Class, cpu int64, since int) queue.Item {
+	at := start.Add(time.Duration(since) * time.Second)
+	return queue.Item{Kind: queue.Kind{Class: class, Demand: resource.Vector{CPU: cpu}}, Since: at, Due: at}
+}
+
+var byAge = queue.Order{Before: func(a, b queue.Item) bool { return a.Since.Before(b.Since) }}
+
+func offerOf(name ident.WorkerID, account *ledger.Account) queue.Offer {
+	return queue.Offer{Worker: name, Capacity: account.Capacity(), Reserve: account.Reserve}
+}
+
+func join(t *testing.T, q *queue.Queue, i queue.Item) *queue.Waiter {
+	t.Helper()
+	waiter, err := q.Join(i)
+	assert.NilError(t, err)
+	return waiter
+}
+
+// Guards against a large waiter that blocks a smaller one which fits, against
+// an unbounded queue, and against a canceled waiter that is granted.
+func TestGrantsTheWaiterThatFits(t *testing.T) {
+	q := queue.New(3)
+	large, first, second := join(t, q, item(work.Batch, 8, 0)), join(t, q, item(work.Batch, 2, 2)), join(t, q, item(work.Batch, 2, 1))
+	_, err := q.Join(item(work.Urgent, 1, 4))
+	assert.Equal(t, fault.KindOf(err), fault.Overloaded)
+	assert.Assert(t, second.Leave() && !second.Leave())
+	account := ledger.NewAccount(resource.Vector{CPU: 4})
+	assert.Assert(t, q.Grant(offerOf("w", account), byAge))
+	assert.Assert(t, !q.Grant(offerOf("w", account), byAge))
+	worker, err := first.Wait(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, worker, ident.WorkerID("w"))
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = large.Wait(ended)
+	assert.Equal(t, fault.From(err).Outcome, fault.NotRun)
+	assert.Equal(t, q.Len(), 0)
+	assert.Equal(t, account.Used().CPU, int64(2))
+}
+
+// Guards against small work that passes large work for ever, and against one
+// large waiter that holds every worker.
+func TestHeldWorker(t *testing.T) {
+	q := queue.New(10)
+	order := byAge
+	order.Holds = func(i queue.Item) bool { return i.Demand.CPU == 4 }
+	large := join(t, q, item(work.Batch, 4, 0))
+	join(t, q, item(work.Batch, 1, 1))
+	join(t, q, item(work.Batch, 1, 2))
+	held, other := ledger.NewAccount(resource.Vector{CPU: 4}), ledger.NewAccount(resource.Vector{CPU: 4})
+	held.Count(resource.Vector{CPU: 3})
+	other.Count(resource.Vector{CPU: 3})
+	assert.Assert(t, !q.Grant(offerOf("held", held), order), "small work passed")
+	assert.Assert(t, q.Grant(offerOf("other", other), order), "two workers are held")
+	join(t, q, item(work.Urgent, 1, 3))
+	assert.Assert(t, q.Grant(offerOf("held", held), order), "urgent work was held up")
+	held.Release(resource.Vector{CPU: 4})
+	assert.Assert(t, q.Grant(offerOf("held", held), order))
+	worker, err := large.Wait(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, worker, ident.WorkerID("held"))
+}
+
+// Guards against a reservation that is lost, or made for a waiter that left,
+// when cancellations race with grants.
+func TestCancelRacesWithGrant(t *testing.T) {
+	q := queue.New(1000)
+	account := ledger.NewAccount(resource.Vector{CPU: 1000})
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	for i := range 500 {
+		waiter := join(t, q, item(work.Urgent, 1, i))
+		group.Go(func() {
+			if _, err := waiter.Wait(ctx); err == nil {
+				account.Release(resource.Vector{CPU: 1})
+			}
+		})
+	}
+	group.Go(cancel)
+	for q.Grant(offerOf("w", account), byAge) {
+	}
+	group.Wait()
+	assert.Equal(t, q.Len(), 0)
+	assert.Equal(t, account.Used().CPU, int64(0))
+}
