--- /dev/null
+++ b/internal/request/retry/retry_test.go
@@ -0,0 +1,55 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"poplarvalve/internal/process/fault"
+	"poplarvalve/internal/process/limit"
+	"poplarvalve/internal/process/work"
+	"poplarvalve/internal/request/retry"
+	"poplarvalve/internal/request/serve"
+)
+
+var _ serve.Retry = (*retry.Policy)(nil)
+
+// Guards against a repeat of work that has run, against endless attempts, and
+// against a wait that is longer than the time left.
+func TestDecide(t *testing.T) {
+	busy, lost := fault.New(fault.NoCapacity, ""), fault.New(fault.WorkerLost, "")
+	assert.Equal(t, retry.Decide(1, fault.New(fault.TaskFailed, ""), 0, 0), retry.Plan{})
+	assert.Equal(t, retry.Decide(1, fault.New(fault.Canceled, ""), 0, 0), retry.Plan{})
+	assert.Equal(t, retry.Decide(1, lost, 0, 0.5), retry.Plan{Again: true})
+	assert.Equal(t, retry.Decide(4, lost, 0, 0), retry.Plan{})
+	assert.Equal(t, retry.Decide(3, busy, 0, 0.5), retry.Plan{Again: true, Wait: 30 * time.Millisecond})
+	assert.Equal(t, retry.Decide(3, busy, 30*time.Millisecond, 0.5), retry.Plan{})
+}
+
+// Guards against retries that multiply the load of an outage.
+func TestBudgetBoundsRetries(t *testing.T) {
+	budget := limit.NewBudget()
+	policy := retry.NewPolicy(budget, func() float64 { return 0 })
+	allowed := 0
+	for range 1000 {
+		budget.Earn()
+		if _, again := policy.Allow(work.Request{}, 1, fault.New(fault.WorkerLost, ""), time.Time{}); again {
+			allowed++
+		}
+	}
+	assert.Assert(t, allowed <= 105, "%d", allowed)
+	assert.Assert(t, !policy.Hedge())
+}
+
+// Guards against a hedge of work that must not run twice.
+func TestHedge(t *testing.T) {
+	expected := limit.Estimate{Mean: time.Second, High: 2 * time.Second}
+	_, hedges := retry.HedgeAfter(false, expected, 0)
+	assert.Assert(t, !hedges)
+	_, hedges = retry.HedgeAfter(true, expected, 2500*time.Millisecond)
+	assert.Assert(t, !hedges)
+	after, hedges := retry.HedgeAfter(true, expected, 10*time.Second)
+	assert.Assert(t, hedges)
+	assert.Equal(t, after, 2*time.Second)
+}
