--- a/internal/request/placement/placement.go
+++ b/internal/request/placement/placement.go
@@ -28,8 +28,9 @@
 	// work sets it, since it bears a failed attempt; other work gets such a
 	// worker only after all healthy ones of the same place.
 	Probe bool
-	// Gather makes the work join workers that are disturbed already instead of
-	// avoiding them, so that noisy batch work leaves others quiet.
+	// Gather makes the work join workers that are loaded and disturbed already
+	// instead of avoiding them, so that batch work leaves others quiet and keeps
+	// room for large tasks together. Batch work sets it.
 	Gather bool
 }
 
--- a/internal/request/placement/score.go
+++ b/internal/request/placement/score.go
@@ -19,11 +19,9 @@
 
 // score returns the rank of a worker among the eligible; lower is better.
 func (s *scorer) score(at int, entry *workers.Entry) int64 {
-	points := int64(entry.Load)
+	points := int64(entry.Load) + int64(entry.Disturbance)
 	if s.demand.Gather {
-		points -= int64(entry.Disturbance)
-	} else {
-		points += int64(entry.Disturbance)
+		points = -points
 	}
 	points += int64(mix(s.demand.Spread, uint64(at)) % spreadRange)
 	if entry.State == workers.OpenToProbe && !s.demand.Probe {
