queue: order equal waiters by when they joined

Waiters that the order doesn't separate were granted in the random order of a map, so equal inputs gave different plans. Each waiter now has a number that breaks ties. Granted lets a caller wait for other things as well.

The package's tests pass under the race detector.

--- a/internal/process/queue/queue.go
+++ b/internal/process/queue/queue.go
@@ -8,6 +8,7 @@
 package queue
 
 import (
+	"cmp"
 	"container/heap"
 	"context"
 	"slices"
@@ -43,6 +44,8 @@
 	item  Item
 	// granted has room for one grant, so that Grant never blocks.
 	granted chan ident.WorkerID
+	// number counts the waiters in the order in which they joined.
+	number uint64
 	// at is the position in the line, or notWaiting.
 	at int
 	// claim is the worker that is held for this waiter, or empty.
@@ -80,6 +83,7 @@
 	lines  map[Kind]*line
 	claims map[ident.WorkerID]*Waiter
 	count  int
+	joined uint64
 	heads  []*Waiter
 }
 
@@ -106,7 +110,8 @@
 	if q.count >= q.limit {
 		return nil, fault.New(fault.Overloaded, "%d starts wait", q.limit)
 	}
-	waiter := &Waiter{queue: q, item: item, granted: make(chan ident.WorkerID, 1)}
+	q.joined++
+	waiter := &Waiter{queue: q, item: item, number: q.joined, granted: make(chan ident.WorkerID, 1)}
 	of := q.lines[item.Kind]
 	if of == nil {
 		of = &line{}
@@ -141,7 +146,8 @@
 	return order.Allowed == nil || order.Allowed(waiter.item)
 }
 
-// inOrder returns the first waiter of each line.
+// inOrder returns the first waiter of each line. Waiters that Before doesn't
+// separate are in the order in which they joined.
 func (q *Queue) inOrder(order Order) []*Waiter {
 	q.heads = q.heads[:0]
 	for _, of := range q.lines {
@@ -154,7 +160,7 @@
 		case order.Before(b.item, a.item):
 			return 1
 		default:
-			return 0
+			return cmp.Compare(a.number, b.number)
 		}
 	})
 	return q.heads
@@ -219,6 +225,12 @@
 	return <-w.granted, nil
 }
 
+// Granted returns the channel on which the worker arrives, for callers that wait
+// for other things as well. They call Leave when they stop waiting.
+func (w *Waiter) Granted() <-chan ident.WorkerID {
+	return w.granted
+}
+
 // Leave takes the waiter out of the queue. It reports false if the waiter was
 // granted before.
 func (w *Waiter) Leave() bool {
@@ -234,9 +246,18 @@
 // line is a heap of waiters of one kind by Due.
 type line []*Waiter
 
-func (l line) Len() int           { return len(l) }
-func (l line) Less(i, j int) bool { return l[i].item.Due.Before(l[j].item.Due) }
+// Len implements heap.Interface.
+func (l line) Len() int { return len(l) }
+
+// Less implements heap.Interface.
+func (l line) Less(i, j int) bool {
+	if !l[i].item.Due.Equal(l[j].item.Due) {
+		return l[i].item.Due.Before(l[j].item.Due)
+	}
+	return l[i].number < l[j].number
+}
 
+// Swap implements heap.Interface.
 func (l line) Swap(i, j int) {
 	l[i], l[j] = l[j], l[i]
 	l[i].at = i
