sizes: keep declarations that are about right, cap sizes at a worker

Each report also moved the size, so each start waited in a line of its own.

A declaration within a fifth of the learnt size holds; other sizes are rounded up to 5 bits and capped at the largest worker. Processors get one mean deviation of headroom, memory three.

--- a/internal/version/sizes/sizes.go
+++ b/internal/version/sizes/sizes.go
@@ -8,6 +8,7 @@
 import (
 	"maps"
 	"math"
+	"math/bits"
 
 	"poplarvalve/internal/process/ident"
 	"poplarvalve/internal/process/resource"
@@ -18,11 +19,22 @@
 	enough = 8
 	// weight is the part of a new report in the mean and the deviation.
 	weight = 0.1
-	// headroom is the number of mean deviations that are added. Three cover
-	// about 98% of reports that are normally distributed.
-	headroom = 3
-	// leastHeadroom is added in any case, as a part of the mean.
-	leastHeadroom = 0.05
+	// cpuHeadroom and memoryHeadroom are the numbers of mean deviations that are
+	// added. Processors that are short slow down a task, and the tasks of a
+	// worker rarely peak together; three deviations cover about 98% of reports
+	// that are normally distributed.
+	cpuHeadroom    = 1
+	memoryHeadroom = 3
+	// tolerance is the error of a declaration, as a part of it, up to which it
+	// holds. Declared sizes often divide a worker evenly; replacing 4 cores by
+	// 4.1 leaves room for three tasks on 16 cores instead of four.
+	tolerance = 0.2
+	// leastMemoryHeadroom is added in any case, as a part of the mean.
+	leastMemoryHeadroom = 0.05
+	// significantBits is the precision of sizes. A size that moves with each
+	// report would put each start of a service into a line of its own in the
+	// start queue.
+	significantBits = 5
 	// peakKept is what each report leaves of the memory peak. A peak counts for
 	// about 200 reports, since memory that is short ends a task where
 	// processors that are short only slow it down.
@@ -94,26 +106,37 @@
 	return t
 }
 
-// size returns the mean with headroom for the deviation.
-func (t track) size() float64 {
-	return t.mean + max(headroom*t.deviation, leastHeadroom*t.mean)
-}
-
 // Size returns the amount to reserve for a task: the declared one until enough
-// is known, then the learnt processors and memory. Slots, connections and
-// accelerators are as declared.
-func (t *Table) Size(service ident.ServiceName, declared resource.Vector) resource.Vector {
+// is known, then the learnt processors and memory, but at most what the largest
+// worker holds, since a task that takes more still runs, if slowly. Slots,
+// connections and accelerators are as declared.
+func (t *Table) Size(service ident.ServiceName, declared, largest resource.Vector) resource.Vector {
 	if t == nil || t.services[service].count < enough {
 		return declared
 	}
 	known := t.services[service]
+	memory := known.memory.mean
+	memory += max(memoryHeadroom*known.memory.deviation, leastMemoryHeadroom*memory)
+	floor := max(memoryFloor, float64(declared.Memory)*memoryFloorShare)
 	size := declared
-	size.CPU = max(round(known.cpu.size()), cpuFloor)
-	floor := max(memoryFloor, round(float64(declared.Memory)*memoryFloorShare))
-	size.Memory = max(round(max(known.memory.size(), known.peak)), floor)
+	size.CPU = settle(known.cpu.mean+cpuHeadroom*known.cpu.deviation, declared.CPU, cpuFloor, largest.CPU)
+	size.Memory = settle(max(memory, known.peak), declared.Memory, floor, largest.Memory)
 	return size
 }
 
+// settle returns the declared amount if it is about right, else the learnt one
+// between floor and largest.
+func settle(amount float64, declared int64, floor float64, largest int64) int64 {
+	if math.Abs(amount-float64(declared)) <= tolerance*float64(declared) {
+		return declared
+	}
+	return min(round(max(amount, floor)), largest)
+}
+
+// round returns an amount rounded up to a few significant bits.
 func round(amount float64) int64 {
-	return int64(math.Ceil(amount))
+	whole := int64(math.Ceil(amount))
+	drop := max(bits.Len64(uint64(whole))-significantBits, 0)
+	step := int64(1) << drop
+	return (whole + step - 1) / step * step
 }
