placement: leave the zone with the last attempt, separate urgent from batch

All candidates of a plan were in one zone, so a request was lost with it. Urgent requests that filled the slots of a quiet worker made it open to batch work. A wave of batch work landed on urgent requests for as long as the view lags.

The last candidate is now of another zone. Whether a worker is quiet depends on disturbance alone; work that would take more than half of its slots is kept off. Urgent work prefers every other worker of a zone and batch work the rest. Queue.Grant asks whether work fits before it asks the slower rules.

--- a/internal/process/queue/queue.go
+++ b/internal/process/queue/queue.go
@@ -58,6 +58,9 @@
 type Offer struct {
 	Worker   ident.WorkerID
 	Capacity resource.Vector
+	// Fits reports whether Reserve may succeed. It is asked first, since Allowed
+	// may take longer; nil means that it always may.
+	Fits func(demand resource.Vector) bool
 	// Reserve takes a demand if it fits. It must not block.
 	Reserve func(demand resource.Vector) bool
 }
@@ -129,10 +132,14 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, waiter := range q.inOrder(order) {
-		if q.heldFromOther(offer, waiter) || !allowed(order, waiter) {
+		if q.heldFromOther(offer, waiter) {
 			continue
 		}
-		if offer.Reserve(waiter.item.Demand) {
+		fits := offer.Fits == nil || offer.Fits(waiter.item.Demand)
+		if fits && !allowed(order, waiter) {
+			continue
+		}
+		if fits && offer.Reserve(waiter.item.Demand) {
 			q.remove(waiter)
 			waiter.granted <- offer.Worker
 			return true
--- a/internal/request/placement/placement.go
+++ b/internal/request/placement/placement.go
@@ -34,7 +34,8 @@
 	Gather bool
 	// KeepQuiet is how many quiet workers of each zone the work leaves to
 	// urgent work, and Disturbs the disturbance that it adds to a worker, in
-	// thousandths. Batch work sets them.
+	// thousandths. Batch work sets them, and urgent work of a team that holds
+	// more than its reserved minimum while another team holds less.
 	KeepQuiet int
 	Disturbs  int64
 }
@@ -94,6 +95,10 @@
 	// has fewer than MaxCandidates; otherwise workers that only the rules drain
 	// are counted as Eligible unless they would have been named.
 	Counts [Reasons]int
+
+	// spare is the best candidate outside the zone of the work.
+	spare    Candidate
+	hasSpare bool
 }
 
 // The steps of the score. A worker in a nearer place always ranks before one
@@ -125,6 +130,7 @@
 		plan.Counts[reason]++
 	}
 	plan.LargeEnough = plan.Known - plan.Counts[TooSmall]
+	plan.leaveZone()
 	plan.name(view)
 	return plan
 }
@@ -171,37 +177,56 @@
 	return Eligible
 }
 
-// keeps reports whether the work would make one of the last quiet workers of a
-// zone loud.
+// keeps reports whether the work would disturb one of the last quiet workers of
+// a zone or take more than half of its slots.
 func keeps(view *workers.View, at int, entry *workers.Entry, demand Demand) bool {
 	if view.QuietWorkers(entry.Zone) > demand.KeepQuiet {
 		return false
 	}
-	free := entry.Free.Sub(demand.Resources)
-	disturbance := int64(entry.Disturbance) + demand.Disturbs
-	return !workers.IsQuiet(free, view.List[at].Capacity, disturbance)
+	free := entry.Free.Slots - demand.Resources.Slots
+	if 2*free < view.List[at].Capacity.Slots {
+		return true
+	}
+	return int64(entry.Disturbance)+demand.Disturbs >= workers.QuietDisturbance
 }
 
 // consider adds a worker to the plan if it is among the best. The rules may be
 // newer than the view; they are asked only about workers that would be named,
 // since a lookup for each worker would double the time of a ranking.
 func (p *Plan) consider(view *workers.View, set *rules.Set, at int, score int64) Reason {
-	if p.Count == MaxCandidates && score >= p.Candidates[MaxCandidates-1].Score {
+	spare := score >= scoreOtherZone && (!p.hasSpare || score < p.spare.Score)
+	if p.Count == MaxCandidates && score >= p.Candidates[MaxCandidates-1].Score && !spare {
 		return Eligible
 	}
 	if len(set.Drained) > 0 && set.Drained[view.List[at].ID] {
 		return Drained
 	}
-	p.insert(Candidate{at: at, Score: score})
+	candidate := Candidate{at: at, Score: score}
+	if spare {
+		p.spare, p.hasSpare = candidate, true
+	}
+	p.insert(candidate)
 	return Eligible
 }
 
+// leaveZone makes the last candidate one of another zone, so that the attempts
+// of one request outlast the loss of a zone.
+func (p *Plan) leaveZone() {
+	last := &p.Candidates[MaxCandidates-1]
+	if p.hasSpare && p.Count == MaxCandidates && last.Score < scoreOtherZone {
+		*last = p.spare
+	}
+}
+
 // insert keeps the candidates in order of score.
 func (p *Plan) insert(candidate Candidate) {
 	at := p.Count
 	for at > 0 && candidate.Score < p.Candidates[at-1].Score {
 		at--
 	}
+	if at == MaxCandidates {
+		return
+	}
 	last := min(p.Count, MaxCandidates-1)
 	copy(p.Candidates[at+1:last+1], p.Candidates[at:last])
 	p.Candidates[at] = candidate
--- a/internal/request/placement/score.go
+++ b/internal/request/placement/score.go
@@ -2,6 +2,11 @@
 
 import "poplarvalve/internal/version/workers"
 
+// leanPoints is the common preference for half of the workers, in
+// thousandths of a worker: one of eight slots. Beyond that load the other half
+// is used as well.
+const leanPoints = 125
+
 // scorer holds what the scores of one ranking share.
 type scorer struct {
 	demand Demand
@@ -19,7 +24,7 @@
 
 // score returns the rank of a worker among the eligible; lower is better.
 func (s *scorer) score(at int, entry *workers.Entry) int64 {
-	points := int64(entry.Load) + int64(entry.Disturbance)
+	points := int64(entry.Load) + int64(entry.Disturbance) + lean(entry)
 	if s.demand.Gather {
 		points = -points
 	}
@@ -41,6 +46,16 @@
 	}
 }
 
+// lean returns a preference that all works share and that is reversed for work
+// that gathers. Urgent work then runs on the workers that batch work takes
+// last, and a wave of batch work finds few urgent requests where it lands.
+func lean(entry *workers.Entry) int64 {
+	if entry.Alternate {
+		return leanPoints
+	}
+	return 0
+}
+
 // mix returns a number that differs between works and workers. It is the
 // finalizer of splitmix64, which changes half of the bits for each changed bit.
 func mix(work, worker uint64) uint64 {
--- a/internal/version/workers/index.go
+++ b/internal/version/workers/index.go
@@ -23,14 +23,17 @@
 	Region int16
 	// State says whether the worker gets new work.
 	State State
-	// Quiet is whether urgent work finds room and little disturbance here.
+	// Quiet is whether the worker is open and hardly disturbs urgent work.
 	Quiet bool
+	// Alternate is set for every other worker of a zone. It lets all instances
+	// prefer the same half without agreeing on one.
+	Alternate bool
 }
 
-// quietDisturbance is the disturbance in thousandths below which a worker is
+// QuietDisturbance is the disturbance in thousandths below which a worker is
 // quiet. At a tenth, the run time of urgent work stays within the goal of 1.2
 // times that of an idle worker.
-const quietDisturbance = 100
+const QuietDisturbance = 100
 
 // State says whether a worker gets new work and, if not, the first reason.
 type State uint8
@@ -58,8 +61,9 @@
 
 type index struct {
 	entries []Entry
-	// quiet holds the number of quiet workers by zone.
+	// quiet and known hold the numbers of quiet and of all workers by zone.
 	quiet   []int
+	known   []int
 	zones   []ident.ZoneName
 	regions []ident.RegionName
 }
@@ -102,22 +106,19 @@
 		Region:      number(&x.regions, worker.Region),
 		State:       stateOf(worker),
 	}
-	entry.Quiet = entry.State == Open && IsQuiet(worker.Free, worker.Capacity, worker.Disturbance)
+	entry.Quiet = entry.State == Open && worker.Disturbance < QuietDisturbance
 	if int(entry.Zone) == len(x.quiet) {
 		x.quiet = append(x.quiet, 0)
+		x.known = append(x.known, 0)
 	}
+	entry.Alternate = x.known[entry.Zone]%2 == 1
+	x.known[entry.Zone]++
 	if entry.Quiet {
 		x.quiet[entry.Zone]++
 	}
 	x.entries = append(x.entries, entry)
 }
 
-// IsQuiet reports whether a worker with so much free has half of its slots free
-// and little disturbance.
-func IsQuiet(free, capacity resource.Vector, disturbance int64) bool {
-	return 2*free.Slots >= capacity.Slots && disturbance < quietDisturbance
-}
-
 // number returns the position of a name and adds a name that is new.
 func number[T comparable](names *[]T, name T) int16 {
 	at := slices.Index(*names, name)
