--- a/Makefile
+++ b/Makefile
@@ -20,3 +20,11 @@
 
 demo: build
 	./bin/demo -bin bin
+
+# Speed and quality of the decisions. The Go benchmarks measure this machine;
+# the driver runs in virtual time and prints the same figures on every machine.
+bench:
+	$(GO) test -run '^$$' -bench . -benchtime 3000x ./internal/request/placement
+	$(GO) test -count 1 -v -run 'CostRatio|Eviction' ./test/naive
+	$(GO) build -o bin/ ./test/cmd/bench
+	./bin/bench
