capacity: measure the slopes of the two-year size

Cause: docs/design.md names docs/CAPACITY.md as the check of the design against its two-year size, and nothing measured what a member, a worker, a link, a record or a rule costs.

Change: test/cmd/capacity and make capacity. The program measures with the real encoders, HTTP clients, sessions, membership agents, peer nodes and appenders, and computes the costs of the roles of an instance for 8, 21 and 40 instances. Stand-ins for the log and the workers run in a second process of the program, so that processor time and heap are those of our side.

--- a/Makefile
+++ b/Makefile
@@ -20,3 +20,7 @@
 
 demo: build
 	./bin/demo -bin bin
+
+capacity:
+	$(GO) build -o bin/ ./test/cmd/capacity
+	./bin/capacity
--- /dev/null
+++ b/test/cmd/capacity/log.go
@@ -0,0 +1,249 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"poplarvalve/internal/connection/codec"
+	"poplarvalve/internal/connection/platform"
+	"poplarvalve/internal/instance"
+	"poplarvalve/internal/process/clock"
+	"poplarvalve/internal/process/fault"
+	"poplarvalve/internal/process/fence"
+	"poplarvalve/internal/process/ident"
+	"poplarvalve/internal/process/logstream"
+	"poplarvalve/internal/process/record"
+	"poplarvalve/internal/version/membership"
+)
+
+// logCosts are what the log costs one instance.
+type logCosts struct {
+	// member is one membership agent, by members: heartbeats, reads and folds.
+	member map[int]rates
+	// idle is one follower of a stream to which nothing is appended.
+	idle rates
+	// shard is one follower of a shard at its share of the peak.
+	shard rates
+	// shardReads is the reads of that follower per second.
+	shardReads float64
+	// call is the cost of one append, without the bytes of its entries.
+	call rates
+}
+
+// countingLog counts the calls to a log.
+type countingLog struct {
+	logstream.Log
+	mu      sync.Mutex
+	reads   int
+	appends int
+}
+
+// Read implements logstream.Log.
+func (l *countingLog) Read(ctx context.Context, stream ident.StreamName, from ident.Offset, limit int, wait time.Duration) (logstream.Batch, error) {
+	l.mu.Lock()
+	l.reads++
+	l.mu.Unlock()
+	return l.Log.Read(ctx, stream, from, limit, wait)
+}
+
+// Append implements logstream.Log.
+func (l *countingLog) Append(ctx context.Context, stream ident.StreamName, entries [][]byte) (ident.Offset, error) {
+	l.mu.Lock()
+	l.appends++
+	l.mu.Unlock()
+	return l.Log.Append(ctx, stream, entries)
+}
+
+func (l *countingLog) calls() (reads, appends int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.reads, l.appends
+}
+
+// noPromises stands for peers that are never asked, since the log answers.
+type noPromises struct{}
+
+// Promise implements instance.Promiser.
+func (noPromises) Promise(context.Context, membership.Member, ident.Epoch) (instance.Promise, error) {
+	return instance.Promise{}, fault.New(fault.PeerUnreachable, "not connected")
+}
+
+func measureLog(ctx context.Context) (logCosts, error) {
+	l := logCosts{member: map[int]rates{}}
+	t := newTable("Members: membership agents over the HTTP client of the log (per instance)",
+		"members", "sent B/s", "received B/s", "sum", "reads/s", "appends/s", "cpu")
+	for _, n := range instanceCounts {
+		if err := l.measureMembers(ctx, n, t); err != nil {
+			return l, err
+		}
+	}
+	t.end()
+	if err := l.measureFollowers(ctx); err != nil {
+		return l, err
+	}
+	return l, l.measureAppend(ctx)
+}
+
+func (l *logCosts) measureMembers(ctx context.Context, size int, t *table) error {
+	ctx, cancel := context.WithCancel(ctx)
+	var group sync.WaitGroup
+	defer group.Wait()
+	defer cancel()
+	stub, err := startStandIn(standInSpec{})
+	if err != nil {
+		return err
+	}
+	defer stub.close()
+	logs := make([]*countingLog, size)
+	for i := range logs {
+		logs[i] = &countingLog{Log: platform.NewClient(stub.addresses[0])}
+		agent := instance.NewMemberAgent(memberConfig(i, size, logs[i]))
+		group.Go(func() { agent.Run(ctx) })
+		// Instances start at different times, so their heartbeats don't coincide.
+		time.Sleep(time.Second / time.Duration(size))
+	}
+	time.Sleep(1500 * time.Millisecond)
+	readsBefore, appendsBefore := total(logs)
+	used := during(stub.counters, window).per(size)
+	reads, appends := total(logs)
+	l.member[size] = used
+	perSecond := func(calls int) string { return fmt.Sprintf("%.1f", float64(calls)/window.Seconds()/float64(size)) }
+	t.row(count(size), amount(used.toServer), amount(used.toClient), amount(used.bytes()),
+		perSecond(reads-readsBefore), perSecond(appends-appendsBefore), share(used.cpu))
+	return nil
+}
+
+func memberConfig(number, size int, log logstream.Log) instance.MemberConfig {
+	m := member(number)
+	random := rand.New(rand.NewPCG(seed, uint64(number)))
+	return instance.MemberConfig{
+		Name: m.ID.Instance, PeerAddress: m.PeerAddress, Zone: m.Zone, Region: m.Region,
+		RegionCut: instance.RegionCutRefuse, Retention: time.Hour, Clock: clock.System{}, Log: log,
+		Budget:   logstream.NewBudget(appendBudget / float64(size)),
+		Fence:    fence.New(time.Now()),
+		Promiser: noPromises{},
+		Nonce:    random.Uint64,
+	}
+}
+
+func total(logs []*countingLog) (reads, appends int) {
+	for _, log := range logs {
+		r, a := log.calls()
+		reads += r
+		appends += a
+	}
+	return reads, appends
+}
+
+// shardRate is the records per second of one shard at the peak.
+const shardRate = startRate * recordsPerTask / shardCount
+
+func (l *logCosts) measureFollowers(ctx context.Context) error {
+	t := newTable("Follower of one stream", "entries/s", "sent B/s", "received B/s", "sum", "reads/s", "cpu")
+	for _, rate := range []float64{0, shardRate / 4, shardRate} {
+		used, reads, err := followStream(ctx, rate, t)
+		if err != nil {
+			return err
+		}
+		if rate == 0 {
+			l.idle = used
+		}
+		l.shard, l.shardReads = used, reads
+	}
+	t.end()
+	return nil
+}
+
+// followStream runs a follower while entries of a job's mean record arrive.
+func followStream(ctx context.Context, rate float64, t *table) (rates, float64, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	var group sync.WaitGroup
+	defer group.Wait()
+	defer cancel()
+	stub, err := startStandIn(standInSpec{Rate: rate})
+	if err != nil {
+		return rates{}, 0, err
+	}
+	defer stub.close()
+	log := &countingLog{Log: platform.NewClient(stub.addresses[0])}
+	follower := logstream.NewFollower(log, clock.System{}, ident.ShardStream(0), logstream.FollowerOptions{
+		Decode: codec.DecodeRecord,
+		Fold:   func(ident.Offset, record.Envelope) {},
+	})
+	group.Go(func() { follower.Run(ctx) })
+	time.Sleep(500 * time.Millisecond)
+	before, _ := log.calls()
+	used := during(stub.counters, window)
+	after, _ := log.calls()
+	reads := float64(after-before) / window.Seconds()
+	t.row(fmt.Sprintf("%.1f", rate), amount(used.toServer), amount(used.toClient), amount(used.bytes()),
+		fmt.Sprintf("%.1f", reads), share(used.cpu))
+	return used, reads, nil
+}
+
+// meanRecord returns a Done record, whose size is about the mean of a job's
+// records without the checkpoint.
+func meanRecord(number int) []byte {
+	job := exampleJob()
+	entry, err := codec.EncodeRecord(record.Envelope{
+		ID:     ident.RecordID(fmt.Sprintf("%s/%d", incarnation(20), number)),
+		Writer: incarnation(20),
+		Record: record.Done{Job: job.ID, Attempt: 1, Outcome: fault.Ran, Result: make([]byte, resultBytes)},
+	})
+	if err != nil {
+		panic(err)
+	}
+	return entry
+}
+
+// poisson calls event at random times of a mean rate until ctx ends.
+func poisson(ctx context.Context, rate float64, stream uint64, event func(number int)) {
+	if rate == 0 {
+		return
+	}
+	random := rand.New(rand.NewPCG(seed, stream))
+	due := time.Now()
+	for number := 0; ; number++ {
+		due = due.Add(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
+		timer := time.NewTimer(time.Until(due))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+			event(number)
+		}
+	}
+}
+
+// measureAppend counts the bytes of an append beyond its entries.
+func (l *logCosts) measureAppend(ctx context.Context) error {
+	stub, err := startStandIn(standInSpec{})
+	if err != nil {
+		return err
+	}
+	defer stub.close()
+	client := platform.NewClient(stub.addresses[0])
+	t := newTable(fmt.Sprintf("One append over HTTP, mean of %d", repeats), "entries", "bytes of entries", "sent", "received", "beyond the entries", "cpu")
+	for _, entries := range []int{1, 10, 100} {
+		group := make([][]byte, entries)
+		for i := range group {
+			group[i] = meanRecord(i)
+		}
+		one := stub.repeat("append", func(int) error {
+			_, err := client.Append(ctx, ident.ShardStream(0), group)
+			return err
+		})
+		content := float64(entries * len(group[0]))
+		t.row(count(entries), amount(content), amount(one.toServer), amount(one.toClient), amount(one.bytes()-content), microseconds(one.cpu))
+		if entries == 1 {
+			l.call = one
+			l.call.toServer -= content
+		}
+	}
+	t.end()
+	return nil
+}
--- /dev/null
+++ b/test/cmd/capacity/sizes.go
@@ -0,0 +1,155 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+
+	"github.com/google/uuid"
+
+	"poplarvalve/internal/process/ident"
+	"poplarvalve/internal/process/record"
+	"poplarvalve/internal/process/resource"
+	"poplarvalve/internal/version/membership"
+	"poplarvalve/internal/version/workers"
+)
+
+// The size within two years, from section 1 of the design.
+const (
+	workerCount    = 1100
+	zoneCount      = 7
+	remoteZones    = 4
+	teamCount      = 270
+	startRate      = 84.0
+	jobsPerDay     = 18_000
+	runningTasks   = 2_500 + 29_000
+	changesPerDay  = 460
+	shardCount     = 16
+	appendBudget   = 200.0
+	linkBytes      = 30e6 / 8
+	recordsPerTask = 5
+	secondsPerDay  = 86_400
+	// tasksPerWorker is the mean number of running tasks, rounded up.
+	tasksPerWorker = (runningTasks + workerCount - 1) / workerCount
+)
+
+// The budgets of one node, from section 1 of the design.
+const (
+	budgetCPU     = 0.043
+	budgetMemory  = 256e6
+	budgetTraffic = 3000.0
+)
+
+// seed makes identifiers and arrival times the same on every run.
+const seed = 20261204
+
+var instanceCounts = []int{8, 21, 40}
+
+var zones = [zoneCount]struct {
+	name   ident.ZoneName
+	region ident.RegionName
+}{
+	{"cascades-a", "cascades"}, {"cascades-b", "cascades"}, {"cascades-c", "cascades"},
+	{"olympic-a", "olympic"}, {"olympic-b", "olympic"},
+	{"attiki-a", "attiki"}, {"attiki-b", "attiki"},
+}
+
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(seed, seed)) }
+
+// name returns an identifier of the length that a UUID has.
+func name(random *rand.Rand) string {
+	var raw uuid.UUID
+	for i := range raw {
+		raw[i] = byte(random.Uint32())
+	}
+	return raw.String()
+}
+
+func incarnation(number int) ident.Incarnation {
+	random := rand.New(rand.NewPCG(seed, uint64(number)))
+	zone := zones[number%zoneCount].name
+	return ident.Incarnation{
+		Instance: ident.InstanceName(fmt.Sprintf("entry-%s-%d", zone, number/zoneCount)),
+		Nonce:    random.Uint64(),
+	}
+}
+
+func member(number int) membership.Member {
+	return membership.Member{
+		ID:            incarnation(number),
+		PeerAddress:   fmt.Sprintf("10.1.%d.%d:7400", number%zoneCount, number),
+		Zone:          zones[number%zoneCount].name,
+		Region:        zones[number%zoneCount].region,
+		Joined:        100_000_000,
+		LastHeartbeat: 100_000_000,
+		Folded:        100_000_000,
+	}
+}
+
+// members returns a state with the most departures that a state keeps, which
+// are reached after six days of 91 replaced instances each.
+func members(count int) *membership.State {
+	state := &membership.State{}
+	offset := ident.Offset(0)
+	apply := func(writer ident.Incarnation, body record.Record) {
+		offset++
+		envelope := record.Envelope{ID: ident.RecordID(fmt.Sprint(offset)), Writer: writer, Record: body}
+		state = membership.Apply(state, offset, envelope)
+	}
+	join := func(number int) {
+		m := member(number)
+		apply(m.ID, record.Join{PeerAddress: m.PeerAddress, Zone: m.Zone, Region: m.Region})
+	}
+	for past := range 512 {
+		join(1000 + past)
+		apply(incarnation(1000+past), record.Leave{})
+	}
+	for number := range count {
+		join(number)
+	}
+	return state
+}
+
+var capacity = resource.Vector{CPU: 32_000, Memory: 125_000, Slots: 32, Connections: 64}
+
+func workerID(number int) ident.WorkerID {
+	return ident.WorkerID(fmt.Sprintf("%s-%04d", zones[number%zoneCount].name, number))
+}
+
+func listed(count int) []workers.Listed {
+	list := make([]workers.Listed, count)
+	for i := range list {
+		zone := zones[i%zoneCount]
+		list[i] = workers.Listed{
+			ID: workerID(i), Address: fmt.Sprintf("10.2.%d.%d:8080", i/250, i%250),
+			Zone: zone.name, Region: zone.region, Rack: fmt.Sprintf("%s-r%d", zone.name, i/56), Capacity: capacity,
+		}
+	}
+	return list
+}
+
+func owned(count int) []workers.Owned {
+	random := newRandom()
+	list := make([]workers.Owned, count)
+	for i := range list {
+		free := capacity
+		free.CPU -= random.Int64N(30_000)
+		free.Memory -= random.Int64N(100_000)
+		free.Slots -= random.Int64N(30)
+		list[i] = workers.Owned{Worker: workerID(i), Free: free, CPUUsed: capacity.CPU - free.CPU, Ready: true}
+	}
+	return list
+}
+
+// rulesText returns a rules file with a number of services for each team.
+func rulesText(servicesPerTeam int) string {
+	var text strings.Builder
+	for team := range teamCount {
+		fmt.Fprintf(&text, "team team-%03d weight %d reserve 16cpu 32GB quota 400cpu 800GB   # desk-%03d: share agreed for the season\n", team, 1+team%8, team)
+		for service := range servicesPerTeam {
+			fmt.Fprintf(&text, "service svc-%03d-%02d team team-%03d class %s cpu 2 memory 4GB   # desk-%03d: size measured in spring\n",
+				team, service, team, []string{"urgent", "batch", "live"}[service%3], team)
+		}
+	}
+	return text.String()
+}
