worker: read each reply to its end

Cause: the client closed replies that it had no use for without reading them, so net/http closed the connection too. Each grant of a start lease opened a new connection, about one a second for each owned worker.

--- a/internal/connection/worker/client.go
+++ b/internal/connection/worker/client.go
@@ -175,7 +175,7 @@
 	if err != nil {
 		return err
 	}
-	defer response.Body.Close()
+	defer finish(response)
 	if response.StatusCode != http.StatusOK {
 		return readRefusal(response)
 	}
@@ -189,6 +189,13 @@
 	return nil
 }
 
+// finish reads the rest of a reply before it closes it. A connection whose reply
+// was not read to its end is closed, and the next command would open another.
+func finish(response *http.Response) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxReplyBytes))
+	_ = response.Body.Close()
+}
+
 func encode(command any) ([]byte, error) {
 	if command == nil {
 		return nil, nil
