--- a/internal/instance/home/chaos_test.go
+++ b/internal/instance/home/chaos_test.go
@@ -151,7 +151,6 @@
 	nonce   uint64
 	epoch   ident.Epoch
 	granted map[string]string
-	numbers byte
 }
 
 func (c *chaos) chance(part float64) bool {
