placement: keep the least disturbed workers of each zone quiet

In some runs of the flood the urgent p99 rose to a second: once every worker of a zone was a little too loud, none counted as quiet and none was protected.

The index ranks the workers of a zone by disturbance, and batch work leaves the first of them quiet, or lets them become so. The driver evicts only for urgent work that has waited 300 ms, asks for one zone instead of all workers, and has a scenario with a slow worker.

--- a/internal/request/placement/placement.go
+++ b/internal/request/placement/placement.go
@@ -32,8 +32,8 @@
 	// instead of avoiding them, so that batch work leaves others quiet and keeps
 	// room for large tasks together. Batch work sets it.
 	Gather bool
-	// KeepQuiet is how many quiet workers of each zone the work leaves to
-	// urgent work, and Disturbs the disturbance that it adds to a worker, in
+	// KeepQuiet is how many workers of each zone, the least disturbed ones, the
+	// work leaves quiet for urgent work, and Disturbs the disturbance that it adds to a worker, in
 	// thousandths. Batch work sets them, and urgent work of a team that holds
 	// more than its reserved minimum while another team holds less.
 	KeepQuiet int
@@ -171,23 +171,26 @@
 	if !fits {
 		return Full
 	}
-	if entry.Quiet && demand.KeepQuiet > 0 && keeps(view, at, entry, demand) {
+	if int(entry.Calm) < demand.KeepQuiet && disturbs(view, at, entry, demand) {
 		return Kept
 	}
 	return Eligible
 }
 
-// keeps reports whether the work would disturb one of the last quiet workers of
-// a zone or take more than half of its slots.
-func keeps(view *workers.View, at int, entry *workers.Entry, demand Demand) bool {
-	if view.QuietWorkers(entry.Zone) > demand.KeepQuiet {
-		return false
-	}
+// quietDisturbance is the disturbance in thousandths up to which a worker is
+// quiet. At a tenth, the run time of urgent work stays within the goal of 1.2
+// times that on an idle worker.
+const quietDisturbance = 100
+
+// disturbs reports whether a worker would not be quiet with the work, or would
+// have less than half of its slots left. A worker that is too loud already gets
+// nothing more, so that it becomes quiet when its tasks end.
+func disturbs(view *workers.View, at int, entry *workers.Entry, demand Demand) bool {
 	free := entry.Free.Slots - demand.Resources.Slots
 	if 2*free < view.List[at].Capacity.Slots {
 		return true
 	}
-	return int64(entry.Disturbance)+demand.Disturbs >= workers.QuietDisturbance
+	return int64(entry.Disturbance)+demand.Disturbs >= quietDisturbance
 }
 
 // consider adds a worker to the plan if it is among the best. The rules may be
--- a/internal/request/placement/placement_test.go
+++ b/internal/request/placement/placement_test.go
@@ -88,8 +88,9 @@
 	assert.Equal(t, placement.Rank(view, &rules.Set{}, demand).Count, 2)
 	demand.Resources.Slots = 5
 	assert.Equal(t, placement.Rank(view, &rules.Set{}, demand).Count, 0)
-	loud := fleet(7)[:2]
+	loud := fleet(14)
 	loud[0].Disturbance = 300
+	loud[7].Disturbance = 200
 	demand.Resources.Slots = 1
 	assert.Equal(t, placement.Rank(workers.New(loud), &rules.Set{}, demand).Candidates[0].Worker, ident.WorkerID("w0000"))
 }
--- a/internal/version/workers/index.go
+++ b/internal/version/workers/index.go
@@ -1,6 +1,8 @@
 package workers
 
 import (
+	"cmp"
+	"math"
 	"slices"
 
 	"poplarvalve/internal/process/ident"
@@ -23,17 +25,16 @@
 	Region int16
 	// State says whether the worker gets new work.
 	State State
-	// Quiet is whether the worker is open and hardly disturbs urgent work.
-	Quiet bool
+	// Calm numbers the workers of a zone that get new work, from 0 for the one
+	// that disturbs urgent work least. Others have NotCalm.
+	Calm int16
 	// Alternate is set for every other worker of a zone. It lets all instances
 	// prefer the same half without agreeing on one.
 	Alternate bool
 }
 
-// QuietDisturbance is the disturbance in thousandths below which a worker is
-// quiet. At a tenth, the run time of urgent work stays within the goal of 1.2
-// times that of an idle worker.
-const QuietDisturbance = 100
+// NotCalm is the number of a worker that gets no new work.
+const NotCalm int16 = math.MaxInt16
 
 // State says whether a worker gets new work and, if not, the first reason.
 type State uint8
@@ -61,8 +62,7 @@
 
 type index struct {
 	entries []Entry
-	// quiet and known hold the numbers of quiet and of all workers by zone.
-	quiet   []int
+	// known holds the number of workers by zone.
 	known   []int
 	zones   []ident.ZoneName
 	regions []ident.RegionName
@@ -74,11 +74,6 @@
 	return v.index.entries
 }
 
-// QuietWorkers returns the number of quiet workers in a zone of the entries.
-func (v *View) QuietWorkers(zone int16) int {
-	return v.index.quiet[zone]
-}
-
 // ZoneNumber returns the number of a zone in the entries, or NoPlace.
 func (v *View) ZoneNumber(name ident.ZoneName) int16 {
 	return int16(slices.Index(v.index.zones, name))
@@ -94,9 +89,47 @@
 	for i := range list {
 		made.add(&list[i])
 	}
+	made.rankCalm()
 	return made
 }
 
+// rankCalm numbers the workers of each zone by disturbance. Among equals those
+// go first that urgent work prefers.
+func (x *index) rankCalm() {
+	order := make([]int, 0, len(x.entries))
+	for i := range x.entries {
+		x.entries[i].Calm = NotCalm
+		if x.entries[i].State == Open {
+			order = append(order, i)
+		}
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		first, second := &x.entries[a], &x.entries[b]
+		if first.Disturbance != second.Disturbance {
+			return cmp.Compare(first.Disturbance, second.Disturbance)
+		}
+		return compareBool(first.Alternate, second.Alternate)
+	})
+	next := make([]int16, len(x.zones))
+	for _, i := range order {
+		entry := &x.entries[i]
+		entry.Calm = next[entry.Zone]
+		next[entry.Zone]++
+	}
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
 func (x *index) add(worker *Worker) {
 	entry := Entry{
 		Free:        worker.Free,
@@ -106,16 +139,11 @@
 		Region:      number(&x.regions, worker.Region),
 		State:       stateOf(worker),
 	}
-	entry.Quiet = entry.State == Open && worker.Disturbance < QuietDisturbance
-	if int(entry.Zone) == len(x.quiet) {
-		x.quiet = append(x.quiet, 0)
+	if int(entry.Zone) == len(x.known) {
 		x.known = append(x.known, 0)
 	}
 	entry.Alternate = x.known[entry.Zone]%2 == 1
 	x.known[entry.Zone]++
-	if entry.Quiet {
-		x.quiet[entry.Zone]++
-	}
 	x.entries = append(x.entries, entry)
 }
 
--- a/test/cmd/bench/decide.go
+++ b/test/cmd/bench/decide.go
@@ -36,6 +36,9 @@
 	queueLimit = 500
 	// evictionsPerMinute is the budget of the system.
 	evictionsPerMinute = 20
+	// evictAfter is how long urgent work waits for room before other work is
+	// evicted for it. Most room is freed sooner by work that ends.
+	evictAfter = 300 * time.Millisecond
 	// reportLag is the age of a usage report when it arrives.
 	reportLag = 3 * time.Second
 	// listLag is the age of the platform's list.
@@ -66,6 +69,7 @@
 	waits   []*waiting
 	kinds   map[queue.Kind]int
 	failed  map[health.Subject]bool
+	known   []disturbed
 	evicted []time.Duration
 }
 
@@ -93,6 +97,7 @@
 		gone:   map[*node]bool{},
 		kinds:  map[queue.Kind]int{},
 		failed: map[health.Subject]bool{},
+		known:  make([]disturbed, len(w.nodes)),
 	}
 	d.retry = retry.NewPolicy(d.budget, random.Float64)
 	for _, n := range w.nodes {
@@ -124,13 +129,41 @@
 
 // exact returns a view without lag.
 func (d *decider) exact() *workers.View {
+	return d.viewOf(func(*node) bool { return true })
+}
+
+// zoneOf returns a view of one zone without lag.
+func (d *decider) zoneOf(of *node) *workers.View {
+	return d.viewOf(func(n *node) bool { return n.zone == of.zone })
+}
+
+func (d *decider) viewOf(holds func(*node) bool) *workers.View {
 	list := make([]workers.Worker, 0, len(d.w.nodes))
 	for _, n := range d.w.nodes {
-		list = append(list, d.worker(n))
+		if holds(n) {
+			list = append(list, d.worker(n))
+		}
 	}
 	return workers.New(list)
 }
 
+// disturbance returns that of a node, computed again after a change.
+func (d *decider) disturbance(n *node) int64 {
+	known := &d.known[n.index]
+	if known.table != d.extra || known.changes != n.changes {
+		*known = disturbed{table: d.extra, changes: n.changes}
+		known.value = d.extra.Disturbance([]ident.ServiceName{"check"}, d.running(n, nil))
+	}
+	return known.value
+}
+
+// disturbed is the disturbance of a node and what it was computed from.
+type disturbed struct {
+	table   *interference.Table
+	changes int
+	value   int64
+}
+
 func (d *decider) worker(n *node) workers.Worker {
 	worker := workers.Worker{
 		ID: n.id, Zone: zoneName(n.zone), Region: regionName(n.zone),
@@ -138,7 +171,7 @@
 		Ready: !d.gone[n], Leaving: d.gone[n],
 	}
 	if d.on("interference") {
-		worker.Disturbance = d.extra.Disturbance([]ident.ServiceName{"check"}, d.running(n, nil))
+		worker.Disturbance = d.disturbance(n)
 	}
 	if d.on("health") {
 		worker.Health = d.health.Worker(n.id, d.w.time())
@@ -297,7 +330,7 @@
 				return true
 			}
 			if view == nil {
-				view = d.exact()
+				view = d.zoneOf(n)
 			}
 			return placement.Explain(view, d.set, demand, n.id) == placement.Eligible
 		},
@@ -562,7 +595,7 @@
 	if demand.KeepQuiet == 0 {
 		return false
 	}
-	return placement.Explain(d.exact(), d.set, demand, n.id) == placement.Kept
+	return placement.Explain(d.zoneOf(n), d.set, demand, n.id) == placement.Kept
 }
 
 // again tries another worker or, when none has room, waits for one.
@@ -594,9 +627,6 @@
 		return
 	}
 	demand := d.w.kinds[r.kind].demand
-	if d.on("evict") {
-		d.victims(d.near(r), demand)
-	}
 	if !d.on("queue") {
 		d.w.refuse(r)
 		return
@@ -615,6 +645,11 @@
 		return
 	}
 	r.leave = leave
+	d.w.after(evictAfter, func() {
+		if r.leave != nil && !r.over && d.on("evict") {
+			d.victims(d.near(r), demand)
+		}
+	})
 	d.w.after(due-d.w.now, func() {
 		if r.leave != nil && r.leave() {
 			d.w.refuse(r)
--- a/test/cmd/bench/fleet.go
+++ b/test/cmd/bench/fleet.go
@@ -79,11 +79,16 @@
 // node is one fake worker.
 type node struct {
 	id      ident.WorkerID
+	index   int
 	zone    int
 	account *ledger.Account
 	tasks   []*run
 	// changed is the newest start or end of a batch task.
 	changed time.Duration
+	// changes counts the starts and ends of batch tasks.
+	changes int
+	// slow is how many times longer than elsewhere everything takes.
+	slow    float64
 	leaving bool
 	broken  bool
 	dead    bool
@@ -173,7 +178,9 @@
 	for i := range size.workers {
 		w.nodes = append(w.nodes, &node{
 			id:      ident.WorkerID(fmt.Sprintf("w%03d", i)),
+			index:   i,
 			zone:    i % zones,
+			slow:    1,
 			account: ledger.NewAccount(size.worker),
 		})
 	}
@@ -201,7 +208,7 @@
 
 // slowdown returns the run time of a kind on a node relative to an idle one.
 func (w *world) slowdown(n *node, kind int, self *run) float64 {
-	factor := 1.0
+	factor := n.slow
 	cpu := 0.0
 	for _, other := range n.tasks {
 		share := 1.0
@@ -227,6 +234,7 @@
 	if j != nil {
 		j.current = r
 		n.changed = w.now
+		n.changes++
 		w.reflow(n)
 		w.checkMemory(n)
 		return r
@@ -286,6 +294,7 @@
 	if r.job != nil {
 		r.job.current = nil
 		n.changed = w.now
+		n.changes++
 		w.reflow(n)
 	}
 	return true
--- a/test/cmd/bench/scenario.go
+++ b/test/cmd/bench/scenario.go
@@ -271,6 +271,10 @@
 			}
 		})
 	}},
+	{"worker slow", func(l *load) {
+		l.ordinary(urgentRate)
+		l.w.after(40*time.Second, func() { l.w.nodes[0].slow = 10 })
+	}},
 	{"worker leaves", func(l *load) {
 		l.ordinary(urgentRate)
 		l.w.after(60*time.Second, func() { l.w.nodes[0].leaving = true })
