--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -92,14 +92,15 @@
 	address string
 }
 
-// Start starts every process, with logs and settings in dir. After an error
-// Close must still be called.
+// Start starts every process, with logs and settings in dir. After an error no
+// process is left.
 func Start(ctx context.Context, dir string, options Options) (*Cluster, error) {
 	c := &Cluster{Dir: dir, options: options}
 	steps := []func(context.Context) error{c.startPlatform, c.startWorkers, c.listWorkers, c.startInstances}
 	for _, step := range steps {
 		if err := step(ctx); err != nil {
-			return c, err
+			c.Close()
+			return nil, err
 		}
 	}
 	return c, nil
--- a/test/cmd/demo/main.go
+++ b/test/cmd/demo/main.go
@@ -87,13 +87,13 @@
 		Capacity:    resource.Vector{CPU: 32000, Memory: 125000, Slots: 8, Connections: 64},
 		ServiceTime: serviceTime, Duration: jobTime, Rules: rulesFile,
 	})
-	defer system.Close()
-	if err == nil {
-		err = system.Publish(ctx)
-	}
 	if err != nil {
 		return []string{"the system did not start: " + err.Error()}
 	}
+	defer system.Close()
+	if err := system.Publish(ctx); err != nil {
+		return []string{"the system did not start: " + err.Error()}
+	}
 	fmt.Printf("%d instances and %d workers ready after %.1f s\n",
 		len(system.Instances), len(system.Workers), time.Since(began).Seconds())
 	d := newDriver(system, seed)
--- a/test/cmd/load/started.go
+++ b/test/cmd/load/started.go
@@ -72,13 +72,13 @@
 		Capacity:    resource.Vector{CPU: 32000, Memory: 125000, Slots: 8, Connections: 64},
 		ServiceTime: o.service, Duration: o.job, Rules: rulesFile,
 	})
-	defer system.Close()
-	if err == nil {
-		err = system.Publish(ctx)
-	}
 	if err != nil {
 		return nil, err
 	}
+	defer system.Close()
+	if err := system.Publish(ctx); err != nil {
+		return nil, err
+	}
 	var targets []string
 	for _, instance := range system.Instances {
 		targets = append(targets, instance.Caller)
