start: end a call within its run lease

The answer of a call that was stopped was passed on as if it were whole, and a call whose reply never came was waited for, and held capacity, to the caller's deadline.

Call now waits at most one run lease and the margin. A call that the worker stopped fails as DeadlineExceeded with outcome Unknown. A later deadline is capped and not refused, because its caller may be patient about a short call. Begin waits for the reply to a start no longer than a start lease lasts and then asks for the task, so that its run lease is renewed in time.

Measured: go test -race passes for internal/connection/worker, internal/request/... and test/....

--- a/internal/request/start/recent.go
+++ b/internal/request/start/recent.go
@@ -142,12 +142,10 @@
 	close(made.settled)
 }
 
-// finish records the report of a task that is over.
-func (t *recent) finish(id ident.TaskID, made *entry, report worker.TaskReport, now time.Time) {
+// finish records the last report of a task, and the failure that goes with it.
+func (t *recent) finish(id ident.TaskID, made *entry, report worker.TaskReport, err error, now time.Time) {
 	made.report = report
-	if !report.State.Over() {
-		made.err = fault.New(fault.WorkerLost, "the end of task %s is not known", id)
-	}
+	made.err = err
 	t.end(id, made, now)
 }
 
--- a/internal/request/start/settle.go
+++ b/internal/request/start/settle.go
@@ -34,17 +34,7 @@
 // unknown, and settling goes on in the background to free the reservation.
 func (r *Runner) settleCall(ctx context.Context, a *attempt) (worker.TaskReport, error) {
 	settled := r.inBackground(ctx, a, func(report worker.TaskReport) bool { return report.State.Over() },
-		func(s settlement) {
-			switch {
-			case s.err != nil && provesNotRun(s.err):
-				_ = r.refused(a, s.err)
-			case s.err != nil:
-				a.release()
-				r.recent.lose(a.task.ID, a.entry, s.err, r.Clock.Now())
-			default:
-				_, _ = r.over(a, s.report)
-			}
-		})
+		func(report worker.TaskReport) error { return r.over(a, report) })
 	select {
 	case s := <-settled:
 		return s.report, s.err
@@ -57,16 +47,9 @@
 func (r *Runner) settleBegin(ctx context.Context, a *attempt) (*Handle, error) {
 	var handle *Handle
 	settled := r.inBackground(ctx, a, func(report worker.TaskReport) bool { return report.State != work.TaskUnknown },
-		func(s settlement) {
-			switch {
-			case s.err != nil && provesNotRun(s.err):
-				_ = r.refused(a, s.err)
-			case s.err != nil:
-				a.release()
-				r.recent.lose(a.task.ID, a.entry, s.err, r.Clock.Now())
-			default:
-				handle = r.begun(a, s.report)
-			}
+		func(report worker.TaskReport) error {
+			handle = r.begun(a, report)
+			return nil
 		})
 	select {
 	case s := <-settled:
@@ -84,17 +67,31 @@
 }
 
 // inBackground settles an attempt beyond the end of ctx, and applies the
-// result before it is sent.
-func (r *Runner) inBackground(ctx context.Context, a *attempt, enough func(worker.TaskReport) bool, apply func(settlement)) <-chan settlement {
+// result before it is sent. found takes a report that is enough.
+func (r *Runner) inBackground(ctx context.Context, a *attempt, enough func(worker.TaskReport) bool, found func(worker.TaskReport) error) <-chan settlement {
 	settled := make(chan settlement, 1)
 	go func() {
 		result := r.settle(context.WithoutCancel(ctx), a, enough)
-		apply(result)
+		if result.err == nil {
+			result.err = found(result.report)
+		} else {
+			r.unfound(a, result.err)
+		}
 		settled <- result
 	}()
 	return settled
 }
 
+// unfound ends an attempt about whose task nothing more will be learnt.
+func (r *Runner) unfound(a *attempt, err error) {
+	if provesNotRun(err) {
+		_ = r.refused(a, err)
+		return
+	}
+	a.release()
+	r.recent.lose(a.task.ID, a.entry, err, r.Clock.Now())
+}
+
 // settle asks the worker for the task until the report is enough. If the worker
 // does not know the task, settle asks again when the lease under which the
 // start was sent is over. It ends at the latest when a run lease that was
--- a/internal/request/start/start.go
+++ b/internal/request/start/start.go
@@ -137,8 +137,17 @@
 	return true
 }
 
+// beginTimeout is how long the reply to the start of a batch or live task is
+// waited for. By then the start has taken effect or never will.
+const beginTimeout = worker.StartLeasePeriod + worker.ClockMargin
+
 // Call runs an urgent task to its end. The error's outcome says whether the
 // task may have run. A repeat of an identifier waits for the first.
+//
+// A call gets one run lease, which is not renewed, and Call ends at the latest
+// one run lease and the margin after it began, whatever time ctx leaves. A call
+// that the worker stopped is a failure with outcome Unknown. A ctx that ends
+// later is not refused: its caller may be patient about a short call.
 func (r *Runner) Call(ctx context.Context, task Task) (worker.TaskReport, error) {
 	first, fresh, err := r.recent.claim(task.ID, r.Clock.Now())
 	if err != nil {
@@ -147,14 +156,16 @@
 	if !fresh {
 		return first.wait(ctx)
 	}
+	ctx, cancel := context.WithTimeout(ctx, r.RunLease+worker.ClockMargin)
+	defer cancel()
 	a, err := r.prepare(task, first)
 	if err != nil {
 		r.recent.forget(task.ID, first, err)
 		return worker.TaskReport{}, err
 	}
 	report, err := r.send(ctx, a)
-	if fault.KindOf(err) == "" && report.State.Over() {
-		return r.over(a, report)
+	if err == nil && report.State.Over() {
+		return report, r.over(a, report)
 	}
 	if provesNotRun(err) {
 		return report, r.refused(a, err)
@@ -177,7 +188,9 @@
 		r.recent.forget(task.ID, first, err)
 		return nil, err
 	}
-	report, err := r.send(ctx, a)
+	limited, cancel := context.WithTimeout(ctx, beginTimeout)
+	defer cancel()
+	report, err := r.send(limited, a)
 	if err == nil {
 		return r.begun(a, report), nil
 	}
@@ -247,11 +260,16 @@
 	return err
 }
 
-// over ends an attempt whose task ran to its end.
-func (r *Runner) over(a *attempt, report worker.TaskReport) (worker.TaskReport, error) {
+// over ends an attempt whose call is over. A call that was stopped has no whole
+// answer, and its effect is not known.
+func (r *Runner) over(a *attempt, report worker.TaskReport) error {
 	a.release()
-	r.recent.finish(a.task.ID, a.entry, report, r.Clock.Now())
-	return report, nil
+	var err error
+	if report.State == work.TaskStopped {
+		err = fault.New(fault.DeadlineExceeded, "call %s was stopped at worker %s", a.task.ID, a.task.Worker)
+	}
+	r.recent.finish(a.task.ID, a.entry, report, err, r.Clock.Now())
+	return err
 }
 
 // begun hands a task that runs, or ran, to its session.
@@ -262,7 +280,11 @@
 		a.release()
 		handle.report = report
 		close(handle.done)
-		r.recent.finish(a.task.ID, a.entry, report, r.Clock.Now())
+		var err error
+		if !report.State.Over() {
+			err = fault.New(fault.WorkerLost, "the end of task %s is not known", a.task.ID)
+		}
+		r.recent.finish(a.task.ID, a.entry, report, err, r.Clock.Now())
 	}
 	if report.State.Over() {
 		end(report)
