start: start no task again that a takeover found running

A delayed start of an attempt that an earlier owner had started was sent to the worker under the new owner's lease. The worker would have run it twice, and the reservation that the takeover had counted would never have been returned, since the session keeps one entry for each task.

The runner now refuses an identifier that the takeover found running as Resolved with outcome Unknown; the lookup takes no lock.

--- a/internal/connection/worker/session.go
+++ b/internal/connection/worker/session.go
@@ -50,6 +50,8 @@
 	lease   atomic.Pointer[Lease]
 	usage   atomic.Pointer[Measurement]
 	leaving atomic.Bool
+	// found holds the tasks that the takeover found running, or nil before it.
+	found atomic.Pointer[map[ident.TaskID]bool]
 	// cleared is closed when earlier owners of the worker can't act any more.
 	cleared   chan struct{}
 	clearOnce sync.Once
--- a/internal/connection/worker/takeover.go
+++ b/internal/connection/worker/takeover.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"poplarvalve/internal/process/fault"
+	"poplarvalve/internal/process/ident"
 	"poplarvalve/internal/process/work"
 )
 
@@ -54,11 +55,14 @@
 	if err != nil {
 		return err
 	}
+	found := map[ident.TaskID]bool{}
 	for _, report := range reports {
 		if report.State == work.TaskRunning {
+			found[report.Task] = true
 			s.count(report, read)
 		}
 	}
+	s.found.Store(&found)
 	s.leases.mu.Lock()
 	defer s.leases.mu.Unlock()
 	if s.leases.closed {
@@ -69,6 +73,13 @@
 	return nil
 }
 
+// FoundRunning reports whether the takeover found a task running. It takes no
+// lock, and its answer is final once StartLease has returned a lease.
+func (s *Session) FoundRunning(task ident.TaskID) bool {
+	found := s.found.Load()
+	return found != nil && (*found)[task]
+}
+
 func (s *Session) holdsLease() bool {
 	s.leases.mu.Lock()
 	defer s.leases.mu.Unlock()
--- a/internal/request/serve/serve_test.go
+++ b/internal/request/serve/serve_test.go
@@ -93,6 +93,8 @@
 
 func (w *workerFake) ProveContinuity() {}
 
+func (w *workerFake) FoundRunning(ident.TaskID) bool { return false }
+
 func (w *workerFake) ran(body string) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/request/start/start.go
+++ b/internal/request/start/start.go
@@ -42,6 +42,8 @@
 	TakenOver() bool
 	// Finish records that a kept task is over.
 	Finish(report worker.TaskReport)
+	// FoundRunning reports whether an earlier owner's task was found running.
+	FoundRunning(task ident.TaskID) bool
 	// MarkLeaving ends starts at a worker that refused one as leaving.
 	MarkLeaving()
 	worker.API
@@ -164,6 +166,9 @@
 		return worker.TaskReport{}, err
 	}
 	report, err := r.send(ctx, a)
+	if fault.KindOf(err) == fault.Resolved {
+		return report, r.notSent(a, err)
+	}
 	if err == nil && report.State.Over() {
 		return report, r.over(a, report)
 	}
@@ -194,6 +199,9 @@
 	if err == nil {
 		return r.begun(a, report), nil
 	}
+	if fault.KindOf(err) == fault.Resolved {
+		return nil, r.notSent(a, err)
+	}
 	if provesNotRun(err) {
 		return nil, r.refused(a, err)
 	}
@@ -242,6 +250,11 @@
 	if err != nil {
 		return worker.TaskReport{}, err
 	}
+	// The worker would start the task a second time under another lease.
+	if a.session.FoundRunning(a.task.ID) {
+		refusal := fault.New(fault.Resolved, "task %s was started by an earlier owner", a.task.ID)
+		return worker.TaskReport{}, refusal.WithOutcome(fault.Unknown)
+	}
 	if !r.Fence.Open(r.Clock.Now()) {
 		return worker.TaskReport{}, fault.New(fault.Fenced, "before the start of %s", a.task.ID)
 	}
@@ -260,6 +273,14 @@
 	return err
 }
 
+// notSent ends an attempt of an identifier that an earlier owner started. The
+// identifier stays refused for good.
+func (r *Runner) notSent(a *attempt, err error) error {
+	a.release()
+	r.recent.lose(a.task.ID, a.entry, err, r.Clock.Now())
+	return err
+}
+
 // over ends an attempt whose call is over. A call that was stopped has no whole
 // answer, and its effect is not known.
 func (r *Runner) over(a *attempt, report worker.TaskReport) error {
