home: run jobs again whose worker vanished from the list

Cause: an attempt on a worker that left the list stayed unknown for ever, because no owner had a session to ask. Change: the owner by the ownership table tells how long nobody can have renewed a run lease at such a worker. After two run leases and the margin the attempt counts as over without a report. Status refuses the identifier before it looks for a session, so that no late message begins the attempt.

--- a/internal/connection/codec/jobmessages.go
+++ b/internal/connection/codec/jobmessages.go
@@ -44,11 +44,14 @@
 	Demand     resource.Vector   `cbor:"6,keyasint"`
 }
 
-// AttemptRef names an attempt and the worker where it was placed.
+// AttemptRef names an attempt and the worker where it was placed, with its
+// zone and region, since the worker may no longer be listed.
 type AttemptRef struct {
-	Job     ident.JobID    `cbor:"1,keyasint"`
-	Attempt ident.Attempt  `cbor:"2,keyasint"`
-	Worker  ident.WorkerID `cbor:"3,keyasint"`
+	Job     ident.JobID      `cbor:"1,keyasint"`
+	Attempt ident.Attempt    `cbor:"2,keyasint"`
+	Worker  ident.WorkerID   `cbor:"3,keyasint"`
+	Zone    ident.ZoneName   `cbor:"4,keyasint,omitempty"`
+	Region  ident.RegionName `cbor:"5,keyasint,omitempty"`
 }
 
 // AttemptRefs names several attempts.
--- a/internal/instance/home/attempts.go
+++ b/internal/instance/home/attempts.go
@@ -11,6 +11,7 @@
 	"poplarvalve/internal/process/ident"
 	"poplarvalve/internal/process/work"
 	"poplarvalve/internal/request/start"
+	"poplarvalve/internal/version/jobs"
 	"poplarvalve/internal/version/membership"
 )
 
@@ -154,9 +155,19 @@
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	standing, report, err := h.config.Starts.Status(ctx, ref.Worker, ident.AttemptTask(ref.Job, ref.Attempt))
+	if fault.KindOf(err) == fault.NotOwner && h.abandoned(ref) {
+		return codec.AttemptReport{Ref: ref, Standing: codec.AttemptOver}
+	}
 	return reportOf(ref, standingOf(standing, err), report)
 }
 
+// abandoned reports whether the run lease of every attempt at the worker is
+// over. The attempt was refused before, so no late message begins it.
+func (h *Home) abandoned(ref codec.AttemptRef) bool {
+	at := jobs.Place{Worker: ref.Worker, Zone: ref.Zone, Region: ref.Region}
+	return h.config.Abandoned != nil && h.config.Abandoned(at)
+}
+
 // standingOf returns a standing in the form of a message. A forgotten task is
 // over, although nothing more is known of it.
 func standingOf(standing start.Standing, err error) codec.Standing {
--- a/internal/instance/home/home.go
+++ b/internal/instance/home/home.go
@@ -22,6 +22,7 @@
 	"poplarvalve/internal/process/ident"
 	"poplarvalve/internal/process/logstream"
 	"poplarvalve/internal/process/publish"
+	"poplarvalve/internal/version/jobs"
 	"poplarvalve/internal/version/membership"
 	"poplarvalve/internal/version/ownership"
 	"poplarvalve/internal/version/rules"
@@ -37,8 +38,8 @@
 	Offer(ctx context.Context, to ident.Incarnation, offer codec.Offer) (codec.Offered, error)
 }
 
-// Config holds the parts of a Home. All fields but Retention and Jitter are
-// required.
+// Config holds the parts of a Home. All fields but Retention, Abandoned
+// and Jitter are required.
 type Config struct {
 	Self   ident.Incarnation
 	Clock  clock.Clock
@@ -55,6 +56,10 @@
 	Ownership *publish.Cell[ownership.Table]
 	Starts    Starts
 	Peers     Peers
+	// Abandoned reports whether this instance owns a worker and can tell that no
+	// owner has renewed a run lease there for longer than one lasts. Without it
+	// an attempt on a worker that is no longer listed stays unknown.
+	Abandoned func(at jobs.Place) bool
 	// Jitter returns a number in [0, 1) for backoff.
 	Jitter func() float64
 }
--- a/internal/instance/home/rounds.go
+++ b/internal/instance/home/rounds.go
@@ -173,7 +173,7 @@
 func (s *shard) begin(placement job.Placement) codec.AttemptReport {
 	spec := placement.Job.Spec
 	begin := codec.BeginAttempt{
-		Ref:        codec.AttemptRef{Job: spec.ID, Attempt: placement.Attempt, Worker: placement.At.Worker},
+		Ref:        refTo(spec.ID, placement.Attempt, placement.At),
 		Service:    spec.Service,
 		Class:      placement.Class,
 		Body:       spec.Body,
@@ -223,7 +223,11 @@
 const askRetry = 5 * time.Second
 
 func refOf(running *jobs.Job) codec.AttemptRef {
-	return codec.AttemptRef{Job: running.Spec.ID, Attempt: running.Attempt, Worker: running.At.Worker}
+	return refTo(running.Spec.ID, running.Attempt, running.At)
+}
+
+func refTo(id ident.JobID, attempt ident.Attempt, at jobs.Place) codec.AttemptRef {
+	return codec.AttemptRef{Job: id, Attempt: attempt, Worker: at.Worker, Zone: at.Zone, Region: at.Region}
 }
 
 func (s *shard) askOwner(owner ident.Incarnation, refs []codec.AttemptRef) {
--- a/internal/instance/jobs.go
+++ b/internal/instance/jobs.go
@@ -24,6 +24,7 @@
 		Ownership: c.process.ownership,
 		Starts:    c.runner,
 		Peers:     c.node,
+		Abandoned: c.owner.abandoned,
 		Jitter:    options.Random,
 	})
 }
--- a/internal/instance/owner.go
+++ b/internal/instance/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -13,6 +14,7 @@
 	"poplarvalve/internal/process/logging"
 	"poplarvalve/internal/process/publish"
 	"poplarvalve/internal/request/start"
+	"poplarvalve/internal/version/jobs"
 	"poplarvalve/internal/version/membership"
 	"poplarvalve/internal/version/ownership"
 	"poplarvalve/internal/version/workers"
@@ -53,6 +55,11 @@
 	opened map[ident.WorkerID]workers.Listed
 	// lost holds the workers whose sessions were handed over.
 	lost map[ident.WorkerID]bool
+	// closed is when the last session with a worker without one ended.
+	closed map[ident.WorkerID]time.Time
+	// over is the epoch whose earlier owners can't act any more, as of overAt.
+	over   ident.Epoch
+	overAt time.Time
 }
 
 func newOwnerAgent(options ownerOptions) *ownerAgent {
@@ -61,6 +68,7 @@
 		table:   worker.NewTable(),
 		opened:  map[ident.WorkerID]workers.Listed{},
 		lost:    map[ident.WorkerID]bool{},
+		closed:  map[ident.WorkerID]time.Time{},
 	}
 }
 
@@ -166,6 +174,7 @@
 	a.mu.Lock()
 	delete(a.opened, id)
 	delete(a.lost, id)
+	a.noteClosed(id)
 	a.mu.Unlock()
 	a.options.Log.WorkerOwned(id, false)
 }
@@ -191,6 +200,7 @@
 	})
 	a.options.Ledger.Open(listed.ID, account)
 	a.opened[listed.ID] = listed
+	delete(a.closed, listed.ID)
 	a.table.Open(ctx, session)
 	a.options.Log.WorkerOwned(listed.ID, true)
 }
@@ -200,14 +210,59 @@
 // asked, so an answer for that epoch covers them.
 func (a *ownerAgent) clear() {
 	sessions := a.table.List()
+	a.mu.Lock()
+	newest := a.newest
+	a.mu.Unlock()
 	if !a.options.Ready().Ready {
 		return
 	}
+	a.noteOver(newest)
 	for _, session := range sessions {
 		session.EarlierOwnersOver()
 	}
 }
 
+// abandonedAfter is the time without a session after which no task runs at a
+// worker. A renewal that an owner sent before its end may arrive just before the
+// run lease is over, which makes two run leases.
+const abandonedAfter = 2*worker.RunLeasePeriod + worker.ClockMargin
+
+// abandoned reports whether this incarnation owns a worker and neither it nor an
+// earlier owner has renewed a run lease there for longer than one lasts. Any
+// change of the members starts the time anew.
+func (a *ownerAgent) abandoned(at jobs.Place) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.options.Clock.Now()
+	if a.newest == nil || a.over != a.newest.Epoch || !a.options.Fence.Open(now) {
+		return false
+	}
+	_, open := a.opened[at.Worker]
+	if open || !a.owns(a.newest, workers.Listed{ID: at.Worker, Zone: at.Zone, Region: at.Region}) {
+		return false
+	}
+	return now.Sub(a.overAt) >= abandonedAfter && now.Sub(a.closed[at.Worker]) >= abandonedAfter
+}
+
+// noteOver notes when the earlier owners of a table's workers were over.
+func (a *ownerAgent) noteOver(table *ownership.Table) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if table == nil || table.Epoch == a.over {
+		return
+	}
+	a.over = table.Epoch
+	a.overAt = a.options.Clock.Now()
+}
+
+// noteClosed notes the end of a session, and forgets ends that no longer
+// matter. The caller holds mu.
+func (a *ownerAgent) noteClosed(id ident.WorkerID) {
+	now := a.options.Clock.Now()
+	maps.DeleteFunc(a.closed, func(_ ident.WorkerID, at time.Time) bool { return now.Sub(at) > abandonedAfter })
+	a.closed[id] = now
+}
+
 func (a *ownerAgent) closeAll() {
 	for _, id := range a.unwanted(nil) {
 		a.close(id)
--- a/internal/request/start/status.go
+++ b/internal/request/start/status.go
@@ -39,14 +39,14 @@
 // owner's first message. StandingNeverStarted is given if the session's
 // continuity covers every start that the worker ever got.
 func (r *Runner) Status(ctx context.Context, at ident.WorkerID, task ident.TaskID) (Standing, worker.TaskReport, error) {
-	session, found := r.Sessions.Session(at)
-	if !found {
-		return unproved(fault.New(fault.NotOwner, "worker %s", at))
-	}
 	own, err := r.refuseStart(ctx, task)
 	if err != nil {
 		return unproved(err)
 	}
+	session, found := r.Sessions.Session(at)
+	if !found {
+		return unproved(fault.New(fault.NotOwner, "worker %s", at))
+	}
 	opened := session.TakenOver()
 	count, _ := session.Continuity()
 	asked := r.Clock.Now()
