--- a/Makefile
+++ b/Makefile
@@ -28,3 +28,8 @@
 	$(GO) test -count 1 -v -run 'CostRatio|Eviction' ./test/naive
 	$(GO) build -o bin/ ./test/cmd/bench
 	./bin/bench
+
+# Slopes for docs/CAPACITY.md, measured again on this machine.
+capacity:
+	$(GO) build -o bin/ ./test/cmd/capacity
+	./bin/capacity
