--- a/test/cmd/capacity/encoding.go
+++ b/test/cmd/capacity/encoding.go
@@ -13,6 +13,7 @@
 	"poplarvalve/internal/process/work"
 	"poplarvalve/internal/version/config"
 	"poplarvalve/internal/version/rules"
+	"poplarvalve/internal/version/workers"
 )
 
 // offset is one that a stream reaches after about a month at 40 records/s.
@@ -206,7 +207,7 @@
 	sizes.promise = ask + print("Promised", codec.KindPromised, &codec.Promised{Epoch: ident.Epoch(offset), Sent: time.Hour, Granted: true, ConfigVersion: offset})
 	for _, services := range serviceCounts {
 		print(fmt.Sprintf("ConfigOffer, %d services", teamCount*services), codec.KindConfigOffer,
-			&codec.ConfigOffer{Version: offset, Offset: offset, Rules: []byte(rulesText(services))})
+			&codec.ConfigOffer{Version: offset, Author: "platform-desk", Rules: rulesText(services)})
 	}
 	t.end()
 }
@@ -214,7 +215,7 @@
 func summary(count int) *codec.Summary {
 	message := &codec.Summary{}
 	for _, worker := range owned(count) {
-		message.Workers = append(message.Workers, codec.WorkerSummary{Worker: worker.Worker, Free: worker.Free, CPUUsed: worker.CPUUsed, Ready: true})
+		message.Workers = append(message.Workers, workers.Summarize(worker))
 	}
 	return message
 }
