--- a/test/workerstub/api.go
+++ b/test/workerstub/api.go
@@ -71,10 +71,8 @@
 func (w *Worker) Inventory(context.Context) ([]worker.TaskReport, error) {
 	return run(w, "Inventory", func() ([]worker.TaskReport, error) {
 		reports := []worker.TaskReport{}
-		for _, t := range w.tasks {
-			if t.state == work.TaskRunning {
-				reports = append(reports, t.report())
-			}
+		for _, t := range w.running {
+			reports = append(reports, t.report())
 		}
 		return reports, nil
 	})
--- a/test/workerstub/task.go
+++ b/test/workerstub/task.go
@@ -37,7 +37,7 @@
 // update brings every task up to the present.
 func (w *Worker) update() {
 	now := time.Now()
-	for _, t := range w.tasks {
+	for _, t := range w.running {
 		w.advance(t, now)
 	}
 }
@@ -75,6 +75,7 @@
 
 func (w *Worker) end(t *task, state work.TaskState, at time.Time) {
 	t.state, t.ended = state, at
+	delete(w.running, t.command.Task)
 	w.history = append(w.history, Event{Task: t.command.Task, State: state, At: at})
 }
 
--- a/test/workerstub/workerstub.go
+++ b/test/workerstub/workerstub.go
@@ -6,6 +6,7 @@
 package workerstub
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"slices"
@@ -57,6 +58,17 @@
 	At    time.Time      `json:"at"`
 	// From is the work that a checkpoint had done before the start.
 	From time.Duration `json:"from_ns,omitempty"`
+	// Label is the first line of the body of a start, cut at labelBytes. Callers
+	// use it to find their requests, whose tasks the system names.
+	Label string `json:"label,omitempty"`
+}
+
+// labelBytes bounds the label of an event.
+const labelBytes = 64
+
+func labelOf(body []byte) string {
+	line, _, _ := bytes.Cut(body, []byte("\n"))
+	return string(line[:min(len(line), labelBytes)])
 }
 
 // Worker implements worker.API in memory and http.Handler around it.
@@ -67,6 +79,9 @@
 	leases   map[ident.LeaseID]time.Time
 	started  map[string]bool
 	tasks    map[ident.TaskID]*task
+	// running holds the tasks that are not over, so that a command takes no
+	// longer after many tasks than after few.
+	running  map[ident.TaskID]*task
 	history  []Event
 	exceeded bool
 	mux      *http.ServeMux
@@ -88,6 +103,7 @@
 func (w *Worker) clear() {
 	w.leases = map[ident.LeaseID]time.Time{}
 	w.tasks = map[ident.TaskID]*task{}
+	w.running = map[ident.TaskID]*task{}
 }
 
 // Change edits the settings.
@@ -109,7 +125,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.update()
-	for _, t := range w.tasks {
+	for _, t := range w.running {
 		w.stop(t)
 	}
 	w.clear()
@@ -202,8 +218,10 @@
 	w.started[key] = true
 	t := w.plan(command)
 	w.tasks[command.Task] = t
+	w.running[command.Task] = t
 	w.history = append(w.history, Event{
 		Task: command.Task, Lease: command.StartLease, State: work.TaskRunning, At: t.seen, From: t.done,
+		Label: labelOf(command.Body),
 	})
 	w.measure()
 	w.advance(t, t.seen)
@@ -213,10 +231,8 @@
 // measure records whether the running tasks exceed the capacity.
 func (w *Worker) measure() {
 	var held resource.Vector
-	for _, t := range w.tasks {
-		if t.state == work.TaskRunning {
-			held = held.Add(t.command.Demand)
-		}
+	for _, t := range w.running {
+		held = held.Add(t.command.Demand)
 	}
 	w.exceeded = w.exceeded || !held.Fits(w.settings.Capacity)
 }
