demo: count a job as resumed by what the workers ran

Cause: the number of the newest attempt also rises for attempts that never started, so 4 jobs counted as resumed where 1 had run twice.

Change: the count comes from the histories; -slowest also prints these runs.

--- a/test/cmd/demo/driver.go
+++ b/test/cmd/demo/driver.go
@@ -76,7 +76,8 @@
 	canceled bool
 	state    string
 	result   []byte
-	attempt  int
+	// runs are what the workers ran of it.
+	runs []*cluster.Run
 }
 
 // driver sends requests and keeps what became of them.
@@ -258,7 +259,7 @@
 	}
 	for ctx.Err() == nil {
 		status := d.untilWhole(ctx, http.MethodGet, "/v1/jobs/"+j.full, nil)
-		j.state, j.result, j.attempt = status.State, status.Result, status.Attempt
+		j.state, j.result = status.State, status.Result
 		if isOver(j.state) {
 			return
 		}
@@ -280,8 +281,6 @@
 	ID     string `json:"id"`
 	State  string `json:"state"`
 	Result []byte `json:"result"`
-	// Attempt is the number of the newest attempt.
-	Attempt int `json:"attempt"`
 }
 
 // untilWhole repeats a call on jobs until it succeeds or ctx ends.
--- a/test/cmd/demo/main.go
+++ b/test/cmd/demo/main.go
@@ -47,7 +47,7 @@
 	bin := flag.String("bin", "bin", "folder of the programs")
 	seed := flag.Uint64("seed", 1, "seed of the bodies")
 	duration := flag.Duration("duration", 24*time.Second, "time for which requests are sent")
-	slowest := flag.Int("slowest", 0, "number of slow requests to print with their replies")
+	slowest := flag.Int("slowest", 0, "number of slow requests to print with their replies; also prints the runs of resumed jobs")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -104,7 +104,10 @@
 	fmt.Printf("settled after %.1f s\n\n", time.Since(began).Seconds())
 	failures := d.failures(ctx)
 	printTable(os.Stdout, d.operations, d.jobs)
-	printSlowest(os.Stdout, d.operations, slowest)
+	if slowest > 0 {
+		printSlowest(os.Stdout, d.operations, slowest)
+		printResumed(os.Stdout, d.jobs)
+	}
 	for _, err := range system.Drain() {
 		failures = append(failures, err.Error())
 	}
@@ -124,6 +127,9 @@
 	for _, worker := range exceeded {
 		failures = append(failures, worker+" held more than its capacity")
 	}
+	for _, j := range d.jobs {
+		j.runs = byLabel[j.label]
+	}
 	failures = append(failures, unsettled(d.operations)...)
 	return append(failures, verify(d.operations, d.jobs, byLabel)...)
 }
--- a/test/cmd/demo/table.go
+++ b/test/cmd/demo/table.go
@@ -76,7 +76,7 @@
 			accepted++
 		}
 		states[j.state]++
-		if j.attempt > 1 {
+		if len(j.runs) > 1 {
 			resumed++
 		}
 	}
@@ -97,6 +97,15 @@
 	}
 }
 
+// printResumed prints the runs of the jobs that ran more than once.
+func printResumed(out io.Writer, jobs []*job) {
+	for _, j := range jobs {
+		if len(j.runs) > 1 {
+			fmt.Fprintf(out, "\n%s, %s: %s\n", j.label, j.state, describe(j.runs))
+		}
+	}
+}
+
 // took returns the time from the first request to the last reply.
 func (o *operation) took() time.Duration {
 	if len(o.replies) == 0 {
