demo: repeat through a running instance and keep state dumps of a failed run

Cause: a third of the repeats went to the killed instance and showed nothing, and a job that did not end could not be traced after the run.

Change: a repeat skips instances that refuse the connection; a failed run keeps the state dump of each instance and prints the runs of a job that did not end.

--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -38,6 +38,8 @@
 	// readyTimeout bounds the time until the system can serve. Instances own
 	// workers about 8 s after they have joined.
 	readyTimeout = 40 * time.Second
+	// dumpTimeout bounds the reading of the state dumps.
+	dumpTimeout = 5 * time.Second
 	// drainWait is the drain setting of an instance and time to leave.
 	drainWait = 25 * time.Second
 	// workerConnections bounds the driver's connections to one worker.
@@ -314,6 +316,22 @@
 	return nil
 }
 
+// Dump writes the state dump of each instance that runs into the folder.
+func (c *Cluster) Dump(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, dumpTimeout)
+	defer cancel()
+	var failures []error
+	for _, instance := range c.Instances {
+		var dump json.RawMessage
+		err := exchange(ctx, http.MethodGet, "http://"+instance.Operator+operator.PathDump, operatorToken, nil, &dump)
+		if err == nil {
+			err = os.WriteFile(filepath.Join(c.Dir, instance.Name+".dump.json"), dump, 0o600)
+		}
+		failures = append(failures, err)
+	}
+	return errors.Join(failures...)
+}
+
 // Status returns the state of an instance.
 func (i *Instance) Status(ctx context.Context) (operator.Status, error) {
 	var status operator.Status
--- a/test/cmd/demo/driver.go
+++ b/test/cmd/demo/driver.go
@@ -209,7 +209,16 @@
 		wait(ctx, min(max(reply.RetryAfter, minPause), maxPause))
 	}
 	if o.answered >= 0 && o.class != idempotent {
-		d.call(ctx, o, headers)
+		d.repeat(ctx, o, headers)
+	}
+}
+
+// repeat sends an answered operation once more, through an instance that runs.
+func (d *driver) repeat(ctx context.Context, o *operation, headers map[string]string) {
+	for range d.system.Instances {
+		if d.call(ctx, o, headers).Outcome != cluster.NotSent {
+			return
+		}
 	}
 }
 
--- a/test/cmd/demo/main.go
+++ b/test/cmd/demo/main.go
@@ -75,7 +75,7 @@
 	for _, failure := range failures {
 		fmt.Println(" ", failure)
 	}
-	fmt.Println("logs and settings:", dir)
+	fmt.Println("logs, settings and state dumps:", dir)
 	return 1
 }
 
@@ -103,6 +103,10 @@
 	d.drive(requests, duration)
 	fmt.Printf("settled after %.1f s\n\n", time.Since(began).Seconds())
 	failures := d.failures(ctx)
+	if len(failures) > 0 {
+		// Ended or stuck instances have no dump; their logs are kept.
+		_ = system.Dump(context.WithoutCancel(ctx))
+	}
 	printTable(os.Stdout, d.operations, d.jobs)
 	if slowest > 0 {
 		printSlowest(os.Stdout, d.operations, slowest)
--- a/test/cmd/demo/verify.go
+++ b/test/cmd/demo/verify.go
@@ -100,7 +100,7 @@
 	var failures []string
 	switch {
 	case !isOver(j.state):
-		failures = append(failures, fmt.Sprintf("did not end; its state is %q", j.state))
+		failures = append(failures, fmt.Sprintf("did not end; its state is %q; its runs: %s", j.state, describe(runs)))
 	case j.state == work.JobFailed.String():
 		failures = append(failures, "failed")
 	case j.state == work.JobCanceled.String() && !j.canceled:
