home: run jobs again whose worker can't be reached by its new owner

Cause: an owner that gained a listed worker which can't be reached had a session, but could not ask, so attempts there stayed unknown for ever. Change: the owner answers for such a worker too, if its session does not keep the task; a session that does reports the end of the run lease itself.

--- a/internal/instance/home/attempts.go
+++ b/internal/instance/home/attempts.go
@@ -154,18 +154,25 @@
 func (h *Home) status(ctx context.Context, ref codec.AttemptRef) codec.AttemptReport {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	standing, report, err := h.config.Starts.Status(ctx, ref.Worker, ident.AttemptTask(ref.Job, ref.Attempt))
-	if fault.KindOf(err) == fault.NotOwner && h.abandoned(ref) {
+	task := ident.AttemptTask(ref.Job, ref.Attempt)
+	standing, report, err := h.config.Starts.Status(ctx, ref.Worker, task)
+	if h.abandoned(ref, task, err) {
 		return codec.AttemptReport{Ref: ref, Standing: codec.AttemptOver}
 	}
 	return reportOf(ref, standingOf(standing, err), report)
 }
 
-// abandoned reports whether the run lease of every attempt at the worker is
-// over. The attempt was refused before, so no late message begins it.
-func (h *Home) abandoned(ref codec.AttemptRef) bool {
-	at := jobs.Place{Worker: ref.Worker, Zone: ref.Zone, Region: ref.Region}
-	return h.config.Abandoned != nil && h.config.Abandoned(at)
+// abandoned reports whether the run lease of an attempt is over at a worker that
+// can't be asked. With these reasons the identifier was refused before, so no
+// late message begins the attempt.
+func (h *Home) abandoned(ref codec.AttemptRef, task ident.TaskID, err error) bool {
+	switch fault.KindOf(err) {
+	case fault.NotOwner, fault.WorkerUnreachable, fault.WorkerLost:
+		at := jobs.Place{Worker: ref.Worker, Zone: ref.Zone, Region: ref.Region}
+		return h.config.Abandoned != nil && h.config.Abandoned(at, task)
+	default:
+		return false
+	}
 }
 
 // standingOf returns a standing in the form of a message. A forgotten task is
--- a/internal/instance/home/home.go
+++ b/internal/instance/home/home.go
@@ -57,9 +57,9 @@
 	Starts    Starts
 	Peers     Peers
 	// Abandoned reports whether this instance owns a worker and can tell that no
-	// owner has renewed a run lease there for longer than one lasts. Without it
-	// an attempt on a worker that is no longer listed stays unknown.
-	Abandoned func(at jobs.Place) bool
+	// owner has renewed the run lease of a task there for longer than one lasts.
+	// Without it an attempt on a worker that is lost stays unknown.
+	Abandoned func(at jobs.Place, task ident.TaskID) bool
 	// Jitter returns a number in [0, 1) for backoff.
 	Jitter func() float64
 }
--- a/internal/instance/owner.go
+++ b/internal/instance/owner.go
@@ -55,7 +55,7 @@
 	opened map[ident.WorkerID]workers.Listed
 	// lost holds the workers whose sessions were handed over.
 	lost map[ident.WorkerID]bool
-	// closed is when the last session with a worker without one ended.
+	// closed is when the last session with a worker ended, if that was lately.
 	closed map[ident.WorkerID]time.Time
 	// over is the epoch whose earlier owners can't act any more, as of overAt.
 	over   ident.Epoch
@@ -200,7 +200,6 @@
 	})
 	a.options.Ledger.Open(listed.ID, account)
 	a.opened[listed.ID] = listed
-	delete(a.closed, listed.ID)
 	a.table.Open(ctx, session)
 	a.options.Log.WorkerOwned(listed.ID, true)
 }
@@ -222,23 +221,28 @@
 	}
 }
 
-// abandonedAfter is the time without a session after which no task runs at a
-// worker. A renewal that an owner sent before its end may arrive just before the
+// abandonedAfter is the time without an owner that renews a run lease after
+// which it is over. A renewal that an owner sent before its end may arrive just before the
 // run lease is over, which makes two run leases.
 const abandonedAfter = 2*worker.RunLeasePeriod + worker.ClockMargin
 
 // abandoned reports whether this incarnation owns a worker and neither it nor an
-// earlier owner has renewed a run lease there for longer than one lasts. Any
-// change of the members starts the time anew.
-func (a *ownerAgent) abandoned(at jobs.Place) bool {
+// earlier owner has renewed the run lease of a task there for longer than one
+// lasts. A session that does not keep the task has not renewed it, or has seen
+// its end. Any change of the members starts the time anew.
+func (a *ownerAgent) abandoned(at jobs.Place, task ident.TaskID) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.options.Clock.Now()
 	if a.newest == nil || a.over != a.newest.Epoch || !a.options.Fence.Open(now) {
 		return false
 	}
-	_, open := a.opened[at.Worker]
-	if open || !a.owns(a.newest, workers.Listed{ID: at.Worker, Zone: at.Zone, Region: at.Region}) {
+	if session, open := a.table.Find(at.Worker); open {
+		if _, kept := session.LastRenewal(task); kept {
+			return false
+		}
+	}
+	if !a.owns(a.newest, workers.Listed{ID: at.Worker, Zone: at.Zone, Region: at.Region}) {
 		return false
 	}
 	return now.Sub(a.overAt) >= abandonedAfter && now.Sub(a.closed[at.Worker]) >= abandonedAfter
