--- a/internal/instance/home/attempts.go
+++ b/internal/instance/home/attempts.go
@@ -88,8 +88,8 @@
 	return codec.AttemptReport{Ref: ref, Standing: codec.AttemptRunning, State: work.TaskRunning}, nil
 }
 
-// watch reports the end of an attempt. While its worker is owned by another
-// instance, that one knows more, and the home asks it.
+// watch reports the end of an attempt, or that this instance no longer follows
+// it, after which the home asks for it.
 func (h *Home) watch(ref codec.AttemptRef, handle *start.Handle) {
 	select {
 	case <-h.base.Done():
@@ -97,10 +97,10 @@
 	case <-handle.Done():
 	}
 	report := handle.Report()
+	ended := reportOf(ref, codec.AttemptOver, report)
 	if report.State == work.TaskRunning {
-		return
+		ended = codec.AttemptReport{Ref: ref}
 	}
-	ended := reportOf(ref, codec.AttemptOver, report)
 	for range endedTries {
 		if h.deliver(ended) || !h.sleep(h.base, endedPause) {
 			return
@@ -154,18 +154,25 @@
 func (h *Home) status(ctx context.Context, ref codec.AttemptRef) codec.AttemptReport {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	standing, report, err := h.config.Starts.Status(ctx, ref.Worker, ident.AttemptTask(ref.Job, ref.Attempt))
-	if fault.KindOf(err) == fault.NotOwner && h.abandoned(ref) {
+	task := ident.AttemptTask(ref.Job, ref.Attempt)
+	standing, report, err := h.config.Starts.Status(ctx, ref.Worker, task)
+	if h.abandoned(ref, task, err) {
 		return codec.AttemptReport{Ref: ref, Standing: codec.AttemptOver}
 	}
 	return reportOf(ref, standingOf(standing, err), report)
 }
 
-// abandoned reports whether the run lease of every attempt at the worker is
-// over. The attempt was refused before, so no late message begins it.
-func (h *Home) abandoned(ref codec.AttemptRef) bool {
-	at := jobs.Place{Worker: ref.Worker, Zone: ref.Zone, Region: ref.Region}
-	return h.config.Abandoned != nil && h.config.Abandoned(at)
+// abandoned reports whether the run lease of an attempt is over at a worker that
+// can't be asked. With these reasons the identifier was refused before, so no
+// late message begins the attempt.
+func (h *Home) abandoned(ref codec.AttemptRef, task ident.TaskID, err error) bool {
+	switch fault.KindOf(err) {
+	case fault.NotOwner, fault.WorkerUnreachable, fault.WorkerLost:
+		at := jobs.Place{Worker: ref.Worker, Zone: ref.Zone, Region: ref.Region}
+		return h.config.Abandoned != nil && h.config.Abandoned(at, task)
+	default:
+		return false
+	}
 }
 
 // standingOf returns a standing in the form of a message. A forgotten task is
