home: answer a repeat whose key was settled while it was looked up

Cause: a repeat that had loaded the table before the outcome of its key was refused as owner_not_ready with outcome unknown. TestKeysRunOnceThroughEach- Instance failed in 3 of 32 runs under the race detector. Change: such a repeat looks at the table again; only a shard that was stopped or is not caught up refuses it. Result: 20 runs of that test and 2 of the package pass with -race.

--- a/internal/instance/home/keys.go
+++ b/internal/instance/home/keys.go
@@ -130,8 +130,18 @@
 		if found && known.Settled && !known.Reusable() {
 			return serve.IntentState{Answer: answerOf(known)}, nil
 		}
+		if found && !known.Settled && known.Writer != s.home.config.Self {
+			return s.foreign(ctx, changed, known)
+		}
 		if found && !known.Settled {
-			return s.pending(ctx, changed, known)
+			granted, first, err := s.claimKey(known)
+			if err != nil {
+				return serve.IntentState{}, err
+			}
+			if granted != nil {
+				return granted.wait(ctx, first)
+			}
+			continue
 		}
 		if err := s.appendIntent(ctx, known, record.Intent{Caller: caller, Key: key, Digest: digest[:]}); err != nil {
 			return serve.IntentState{}, err
@@ -177,37 +187,44 @@
 	return nil
 }
 
-// pending grants an intent of this incarnation to the first caller. Others wait
-// for its end.
-func (s *shard) pending(ctx context.Context, changed <-chan struct{}, known *jobs.Key) (serve.IntentState, error) {
-	if known.Writer != s.home.config.Self {
-		return s.foreign(ctx, changed, known)
+// claimKey returns the grant of an intent of this incarnation and whether it was
+// made now. It returns nil if the table holds a later state of the key by now.
+func (s *shard) claimKey(known *jobs.Key) (granted *grant, first bool, err error) {
+	granted, first = s.home.grants.claim(grantName{s.id, known.Intent}, known, func() bool {
+		var pending bool
+		pending, err = s.stillPending(known)
+		return pending
+	})
+	return granted, first, err
+}
+
+// stillPending reports whether an intent has no outcome as far as the whole
+// stream says. A shard that was stopped may hold an old table.
+func (s *shard) stillPending(known *jobs.Key) (bool, error) {
+	if current, err := s.home.local(s.id); err != nil || current != s {
+		return false, unproven(fault.NotOwner, "shard %d", s.id)
 	}
-	granted, first := s.home.grants.claim(grantName{s.id, known.Intent}, known, func() bool { return s.mayGrant(known) })
-	if granted == nil {
-		return serve.IntentState{}, unproven(fault.OwnerNotReady, "key %s is looked up", known.Key)
+	if err := s.ready(); err != nil {
+		return false, err
 	}
+	newest, found := s.current().Key(known.Caller, known.Key)
+	return found && newest.Intent == known.Intent && !newest.Settled, nil
+}
+
+// wait returns the state of a key for the one that was granted it, and for a
+// repeat the answer once there is one.
+func (g *grant) wait(ctx context.Context, first bool) (serve.IntentState, error) {
 	if first {
 		return serve.IntentState{Granted: true}, nil
 	}
 	select {
-	case <-granted.done:
-		return serve.IntentState{Answer: granted.answer}, nil
+	case <-g.done:
+		return serve.IntentState{Answer: g.answer}, nil
 	case <-ctx.Done():
 		return serve.IntentState{}, fault.Wrap(fault.DeadlineExceeded, ctx.Err(), "waiting for the first request of the key")
 	}
 }
 
-// mayGrant reports whether an intent has no outcome as far as the whole stream
-// says. A shard that was stopped may hold an old table.
-func (s *shard) mayGrant(known *jobs.Key) bool {
-	if newest, err := s.home.local(s.id); err != nil || newest != s || s.ready() != nil {
-		return false
-	}
-	newest, found := s.current().Key(known.Caller, known.Key)
-	return found && newest.Intent == known.Intent && !newest.Settled
-}
-
 // foreign waits for the outcome of an intent that an earlier home granted. That
 // home sends it if it still lives; until then nothing is known.
 func (s *shard) foreign(ctx context.Context, changed <-chan struct{}, known *jobs.Key) (serve.IntentState, error) {
