home: report the end of attempts that an earlier owner began

The owner that began its attempt was killed, and the next owner, asked once, reported nothing when the task ended; the home asked again only a minute later.

Change: an owner that is asked about a running attempt follows its task and reports its end to the home.

--- a/internal/connection/worker/tasks.go
+++ b/internal/connection/worker/tasks.go
@@ -59,6 +59,23 @@
 	return true
 }
 
+// Watch calls over too when a kept task is over, as Keep would. It reports false
+// for a task that is not kept.
+func (s *Session) Watch(task ident.TaskID, over func(TaskReport)) bool {
+	s.tasks.mu.Lock()
+	defer s.tasks.mu.Unlock()
+	entry, found := s.tasks.entries[task]
+	if !found {
+		return false
+	}
+	first := entry.over
+	entry.over = func(report TaskReport) {
+		first(report)
+		over(report)
+	}
+	return true
+}
+
 // abandon lets go of every task when the session ends.
 func (s *Session) abandon() {
 	s.tasks.mu.Lock()
--- a/internal/instance/home/attempts.go
+++ b/internal/instance/home/attempts.go
@@ -83,6 +83,7 @@
 		return codec.AttemptReport{}, err
 	}
 	if handle != nil {
+		h.reported.Store(ident.AttemptTask(ref.Job, ref.Attempt), true)
 		h.spawn(func() { h.watch(ref, handle) })
 	}
 	return codec.AttemptReport{Ref: ref, Standing: codec.AttemptRunning, State: work.TaskRunning}, nil
@@ -96,7 +97,28 @@
 		return
 	case <-handle.Done():
 	}
-	report := handle.Report()
+	h.reportEnd(ref, handle.Report())
+}
+
+// adopt sees to it that the end of a running attempt is reported, also if an
+// earlier owner began it: the questions of the home alone would find it up to a
+// minute late. It reports false while this instance doesn't follow the task.
+func (h *Home) adopt(ref codec.AttemptRef, task ident.TaskID) bool {
+	if _, reported := h.reported.LoadOrStore(task, true); reported {
+		return true
+	}
+	followed := h.config.Starts.Watch(ref.Worker, task, func(report worker.TaskReport) {
+		h.spawn(func() { h.reportEnd(ref, report) })
+	})
+	if !followed {
+		h.reported.Delete(task)
+	}
+	return followed
+}
+
+// reportEnd gives the last report of an attempt to the home of its job.
+func (h *Home) reportEnd(ref codec.AttemptRef, report worker.TaskReport) {
+	h.reported.Delete(ident.AttemptTask(ref.Job, ref.Attempt))
 	ended := reportOf(ref, codec.AttemptOver, report)
 	if report.State == work.TaskRunning {
 		ended = codec.AttemptReport{Ref: ref}
@@ -159,6 +181,10 @@
 	if h.abandoned(ref, task, err) {
 		return codec.AttemptReport{Ref: ref, Standing: codec.AttemptOver}
 	}
+	if standing == start.StandingRunning && !h.adopt(ref, task) {
+		// The home asks again soon, when the takeover of the worker is over.
+		return codec.AttemptReport{Ref: ref}
+	}
 	return reportOf(ref, standingOf(standing, err), report)
 }
 
--- a/internal/instance/home/chaos_test.go
+++ b/internal/instance/home/chaos_test.go
@@ -113,6 +113,9 @@
 	return g.machine.Status(ctx, at, task)
 }
 
+// Watch pretends to follow each task, so that the home learns ends by asking.
+func (startsGate) Watch(ident.WorkerID, ident.TaskID, func(worker.TaskReport)) bool { return true }
+
 // peersGate loses and delays messages between nodes.
 type peersGate struct{ *node }
 
--- a/internal/instance/home/home.go
+++ b/internal/instance/home/home.go
@@ -74,6 +74,9 @@
 	records atomic.Uint64
 	grants  grantBook
 	outbox  *outbox
+	// reported holds the ident.TaskID of each attempt whose end this instance
+	// reports to the home of its job.
+	reported sync.Map
 
 	// base ends with Run and bounds everything that the home has started.
 	base  context.Context
--- a/internal/instance/home/machine_test.go
+++ b/internal/instance/home/machine_test.go
@@ -248,3 +248,6 @@
 	}
 	return start.StandingOver, m.report(task), nil
 }
+
+// Watch pretends to follow each task, so that the home learns ends by asking.
+func (m *machine) Watch(ident.WorkerID, ident.TaskID, func(worker.TaskReport)) bool { return true }
--- a/internal/instance/home/starts.go
+++ b/internal/instance/home/starts.go
@@ -18,6 +18,9 @@
 	Begin(ctx context.Context, task start.Task) (*start.Handle, error)
 	// Stop ends a task. An error means that the task may still run.
 	Stop(ctx context.Context, at ident.WorkerID, task ident.TaskID) (worker.TaskReport, error)
+	// Watch calls over once when a followed task is over; false if it is not
+	// followed here.
+	Watch(at ident.WorkerID, task ident.TaskID, over func(worker.TaskReport)) bool
 	// Status says what is known of a task, and refuses it for good if it was not
 	// begun. Reason TaskForgotten says that it is over and may have run.
 	Status(ctx context.Context, at ident.WorkerID, task ident.TaskID) (start.Standing, worker.TaskReport, error)
--- a/internal/instance/system_test.go
+++ b/internal/instance/system_test.go
@@ -325,6 +325,32 @@
 	})
 }
 
+// Guards against the end of a job that is noticed a minute late, because the
+// owner that began its attempt was killed and the next one reports nothing.
+func TestEndOfAdoptedJobIsReported(t *testing.T) {
+	runSystem(t, 4, func(t *testing.T, s *system) {
+		var ids []ident.JobID
+		for range 12 {
+			status, err := s.nodes[0].Front().Submit(t.Context(), work.Job{
+				ID: ident.JobID(s.newID()), Caller: "ranger", Service: "quota-rebuild"})
+			assert.NilError(t, err)
+			ids = append(ids, status.ID)
+		}
+		time.Sleep(5 * time.Second)
+		for _, i := range []int{1, 2} {
+			s.kill(i)
+		}
+		// The jobs end 30 s after their start.
+		time.Sleep(35 * time.Second)
+		for _, id := range ids {
+			status, err := s.nodes[0].Front().Job(t.Context(), id)
+			assert.NilError(t, err)
+			assert.Equal(t, status.State, work.JobSucceeded, "%s", id)
+			assert.Equal(t, status.Attempt, ident.Attempt(1))
+		}
+	})
+}
+
 // overlaps returns how many starts of a body began while another start of it
 // had not ended.
 func (s *system) overlaps(body string) int {
--- a/internal/request/start/start.go
+++ b/internal/request/start/start.go
@@ -28,6 +28,8 @@
 	StartLease(now time.Time) (worker.Lease, error)
 	// Keep renews a task's run lease and calls over once when it is over.
 	Keep(task ident.TaskID, started time.Time, over func(worker.TaskReport))
+	// Watch calls over too when a kept task is over; false if it is not kept.
+	Watch(task ident.TaskID, over func(worker.TaskReport)) bool
 	// GiveUp ends renewals of a task and returns when its run lease is over.
 	GiveUp(task ident.TaskID) (time.Time, bool)
 	// Continuity returns a count that changes when the worker may have
--- a/internal/request/start/status.go
+++ b/internal/request/start/status.go
@@ -74,6 +74,14 @@
 	return r.stillOwner(session, report, err)
 }
 
+// Watch calls over once when a task that this owner follows is over, also if an
+// earlier owner started it. It reports false for a task that is not followed.
+// A report with state TaskRunning says that this instance no longer follows it.
+func (r *Runner) Watch(at ident.WorkerID, task ident.TaskID, over func(worker.TaskReport)) bool {
+	session, found := r.Sessions.Session(at)
+	return found && session.Watch(task, over)
+}
+
 // stillOwner returns what was proved if no later owner can have been chosen by
 // now.
 func (r *Runner) stillOwner(session Session, report worker.TaskReport, err error) (Standing, worker.TaskReport, error) {
