serve: apply admission, retry and hedging to urgent requests

Cause: nothing called the decisions on urgent requests. An idempotent request whose start reply was lost waited for the 3 s start lease, beyond its 2 s deadline, and ended as unknown.

Change: one gate, one budget and one table of measured times for each process, used by all its incarnations. The remaining time is set before admission and before each retry decision. Idempotent requests race their attempts: a further one is sent after a measured delay inside the 10% budget, and the first that ran is answered; NotRun needs all attempts to be known not to have run. Others still settle each attempt. Demand.Spread is a hash of the request identifier.

TestLostStartReplyIsAnsweredByAnotherWorker fails without the hedger with outcome unknown.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -81,6 +81,7 @@
 	members   *MemberAgent
 	config    *ConfigAgent
 	list      *listAgent
+	limits    *limits
 	workers   *publish.Cell[workers.View]
 	ownership *publish.Cell[ownership.Table]
 	// current is the incarnation that serves, or nil before the first one is a
@@ -142,10 +143,20 @@
 		OnIncarnation: i.revoke,
 		OnEpoch:       i.epoch,
 	})
+	i.limits = newLimits(options.Clock.Now(), i.config.Rules(), i.memberCount, options.Random)
 	i.registerStates()
 	return i
 }
 
+// memberCount returns the number of members of the newest epoch.
+func (i *Instance) memberCount() int {
+	state := i.members.Members().Load()
+	if state == nil {
+		return 0
+	}
+	return len(state.Members)
+}
+
 // Front returns what serves callers.
 func (i *Instance) Front() interface {
 	caller.Engine
--- a/internal/request/serve/parts.go
+++ b/internal/request/serve/parts.go
@@ -39,6 +39,22 @@
 	Allow(request work.Request, tried int, failure *fault.Failure, now time.Time) (wait time.Duration, allowed bool)
 }
 
+// Hedging decides whether an idempotent request that has no answer yet is also
+// sent to another worker.
+type Hedging interface {
+	// After returns how long to wait for an answer first, and false if another
+	// attempt makes no sense.
+	After(request work.Request, service rules.Service, now time.Time) (wait time.Duration, sensible bool)
+	// Hedge is asked when that time is over.
+	Hedge() bool
+}
+
+// Times learns how long requests take.
+type Times interface {
+	// Observe adds the time from admission to answer of a request that ran.
+	Observe(service ident.ServiceName, took time.Duration, now time.Time)
+}
+
 // Elsewhere finds workers beyond the view, in other zones.
 type Elsewhere interface {
 	// Candidates returns workers that may have room for the demand, the best
--- a/internal/request/serve/serve.go
+++ b/internal/request/serve/serve.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"poplarvalve/internal/process/clock"
 	"poplarvalve/internal/process/fault"
 	"poplarvalve/internal/process/ident"
@@ -50,6 +52,10 @@
 	Outcomes  Outcomes
 	Intents   Intents
 	Feeds     Feeds
+	// Hedging may be nil: then an idempotent request has one attempt at a time.
+	Hedging Hedging
+	// Times may be nil: then the times of requests are not measured.
+	Times Times
 	// Elsewhere may be nil: then only workers of the view are used.
 	Elsewhere Elsewhere
 	// Shards is the number of shards of keys; zero means DefaultShards.
@@ -112,7 +118,8 @@
 	if !found {
 		return work.Refuse(request.ID, unproven(request, fault.New(fault.UnknownService, "%q", request.Service)))
 	}
-	ctx, cancel := context.WithTimeout(ctx, e.deadline(request, service))
+	request.Remaining = e.deadline(request, service)
+	ctx, cancel := context.WithTimeout(ctx, request.Remaining)
 	defer cancel()
 	return e.route(ctx, s, request, service)
 }
@@ -140,12 +147,29 @@
 	if e.Admission == nil {
 		return e.place(ctx, s, request, service)
 	}
-	release, err := e.Admission.Admit(request, service, e.Clock.Now())
+	began := e.Clock.Now()
+	request.Remaining = left(ctx, request, began)
+	release, err := e.Admission.Admit(request, service, began)
 	if err != nil {
 		return work.Refuse(request.ID, err)
 	}
 	defer release()
-	return e.place(ctx, s, request, service)
+	answer := e.place(ctx, s, request, service)
+	if e.Times != nil && answer.Outcome == fault.Ran {
+		now := e.Clock.Now()
+		e.Times.Observe(service.Name, now.Sub(began), now)
+	}
+	return answer
+}
+
+// left returns the time to the deadline of ctx, which is shorter than that of
+// the request when waiting for an intent or an earlier attempt has used some.
+func left(ctx context.Context, request work.Request, now time.Time) time.Duration {
+	deadline, bounded := ctx.Deadline()
+	if !bounded {
+		return request.Remaining
+	}
+	return deadline.Sub(now)
 }
 
 func (e *Engine) deadline(request work.Request, service rules.Service) time.Duration {
@@ -158,12 +182,12 @@
 	return e.DefaultDeadline
 }
 
-// place tries the ranked workers until one has run the request. A request that
-// is not idempotent ends with the first attempt that may have run.
+// place tries the ranked workers until one has run the request.
 func (e *Engine) place(ctx context.Context, s snapshot, request work.Request, service rules.Service) work.Answer {
 	plan := placement.Rank(s.workers, s.rules, placement.Demand{
 		Resources: service.Demand,
 		From:      e.Place,
+		Spread:    spreadOf(request.ID),
 	})
 	candidates := plan.Candidates[:plan.Count]
 	if plan.Count == 0 && plan.LargeEnough > 0 && e.Elsewhere != nil {
@@ -172,23 +196,30 @@
 	if len(candidates) == 0 {
 		return work.Refuse(request.ID, noCandidate(plan))
 	}
+	if service.Idempotent {
+		return e.race(ctx, s, request, service, candidates)
+	}
+	return e.inTurn(ctx, s, request, service, candidates)
+}
+
+// spreadOf hashes an identifier, so that instances with the same view don't send
+// all requests to the same worker.
+func spreadOf(id ident.RequestID) uint64 {
+	return xxhash.Sum64String(string(id))
+}
+
+// inTurn tries the candidates one after the other, for a request that is not
+// idempotent: it ends with the first attempt that may have run.
+func (e *Engine) inTurn(ctx context.Context, s snapshot, request work.Request, service rules.Service, candidates []placement.Candidate) work.Answer {
 	var last work.Answer
-	mayHaveRun := false
 	for tried, candidate := range candidates {
 		if tried > 0 && !e.again(ctx, request, tried, last) {
 			break
 		}
 		last = e.attempt(ctx, s, attemptOf(request, tried), service, candidate)
-		if last.Outcome == fault.Ran {
+		if last.Outcome != fault.NotRun {
 			return last
 		}
-		mayHaveRun = mayHaveRun || last.Outcome == fault.Unknown
-		if mayHaveRun && !service.Idempotent {
-			return last
-		}
-	}
-	if mayHaveRun {
-		return work.Refuse(request.ID, last.Failure.WithOutcome(fault.Unknown))
 	}
 	return last
 }
@@ -205,13 +236,7 @@
 // again reports whether another worker is tried after a failed attempt, and
 // waits as long as the retry decision asks.
 func (e *Engine) again(ctx context.Context, request work.Request, tried int, last work.Answer) bool {
-	if ctx.Err() != nil {
-		return false
-	}
-	if e.Retry == nil {
-		return last.Outcome == fault.NotRun
-	}
-	wait, allowed := e.Retry.Allow(request, tried, last.Failure, e.Clock.Now())
+	wait, allowed := e.retryAfter(ctx, request, tried, last)
 	if !allowed {
 		return false
 	}
@@ -221,6 +246,20 @@
 	return ctx.Err() == nil
 }
 
+// retryAfter returns how long to wait before another worker is tried after a
+// failed attempt, and false if none is.
+func (e *Engine) retryAfter(ctx context.Context, request work.Request, tried int, last work.Answer) (wait time.Duration, allowed bool) {
+	if ctx.Err() != nil {
+		return 0, false
+	}
+	if e.Retry == nil {
+		return 0, last.Outcome == fault.NotRun
+	}
+	now := e.Clock.Now()
+	request.Remaining = left(ctx, request, now)
+	return e.Retry.Allow(request, tried, last.Failure, now)
+}
+
 // noCandidate explains an empty plan.
 func noCandidate(plan placement.Plan) error {
 	switch {
