instance: take workers that fail everything out of service

Cause: Owned.Health was never set, so a worker that failed every start kept getting work.

Change: the runner of an incarnation reports how tasks ended to one health state, published by read-copy-update. A worker that is out is refused as not run before the start, but for one probe at a time; the view carries its health. A success that adds nothing is not folded.

--- a/internal/instance/incarnation.go
+++ b/internal/instance/incarnation.go
@@ -39,6 +39,7 @@
 	c := &incarnation{self: self, process: process, fence: bound}
 	options := &process.options
 	accounts := ledger.New()
+	judged := newHealthAgent(options.Clock)
 	c.owner = newOwnerAgent(ownerOptions{
 		Self:      self,
 		Clock:     options.Clock,
@@ -49,6 +50,7 @@
 		Ready:     process.members.Ready,
 		Dial:      options.Dial,
 		Random:    options.Random,
+		Health:    judged,
 		Log:       options.Logger,
 	})
 	c.runner = &start.Runner{
@@ -58,6 +60,7 @@
 		Sessions: c.owner,
 		RunLease: worker.RunLeasePeriod,
 		Random:   options.Random,
+		Health:   judged,
 	}
 	c.node = c.newNode()
 	c.view = newViewAgent(viewOptions{
--- a/internal/instance/owner.go
+++ b/internal/instance/owner.go
@@ -36,6 +36,7 @@
 	Ready  func() membership.Readiness
 	Dial   func(w workers.Listed) worker.API
 	Random func() float64
+	Health *healthAgent
 	Log    *logging.Logger
 }
 
@@ -286,6 +287,7 @@
 			Free:    account.Free(),
 			Ready:   session.Ready(),
 			Leaving: session.Leaving(),
+			Health:  a.options.Health.worker(session.Worker()),
 		}
 		if measured := session.Measured(); measured != nil {
 			for _, usage := range measured.Tasks {
--- a/internal/instance/policy_test.go
+++ b/internal/instance/policy_test.go
@@ -36,3 +36,45 @@
 		assert.Assert(t, slow > 0, "no request met a lost start")
 	})
 }
+
+// Guards against a worker that fails everything and keeps getting work, and
+// against one that stays out of service after it has recovered.
+func TestWorkerThatFailsEverythingIsTakenOutAndComesBack(t *testing.T) {
+	runSystem(t, 3, func(t *testing.T, s *system) {
+		bad := s.workers["worker-0"]
+		bad.Change(func(settings *workerstub.Settings) { settings.FailAll = true })
+		s.check(t, "before", 60)
+		time.Sleep(time.Second)
+		before := len(bad.History())
+		assert.Assert(t, before > 0, "the failing worker got no request")
+		failed := s.check(t, "out", 40)
+		assert.Equal(t, failed, 0)
+		assert.Equal(t, len(bad.History()), before)
+		bad.Change(func(settings *workerstub.Settings) { settings.FailAll = false })
+		for i := range 44 {
+			_, err := s.nodes[i%3].Front().Submit(t.Context(), work.Job{
+				ID: ident.JobID(s.newID()), Caller: "ranger", Service: "quota-rebuild", Body: fmt.Appendf(nil, "rebuild-%d", i)})
+			assert.NilError(t, err)
+		}
+		time.Sleep(2 * time.Minute)
+		before = len(bad.History())
+		s.check(t, "back", 60)
+		assert.Assert(t, len(bad.History()) > before, "the worker did not come back")
+	})
+}
+
+// check sends urgent requests over 4 s and returns how many a worker failed.
+func (s *system) check(t *testing.T, name string, count int) int {
+	t.Helper()
+	failed := 0
+	for i := range count {
+		time.Sleep(4 * time.Second / time.Duration(count))
+		body := fmt.Sprintf("%s-%d", name, i)
+		got := s.call(i%3, work.Request{ID: ident.RequestID(body), Service: "permit-check", Body: []byte(body)})
+		assert.Equal(t, got.Outcome, fault.Ran, "request %s: %v", body, got.Failure)
+		if got.Failure != nil {
+			failed++
+		}
+	}
+	return failed
+}
--- a/internal/request/start/start.go
+++ b/internal/request/start/start.go
@@ -65,10 +65,23 @@
 	// Random spreads questions to workers; it returns values in [0, 1) and is
 	// safe for use by many threads. Nil stands for the process's source.
 	Random func() float64
+	// Health may be nil: then every worker is started on.
+	Health Health
 
 	recent recent
 }
 
+// Health learns how starts end and decides whether a worker may get one. It is
+// safe for use by many threads and does not block.
+type Health interface {
+	// Admit returns a failure of outcome NotRun for a worker that is out of
+	// service. It admits one start at a time to a worker that is probed.
+	Admit(id ident.WorkerID) error
+	// Ended takes the result of a task, for which only the worker or the task
+	// itself can be the cause.
+	Ended(task Task, success bool)
+}
+
 // Task is what is to be started.
 type Task struct {
 	ID         ident.TaskID
@@ -226,6 +239,12 @@
 	if !account.Reserve(task.Demand) {
 		return nil, fault.New(fault.NoCapacity, "worker %s", task.Worker)
 	}
+	if r.Health != nil {
+		if err := r.Health.Admit(task.Worker); err != nil {
+			account.Release(task.Demand)
+			return nil, err
+		}
+	}
 	return &attempt{task: task, session: session, account: account, entry: first, held: task.Demand}, nil
 }
 
@@ -269,6 +288,9 @@
 // refused ends an attempt that provably did not run.
 func (r *Runner) refused(a *attempt, err error) error {
 	a.release()
+	if r.Health != nil && fault.KindOf(err) == fault.WorkerRefused {
+		r.Health.Ended(a.task, false)
+	}
 	r.recent.forget(a.task.ID, a.entry, err)
 	return err
 }
@@ -285,6 +307,7 @@
 // answer, and its effect is not known.
 func (r *Runner) over(a *attempt, report worker.TaskReport) error {
 	a.release()
+	r.judge(a.task, report)
 	var err error
 	if report.State == work.TaskStopped {
 		err = fault.New(fault.DeadlineExceeded, "call %s was stopped at worker %s", a.task.ID, a.task.Worker)
@@ -293,12 +316,22 @@
 	return err
 }
 
+// judge tells Health of a task that ended by itself. A stop says nothing about
+// the worker.
+func (r *Runner) judge(task Task, report worker.TaskReport) {
+	if r.Health == nil || report.State != work.TaskSucceeded && report.State != work.TaskErrored {
+		return
+	}
+	r.Health.Ended(task, report.State == work.TaskSucceeded)
+}
+
 // begun hands a task that runs, or ran, to its session.
 func (r *Runner) begun(a *attempt, report worker.TaskReport) *Handle {
 	handle := &Handle{done: make(chan struct{}), attempt: a}
 	a.entry.begin(handle)
 	end := func(report worker.TaskReport) {
 		a.release()
+		r.judge(a.task, report)
 		handle.report = report
 		close(handle.done)
 		var err error
--- a/internal/version/health/health.go
+++ b/internal/version/health/health.go
@@ -37,6 +37,9 @@
 	maxProbe = 5 * time.Minute
 	// probeTimeout ends the wait for the result of a probe.
 	probeTimeout = 1 * time.Minute
+	// proofRefresh is the age up to which a proof is not renewed. It is far
+	// shorter than memory, and keeps most successes from making a new version.
+	proofRefresh = 1 * time.Minute
 	// memory is how long a failure counts.
 	memory = 30 * time.Minute
 )
@@ -93,6 +96,18 @@
 	return next
 }
 
+// Knows reports whether a result is a success that changes nothing but the time
+// of a proof that is still fresh, so that it need not be folded.
+func (s *State) Knows(result Result) bool {
+	if s == nil || !result.Success {
+		return false
+	}
+	worker := s.workers[result.Worker]
+	_, blamed := s.subjects[result.Subject]
+	fresh := !worker.Proven.IsZero() && result.At.Sub(worker.Proven) < proofRefresh
+	return fresh && !blamed && !worker.Out && len(worker.Failed) == 0
+}
+
 func (s *State) clone() *State {
 	next := &State{workers: map[ident.WorkerID]WorkerHealth{}, subjects: map[Subject]SubjectHealth{}}
 	if s != nil {
