instance: learn sizes and interference from usage reports

Cause: usage reports were only summed up as processor use; Owned.Disturbance was never set, so placement could not avoid disturbed workers.

Change: the owner folds each new measurement of its sessions into versions of the sizes and interference tables, and sets Owned.Disturbance from the tasks that run. Slowdowns are folded only if the measurement before shows the same tasks: otherwise they may judge an earlier set. Sizes are learnt, but not yet used for starts.

--- a/internal/instance/incarnation.go
+++ b/internal/instance/incarnation.go
@@ -16,6 +16,7 @@
 	"poplarvalve/internal/request/answer"
 	"poplarvalve/internal/request/serve"
 	"poplarvalve/internal/request/start"
+	"poplarvalve/internal/version/workers"
 )
 
 // incarnation is what one incarnation of the process owns. It is built when the
@@ -51,6 +52,7 @@
 		Dial:      options.Dial,
 		Random:    options.Random,
 		Health:    judged,
+		Usage:     newUsageAgent(options.Clock, process.config.Rules()),
 		Log:       options.Logger,
 	})
 	c.runner = &start.Runner{
@@ -71,7 +73,7 @@
 		Rules:   process.config.Rules(),
 		Members: process.members.Members(),
 		View:    process.workers,
-		Owned:   c.owner.owned,
+		Owned:   c.ownedNow,
 		Peers:   c.node,
 	})
 	c.home = c.newHome()
@@ -79,6 +81,13 @@
 	return c
 }
 
+// ownedNow returns the owned workers as of the newest usage reports. Only the
+// goroutine that builds the views calls it.
+func (c *incarnation) ownedNow() []workers.Owned {
+	c.owner.learn()
+	return c.owner.owned()
+}
+
 func (c *incarnation) newNode() *peer.Node {
 	options := &c.process.options
 	return peer.NewNode(peer.Config{
--- a/internal/instance/owner.go
+++ b/internal/instance/owner.go
@@ -37,6 +37,7 @@
 	Dial   func(w workers.Listed) worker.API
 	Random func() float64
 	Health *healthAgent
+	Usage  *usageAgent
 	Log    *logging.Logger
 }
 
@@ -274,6 +275,19 @@
 	}
 }
 
+// learn folds the usage reports that arrived since the last call. It is called
+// by one goroutine.
+func (a *ownerAgent) learn() {
+	owned := map[ident.WorkerID]bool{}
+	for _, session := range a.table.List() {
+		owned[session.Worker()] = true
+		if measured := session.Measured(); measured != nil {
+			a.options.Usage.measured(session.Worker(), measured)
+		}
+	}
+	a.options.Usage.refresh(owned)
+}
+
 // owned returns what is known of the owned workers for the view.
 func (a *ownerAgent) owned() []workers.Owned {
 	var list []workers.Owned
@@ -293,6 +307,7 @@
 			for _, usage := range measured.Tasks {
 				known.CPUUsed += usage.Used.CPU
 			}
+			known.Disturbance = a.options.Usage.disturbance(measured)
 		}
 		list = append(list, known)
 	}
--- a/internal/instance/policy_test.go
+++ b/internal/instance/policy_test.go
@@ -1,6 +1,7 @@
 package instance_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"poplarvalve/internal/process/fault"
 	"poplarvalve/internal/process/ident"
 	"poplarvalve/internal/process/work"
+	"poplarvalve/internal/version/workers"
 	"poplarvalve/test/workerstub"
 )
 
@@ -78,3 +80,36 @@
 	}
 	return failed
 }
+
+// Guards against usage reports that never reach the views: a worker whose tasks
+// may slow down urgent work must show it, so that urgent work avoids it.
+func TestTasksOfAWorkerShowAsDisturbance(t *testing.T) {
+	runSystem(t, 2, func(t *testing.T, s *system) {
+		assert.Equal(t, s.disturbed(), 0)
+		_, err := s.nodes[0].Front().Submit(t.Context(), work.Job{
+			ID: ident.JobID(s.newID()), Caller: "ranger", Service: "quota-rebuild", Body: []byte("rebuild")})
+		assert.NilError(t, err)
+		time.Sleep(15 * time.Second)
+		assert.Equal(t, s.disturbed(), 1)
+		time.Sleep(time.Minute)
+		assert.Equal(t, s.disturbed(), 0)
+	})
+}
+
+// disturbed returns the number of workers that their owners show as disturbed.
+func (s *system) disturbed() int {
+	s.t.Helper()
+	count := 0
+	for _, node := range s.nodes {
+		body, err := node.JSON()
+		assert.NilError(s.t, err)
+		var dump struct{ Owned []workers.Owned }
+		assert.NilError(s.t, json.Unmarshal(body, &dump))
+		for _, owned := range dump.Owned {
+			if owned.Disturbance > 0 {
+				count++
+			}
+		}
+	}
+	return count
+}
