--- a/internal/instance/incarnation.go
+++ b/internal/instance/incarnation.go
@@ -16,6 +16,7 @@
 	"poplarvalve/internal/request/answer"
 	"poplarvalve/internal/request/serve"
 	"poplarvalve/internal/request/start"
+	"poplarvalve/internal/version/workers"
 )
 
 // incarnation is what one incarnation of the process owns. It is built when the
@@ -39,6 +40,7 @@
 	c := &incarnation{self: self, process: process, fence: bound}
 	options := &process.options
 	accounts := ledger.New()
+	judged := newHealthAgent(options.Clock)
 	c.owner = newOwnerAgent(ownerOptions{
 		Self:      self,
 		Clock:     options.Clock,
@@ -49,6 +51,8 @@
 		Ready:     process.members.Ready,
 		Dial:      options.Dial,
 		Random:    options.Random,
+		Health:    judged,
+		Usage:     newUsageAgent(options.Clock, process.config.Rules()),
 		Log:       options.Logger,
 	})
 	c.runner = &start.Runner{
@@ -58,6 +62,7 @@
 		Sessions: c.owner,
 		RunLease: worker.RunLeasePeriod,
 		Random:   options.Random,
+		Health:   judged,
 	}
 	c.node = c.newNode()
 	c.view = newViewAgent(viewOptions{
@@ -68,7 +73,7 @@
 		Rules:   process.config.Rules(),
 		Members: process.members.Members(),
 		View:    process.workers,
-		Owned:   c.owner.owned,
+		Owned:   c.ownedNow,
 		Peers:   c.node,
 	})
 	c.home = c.newHome()
@@ -76,6 +81,13 @@
 	return c
 }
 
+// ownedNow returns the owned workers as of the newest usage reports. Only the
+// goroutine that builds the views calls it.
+func (c *incarnation) ownedNow() []workers.Owned {
+	c.owner.learn()
+	return c.owner.owned()
+}
+
 func (c *incarnation) newNode() *peer.Node {
 	options := &c.process.options
 	return peer.NewNode(peer.Config{
@@ -107,6 +119,10 @@
 		Members:   process.members.Members(),
 		Tokens:    token.NewIssuer(c.self, now),
 		Results:   token.NewTable(now),
+		Admission: process.limits.gate,
+		Retry:     process.limits.retry,
+		Hedging:   process.limits.hedge,
+		Times:     process.limits.times,
 		Outcomes:  c.home,
 		Intents:   c.home,
 		Feeds:     feeds{process},
--- a/internal/instance/owner.go
+++ b/internal/instance/owner.go
@@ -36,6 +36,8 @@
 	Ready  func() membership.Readiness
 	Dial   func(w workers.Listed) worker.API
 	Random func() float64
+	Health *healthAgent
+	Usage  *usageAgent
 	Log    *logging.Logger
 }
 
@@ -273,6 +275,19 @@
 	}
 }
 
+// learn folds the usage reports that arrived since the last call. It is called
+// by one goroutine.
+func (a *ownerAgent) learn() {
+	owned := map[ident.WorkerID]bool{}
+	for _, session := range a.table.List() {
+		owned[session.Worker()] = true
+		if measured := session.Measured(); measured != nil {
+			a.options.Usage.measured(session.Worker(), measured)
+		}
+	}
+	a.options.Usage.refresh(owned)
+}
+
 // owned returns what is known of the owned workers for the view.
 func (a *ownerAgent) owned() []workers.Owned {
 	var list []workers.Owned
@@ -286,11 +301,13 @@
 			Free:    account.Free(),
 			Ready:   session.Ready(),
 			Leaving: session.Leaving(),
+			Health:  a.options.Health.worker(session.Worker()),
 		}
 		if measured := session.Measured(); measured != nil {
 			for _, usage := range measured.Tasks {
 				known.CPUUsed += usage.Used.CPU
 			}
+			known.Disturbance = a.options.Usage.disturbance(measured)
 		}
 		list = append(list, known)
 	}
