start: keep a proof from the instant of the question it precedes

In virtual time the proof of one question and the next question fell on the same instant, so the old proof counted for the new question. On a real clock two readings in a row differ.

Change: the test lets a millisecond pass between the two; no check changed.

--- a/internal/request/start/status_test.go
+++ b/internal/request/start/status_test.go
@@ -121,6 +121,8 @@
 		stub.Change(func(s *workerstub.Settings) { s.Unreachable = false })
 		time.Sleep(10 * time.Second)
 		asks(t, ctx, o, "never/1", start.StandingNeverStarted, "")
+		// The proof above must lie before the next question, not at its instant.
+		time.Sleep(time.Millisecond)
 		stub.Lose(workerstub.Loss{Command: "RenewLease", Count: 20, BeforeEffect: true})
 		short, stop := context.WithTimeout(ctx, 5*time.Second)
 		defer stop()
