serve: try other zones when no worker of the own zone can be reached

Cause: after the kill of an instance, its workers answer peer_unreachable or owner_not_ready until another member has taken them over, 5 s or more. Requests of that zone were refused as not run, although other zones had room.

--- a/internal/request/serve/serve.go
+++ b/internal/request/serve/serve.go
@@ -196,12 +196,43 @@
 	if len(candidates) == 0 {
 		return work.Refuse(request.ID, noCandidate(plan))
 	}
+	answer := e.tryAll(ctx, s, request, service, candidates)
+	if plan.Count == 0 || e.Elsewhere == nil || !unserved(answer) {
+		return answer
+	}
+	further := e.Elsewhere.Candidates(ctx, service.Demand)
+	if len(further) == 0 {
+		return answer
+	}
+	request.ID += elsewhereSuffix
+	return e.tryAll(ctx, s, request, service, further)
+}
+
+// elsewhereSuffix keeps the attempts in other zones apart from those before.
+const elsewhereSuffix = "/elsewhere"
+
+// tryAll tries the candidates until one has run the request.
+func (e *Engine) tryAll(ctx context.Context, s snapshot, request work.Request, service rules.Service, candidates []placement.Candidate) work.Answer {
 	if service.Idempotent {
 		return e.race(ctx, s, request, service, candidates)
 	}
 	return e.inTurn(ctx, s, request, service, candidates)
 }
 
+// unserved reports whether an answer says that no worker of the zone could take
+// the request, for example because the instance that owned them has died.
+func unserved(answer work.Answer) bool {
+	if answer.Outcome != fault.NotRun || answer.Failure == nil {
+		return false
+	}
+	switch answer.Failure.Kind {
+	case fault.PeerUnreachable, fault.NotOwner, fault.OwnerNotReady, fault.NoCapacity, fault.WorkerUnreachable:
+		return true
+	default:
+		return false
+	}
+}
+
 // spreadOf hashes an identifier, so that instances with the same view don't send
 // all requests to the same worker.
 func spreadOf(id ident.RequestID) uint64 {
