instance: count appends, skipped records and bytes between regions

Cause: these metrics were registered and named on the operators' page as alarms, but stayed at zero.

Change: the loop that sets the gauges each second also adds what the appenders, followers and links of the instance have counted. The methods of metrics take numbers in place of one call for each event.

Result: tests of metrics, the tool's pages and whole instances pass.

--- a/cmd/poplarvalve/docs_test.go
+++ b/cmd/poplarvalve/docs_test.go
@@ -76,9 +76,9 @@
 	m.Started(work.Urgent, 1)
 	m.Refused(fault.Overloaded)
 	m.Evicted(metrics.EvictStop, work.Batch)
-	m.Appended("config", nil)
+	m.Appended("config", 1, 0)
 	m.Crossed("attiki", metrics.Sent, 1)
-	m.Skipped("config")
+	m.Skipped("config", 1)
 	m.Lag("config", 1)
 	return m
 }
--- a/internal/instance/reporting.go
+++ b/internal/instance/reporting.go
@@ -35,6 +35,7 @@
 	ticker := i.options.Clock.NewTicker(measurePeriod)
 	defer ticker.Stop()
 	held, reachable := false, false
+	counts := newCounts(i)
 	for {
 		select {
 		case <-ctx.Done():
@@ -42,6 +43,7 @@
 		case <-ticker.C:
 		}
 		now := i.options.Clock.Now()
+		counts.update()
 		i.options.Metrics.Lease(i.fence.Open(now))
 		i.options.Metrics.Lag(ident.MembersStream, i.members.Follower().Progress().Behind)
 		i.options.Metrics.Lag(ident.ConfigStream, i.config.Follower().Progress().Behind)
--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -144,23 +144,21 @@
 	m.retries.Inc()
 }
 
-// Appended counts one append, which failed if err is not nil.
-func (m *Metrics) Appended(stream ident.StreamName, err error) {
-	result := "ok"
-	if err != nil {
-		result = "failed"
-	}
-	m.appends.WithLabelValues(string(stream), result).Inc()
+// Appended counts appends to a stream: those that succeeded and those that
+// failed.
+func (m *Metrics) Appended(stream ident.StreamName, succeeded, failed uint64) {
+	m.appends.WithLabelValues(string(stream), "ok").Add(float64(succeeded))
+	m.appends.WithLabelValues(string(stream), "failed").Add(float64(failed))
 }
 
 // Crossed counts bytes on the link to another region.
-func (m *Metrics) Crossed(region ident.RegionName, direction Direction, bytes int) {
+func (m *Metrics) Crossed(region ident.RegionName, direction Direction, bytes uint64) {
 	m.between.WithLabelValues(string(region), string(direction)).Add(float64(bytes))
 }
 
-// Skipped counts one record that was not understood.
-func (m *Metrics) Skipped(stream ident.StreamName) {
-	m.skipped.WithLabelValues(string(stream)).Inc()
+// Skipped counts records that were not understood.
+func (m *Metrics) Skipped(stream ident.StreamName, records uint64) {
+	m.skipped.WithLabelValues(string(stream)).Add(float64(records))
 }
 
 // Lag sets how many records of a stream are not yet read.
--- a/internal/process/metrics/metrics_test.go
+++ b/internal/process/metrics/metrics_test.go
@@ -1,7 +1,6 @@
 package metrics
 
 import (
-	"errors"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -22,9 +21,9 @@
 	m.Refused(fault.Overloaded)
 	m.Evicted(EvictStop, work.Batch)
 	m.Retried()
-	m.Appended("config", errors.New("lost"))
+	m.Appended("config", 0, 1)
 	m.Crossed("attiki", Sent, 40)
-	m.Skipped("config")
+	m.Skipped("config", 1)
 	m.Lag("config", 3)
 	m.RulesVersion(9)
 	m.Lease(true)
