instance: show the totals of other zones in the dump

Cause: a read-through found that the totals were kept and never read, and that an unused field named the incarnation of the search in other zones.

--- a/internal/instance/elsewhere.go
+++ b/internal/instance/elsewhere.go
@@ -31,7 +31,6 @@
 // elsewhere finds workers of other zones for requests that find none in their
 // own. Members of the own region are asked before those of other regions.
 type elsewhere struct {
-	self    ident.Incarnation
 	place   workers.Place
 	members *publish.Cell[membership.State]
 	view    *publish.Cell[workers.View]
--- a/internal/instance/incarnation.go
+++ b/internal/instance/incarnation.go
@@ -127,7 +127,6 @@
 		Intents:   c.home,
 		Feeds:     feeds{process},
 		Elsewhere: &elsewhere{
-			self:    c.self,
 			place:   options.Place,
 			members: process.members.Members(),
 			view:    process.workers,
--- a/internal/instance/reporting.go
+++ b/internal/instance/reporting.go
@@ -142,6 +142,7 @@
 		},
 		"backends": func() any { return i.viewState() },
 		"owned":    func() any { return i.ownedState() },
+		"zones":    func() any { return i.zoneState() },
 		"jobs":     func() any { return i.jobState() },
 	}
 	for name, state := range states {
@@ -164,6 +165,13 @@
 	return nil
 }
 
+func (i *Instance) zoneState() any {
+	if current := i.current.Load(); current != nil {
+		return current.view.zoneTotals()
+	}
+	return nil
+}
+
 func (i *Instance) jobState() any {
 	if current := i.current.Load(); current != nil {
 		return current.home.State()
--- a/internal/instance/viewing.go
+++ b/internal/instance/viewing.go
@@ -149,10 +149,17 @@
 	}
 }
 
-// zoneTotal takes what a peer of another zone has free. The totals are shown
-// to operators; requests ask for a worker by an Offer.
+// zoneTotal takes what a peer of another zone has free. Operators see it in the
+// dump; requests ask for a worker by an Offer.
 func (a *viewAgent) zoneTotal(total codec.ZoneTotal) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.totals[total.Zone] = total
 }
+
+// zoneTotals returns the newest total of each other zone.
+func (a *viewAgent) zoneTotals() map[ident.ZoneName]codec.ZoneTotal {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return maps.Clone(a.totals)
+}
