serve, worker: keep one rule for unproven refusals and one clock margin

Cause: a read of the whole change found the rule "a refusal before a key or token was looked up is unknown" written three times, the clock margin defined twice, and a type of the log's records that nothing uses.

Change: the front and the peer handlers call serve.Unproven; sessions take the margin of package membership; record.Usage is gone.

--- a/internal/connection/worker/session.go
+++ b/internal/connection/worker/session.go
@@ -12,6 +12,7 @@
 	"poplarvalve/internal/process/fence"
 	"poplarvalve/internal/process/ident"
 	"poplarvalve/internal/process/ledger"
+	"poplarvalve/internal/version/membership"
 )
 
 const (
@@ -30,7 +31,7 @@
 	commandTimeout = 1 * time.Second
 	// ClockMargin covers the difference in clock rate between two machines over
 	// one lease.
-	ClockMargin = 500 * time.Millisecond
+	ClockMargin = membership.ClockMargin
 )
 
 // Session gets start leases at one owned worker and renews the run leases of
--- a/internal/instance/front.go
+++ b/internal/instance/front.go
@@ -7,6 +7,7 @@
 	"poplarvalve/internal/process/fault"
 	"poplarvalve/internal/process/ident"
 	"poplarvalve/internal/process/work"
+	"poplarvalve/internal/request/serve"
 )
 
 // front serves callers by the current incarnation and counts their requests, so
@@ -15,16 +16,6 @@
 	process *Instance
 }
 
-// drainingFailure returns the refusal of a draining instance. A key or token
-// was not looked up, so an earlier request with it may have run.
-func drainingFailure(request work.Request, self ident.Incarnation) *fault.Failure {
-	failure := fault.New(fault.Draining, "instance %s", self.Instance)
-	if request.Worker == "" && (request.Key != "" || request.Token != "") {
-		return failure.WithOutcome(fault.Unknown)
-	}
-	return failure
-}
-
 // begin returns the current incarnation, which is counted as used until done.
 func (f front) begin() (current *incarnation, done func(), err error) {
 	done, ok := f.process.gate.Begin()
@@ -43,11 +34,7 @@
 func (f front) Serve(ctx context.Context, request work.Request) work.Answer {
 	current, done, err := f.begin()
 	if err != nil {
-		failure := fault.From(err)
-		if request.Key != "" || request.Token != "" {
-			failure = failure.WithOutcome(fault.Unknown)
-		}
-		return work.Refuse(request.ID, failure)
+		return work.Refuse(request.ID, serve.Unproven(request, err))
 	}
 	defer done()
 	return f.process.measured(request, func() work.Answer { return current.engine.Serve(ctx, request) })
--- a/internal/instance/handlers.go
+++ b/internal/instance/handlers.go
@@ -9,6 +9,7 @@
 	"poplarvalve/internal/process/ident"
 	"poplarvalve/internal/process/work"
 	"poplarvalve/internal/request/placement"
+	"poplarvalve/internal/request/serve"
 	"poplarvalve/internal/version/membership"
 )
 
@@ -88,7 +89,8 @@
 func (h handlers) Forwarded(ctx context.Context, from ident.Incarnation, number uint64, request work.Request) work.Answer {
 	done, ok := h.process.gate.Begin()
 	if !ok {
-		return work.Refuse(request.ID, drainingFailure(request, h.self))
+		draining := fault.New(fault.Draining, "instance %s", h.self.Instance)
+		return work.Refuse(request.ID, serve.Unproven(request, draining))
 	}
 	defer done()
 	return h.engine.Forwarded(ctx, from, number, request)
--- a/internal/process/record/record.go
+++ b/internal/process/record/record.go
@@ -5,7 +5,6 @@
 import (
 	"poplarvalve/internal/process/fault"
 	"poplarvalve/internal/process/ident"
-	"poplarvalve/internal/process/resource"
 	"poplarvalve/internal/process/work"
 )
 
@@ -178,13 +177,6 @@
 	State []byte       `cbor:"2,keyasint"`
 }
 
-// Usage is one lagging measurement of a task. It travels between processes
-// and is never written to the log.
-type Usage struct {
-	Task ident.TaskID    `cbor:"1,keyasint" json:"task"`
-	Used resource.Vector `cbor:"2,keyasint" json:"used"`
-}
-
 func (Join) RecordKind() Kind      { return KindJoin }
 func (Heartbeat) RecordKind() Kind { return KindHeartbeat }
 func (Leave) RecordKind() Kind     { return KindLeave }
--- a/internal/request/serve/forward.go
+++ b/internal/request/serve/forward.go
@@ -28,7 +28,7 @@
 // deadline.
 func (e *Engine) forward(ctx context.Context, to membership.Member, request work.Request, tries int) work.Answer {
 	if request.Hops >= maxHops {
-		return work.Refuse(request.ID, unproven(request, fault.New(fault.NotOwner, "request %s after %d hops", request.ID, request.Hops)))
+		return work.Refuse(request.ID, Unproven(request, fault.New(fault.NotOwner, "request %s after %d hops", request.ID, request.Hops)))
 	}
 	request.Hops++
 	number := e.numbers.Add(1)
@@ -38,7 +38,7 @@
 	}
 	failure := fault.From(err)
 	if failure.Outcome == fault.NotRun {
-		return work.Refuse(request.ID, unproven(request, failure))
+		return work.Refuse(request.ID, Unproven(request, failure))
 	}
 	return e.settle(ctx, to, number, request, failure, tries)
 }
@@ -50,7 +50,7 @@
 	for try := 1; ctx.Err() == nil; try++ {
 		answer, err := e.Peers.Resolve(ctx, to, number, request.ID)
 		if err == nil && answer.Failure != nil && answer.Failure.Kind == fault.Resolved {
-			return work.Refuse(request.ID, unproven(request, answer.Failure))
+			return work.Refuse(request.ID, Unproven(request, answer.Failure))
 		}
 		if err == nil {
 			return complete(answer)
--- a/internal/request/serve/once.go
+++ b/internal/request/serve/once.go
@@ -14,10 +14,10 @@
 // DefaultShards is the number of shards of keys and jobs.
 const DefaultShards = 16
 
-// unproven returns the refusal of a request whose key or token was not looked
+// Unproven returns the refusal of a request whose key or token was not looked
 // up. An earlier request with the same key may have run, so NotRun would not be
 // proven.
-func unproven(request work.Request, err error) *fault.Failure {
+func Unproven(request work.Request, err error) *fault.Failure {
 	failure := fault.From(err)
 	forKey := request.Worker == "" && (request.Key != "" || request.Token != "")
 	if forKey && failure.Outcome == fault.NotRun {
@@ -36,7 +36,7 @@
 		return e.runToken(ctx, s, parsed, request, service)
 	}
 	if s.members == nil {
-		return work.Refuse(request.ID, unproven(request, fault.New(fault.NoConfiguration, "no members are known yet")))
+		return work.Refuse(request.ID, Unproven(request, fault.New(fault.NoConfiguration, "no members are known yet")))
 	}
 	issuer, found := s.members.Find(parsed.Issuer)
 	if !found {
@@ -82,7 +82,7 @@
 	shard := ownership.ShardOf(string(request.Caller)+"\x00"+request.Key, e.shards())
 	home, found := s.ownership.Home(shard)
 	if !found {
-		return work.Refuse(request.ID, unproven(request, fault.New(fault.NotOwner, "shard %d has no home", shard)))
+		return work.Refuse(request.ID, Unproven(request, fault.New(fault.NotOwner, "shard %d has no home", shard)))
 	}
 	if home.ID != e.Self {
 		return e.forward(ctx, home, request, 0)
--- a/internal/request/serve/owner.go
+++ b/internal/request/serve/owner.go
@@ -14,7 +14,7 @@
 func (e *Engine) Forwarded(ctx context.Context, from ident.Incarnation, number uint64, request work.Request) work.Answer {
 	entry, first, err := e.recent.begin(e.Clock.Now(), from, number)
 	if err != nil {
-		return work.Refuse(request.ID, unproven(request, err))
+		return work.Refuse(request.ID, Unproven(request, err))
 	}
 	if entry == nil {
 		return forgotten(request.ID)
@@ -55,15 +55,15 @@
 // issuer of its token or home of its key.
 func (e *Engine) receive(ctx context.Context, request work.Request) work.Answer {
 	if request.Remaining <= 0 {
-		return work.Refuse(request.ID, unproven(request, fault.New(fault.DeadlineTooShort, "no time left")))
+		return work.Refuse(request.ID, Unproven(request, fault.New(fault.DeadlineTooShort, "no time left")))
 	}
 	s, err := e.load()
 	if err != nil {
-		return work.Refuse(request.ID, unproven(request, err))
+		return work.Refuse(request.ID, Unproven(request, err))
 	}
 	service, found := s.rules.Services[request.Service]
 	if !found {
-		return work.Refuse(request.ID, unproven(request, fault.New(fault.UnknownService, "%q", request.Service)))
+		return work.Refuse(request.ID, Unproven(request, fault.New(fault.UnknownService, "%q", request.Service)))
 	}
 	ctx, cancel := context.WithTimeout(ctx, request.Remaining)
 	defer cancel()
--- a/internal/request/serve/serve.go
+++ b/internal/request/serve/serve.go
@@ -112,11 +112,11 @@
 func (e *Engine) serve(ctx context.Context, request work.Request) work.Answer {
 	s, err := e.load()
 	if err != nil {
-		return work.Refuse(request.ID, unproven(request, err))
+		return work.Refuse(request.ID, Unproven(request, err))
 	}
 	service, found := s.rules.Services[request.Service]
 	if !found {
-		return work.Refuse(request.ID, unproven(request, fault.New(fault.UnknownService, "%q", request.Service)))
+		return work.Refuse(request.ID, Unproven(request, fault.New(fault.UnknownService, "%q", request.Service)))
 	}
 	request.Remaining = e.deadline(request, service)
 	ctx, cancel := context.WithTimeout(ctx, request.Remaining)
@@ -132,7 +132,7 @@
 		return e.admitted(ctx, s, request, service)
 	case request.Token != "":
 		if e.Tokens == nil {
-			return work.Refuse(request.ID, unproven(request, fault.New(fault.NoConfiguration, "no tokens are issued here")))
+			return work.Refuse(request.ID, Unproven(request, fault.New(fault.NoConfiguration, "no tokens are issued here")))
 		}
 		return e.byToken(ctx, s, request, service)
 	case request.Key != "":
