--- a/cmd/poplarvalved/main.go
+++ b/cmd/poplarvalved/main.go
@@ -1,4 +1,5 @@
-// Command poplarvalved runs one entry instance.
+// Command poplarvalved runs one entry instance. With the first argument entry
+// it runs jobs of steps on the platform's workers.
 //
 // It ends on SIGTERM or SIGINT after it has finished the requests in flight, and
 // with exit code 1 if it can't start.
@@ -14,6 +15,9 @@
 
 const version = "0.1.0"
 
+// entryCommand selects the instance that runs jobs of steps.
+const entryCommand = "entry"
+
 func main() {
 	path := flag.String("settings", "", "settings file (INI)")
 	printVersion := flag.Bool("version", false, "print the version and end")
@@ -22,7 +26,11 @@
 		fmt.Println("poplarvalved", version)
 		return
 	}
-	if err := start(*path); err != nil {
+	run := start
+	if flag.Arg(0) == entryCommand {
+		run = runEntry
+	}
+	if err := run(*path); err != nil {
 		fmt.Fprintln(os.Stderr, "poplarvalved:", err)
 		os.Exit(1)
 	}
--- a/internal/connection/peer/websocket.go
+++ b/internal/connection/peer/websocket.go
@@ -33,11 +33,11 @@
 // Handler accepts links for a node.
 func Handler(node *Node) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{Subprotocols: []string{subprotocol}})
+		conn, err := Accept(w, r)
 		if err != nil {
 			return // Accept has written the refusal.
 		}
-		node.Accept(newSocket(conn))
+		node.Accept(conn)
 	})
 }
 
@@ -70,3 +70,13 @@
 	// The link is given up whatever the close handshake returns.
 	_ = s.conn.CloseNow()
 }
+
+// Accept upgrades a request to a link. On an error the refusal has been
+// written.
+func Accept(w http.ResponseWriter, r *http.Request) (Conn, error) {
+	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{Subprotocols: []string{subprotocol}})
+	if err != nil {
+		return nil, fault.Wrap(fault.Malformed, err, "accepting a peer link")
+	}
+	return newSocket(conn), nil
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,184 @@
+// Package entry assembles one entry instance that runs jobs of steps: it
+// follows the configuration, takes part in the election of each cell's leader,
+// and leads the cells it won. It only wires the four life spans together.
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"poplarvalve/internal/connection/cellcodec"
+	"poplarvalve/internal/connection/celllink"
+	"poplarvalve/internal/connection/workerlink"
+	"poplarvalve/internal/process/logging"
+	"poplarvalve/internal/process/metrics"
+	"poplarvalve/internal/process/publish"
+	"poplarvalve/internal/process/store"
+	"poplarvalve/internal/process/term"
+	"poplarvalve/internal/request/intake"
+	"poplarvalve/internal/version/cell"
+	"poplarvalve/internal/version/manifest"
+)
+
+// Decoder turns what others write into the platform's log into our types.
+type Decoder interface {
+	// Manifest decodes the operators' configuration. It returns nil for a
+	// record of another kind.
+	Manifest(record store.Record) (*manifest.Manifest, error)
+	Worker(record store.Record) (cell.WorkerInfo, error)
+}
+
+// Options holds the parts of an Entry. All fields are required.
+type Options struct {
+	Self   term.Holder
+	Zone   string
+	Region string
+	// Seeds are link addresses of other instances. They may be stale.
+	Seeds []string
+	Log   store.Log
+	// Configuration and Registry are the partitions that others write.
+	Configuration store.Partition
+	Registry      store.Partition
+	Decoder       Decoder
+	DialWorker    func(info cell.WorkerInfo) workerlink.API
+	Bounds        Bounds
+	Journal       *logging.Journal
+	Metrics       *metrics.Entry
+}
+
+// Bounds are the figures of the deployment.
+type Bounds struct {
+	// MaxLease is the longest lease that a worker grants.
+	MaxLease time.Duration
+	// StopTimeout is how long a worker takes to stop a run.
+	StopTimeout time.Duration
+	// KeepEnded is how long callers may ask for an ended job.
+	KeepEnded time.Duration
+	// RemoteFactor is how much longer a task takes off its data rack.
+	RemoteFactor float64
+	PaceDelay    time.Duration
+	// CheckpointInterval is the work between two checkpoints.
+	CheckpointInterval time.Duration
+}
+
+// Entry is one instance.
+type Entry struct {
+	options  Options
+	manifest *publish.Cell[manifest.Manifest]
+	// encoded is the manifest as it is passed on to peers.
+	encoded  *publish.Cell[encodedManifest]
+	leaders  *leaders
+	draining chan struct{}
+	stop     context.CancelFunc
+	running  sync.WaitGroup
+	drain    sync.Once
+}
+
+// New returns an instance that does nothing yet.
+func New(options Options) *Entry {
+	e := &Entry{
+		options:  options,
+		manifest: publish.New[manifest.Manifest](nil),
+		encoded:  publish.New[encodedManifest](nil),
+		draining: make(chan struct{}),
+	}
+	e.leaders = newLeaders(e)
+	return e
+}
+
+// Start begins to follow the log and to take part in elections.
+func (e *Entry) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	e.stop = cancel
+	e.spawn(func() { e.followConfiguration(ctx) })
+	e.spawn(func() { e.followCells(ctx) })
+}
+
+func (e *Entry) spawn(do func()) {
+	e.running.Add(1)
+	go func() {
+		defer e.running.Done()
+		do()
+	}()
+}
+
+// Drain hands the led cells over. The instance still passes requests on.
+func (e *Entry) Drain() {
+	e.drain.Do(func() { close(e.draining) })
+}
+
+// Stop ends everything that Start began.
+func (e *Entry) Stop() {
+	e.Drain()
+	e.stop()
+	e.running.Wait()
+	e.leaders.close()
+}
+
+// Ready says whether the instance can serve: it has a manifest, knows the
+// cells and is not draining.
+func (e *Entry) Ready() bool {
+	select {
+	case <-e.draining:
+		return false
+	default:
+	}
+	return e.manifest.Load() != nil && e.leaders.Cells() > 0
+}
+
+// Serve answers one request.
+func (e *Entry) Serve(ctx context.Context, request intake.Request) intake.Answer {
+	began := time.Now()
+	answer := intake.Serve(ctx, began, e.manifest.Load(), e.leaders, request)
+	took := time.Since(began)
+	e.options.Metrics.Answered(uint8(request.Operation), uint8(answer.Verdict), took)
+	if answer.Verdict != intake.OK || request.Operation != cellcodec.OpStatus {
+		e.options.Journal.Request(logging.RequestLine{
+			Operation: operationWord(request.Operation),
+			Job:       string(answer.Job),
+			Cell:      answer.Cell,
+			Verdict:   verdictWord(answer.Verdict),
+			Cause:     string(answer.Cause),
+			Manifest:  answer.Manifest,
+			Epoch:     e.leaders.epoch(answer.Cell),
+			Took:      took,
+		})
+	}
+	return answer
+}
+
+// LinkHandler accepts the links of other instances.
+func (e *Entry) LinkHandler() http.Handler { return celllink.Handler(e.leaders) }
+
+// Dump returns what the instance believes.
+func (e *Entry) Dump() any { return e.leaders.dump() }
+
+func operationWord(operation cellcodec.Operation) string {
+	switch operation {
+	case cellcodec.OpSubmit:
+		return "submit"
+	case cellcodec.OpStatus:
+		return "status"
+	case cellcodec.OpCancel:
+		return "cancel"
+	}
+	return "pending"
+}
+
+func verdictWord(verdict intake.Verdict) string {
+	switch verdict {
+	case intake.OK:
+		return "ok"
+	case intake.NoQueue:
+		return "no_queue"
+	case intake.Absent:
+		return "absent"
+	case intake.NotRun:
+		return "not_run"
+	case intake.Bad:
+		return "bad_request"
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/internal/entry/follow.go
@@ -0,0 +1,230 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"strconv"
+	"syscall"
+	"time"
+
+	"poplarvalve/internal/connection/celllink"
+	"poplarvalve/internal/process/store"
+	"poplarvalve/internal/process/term"
+)
+
+const (
+	// workersPerCell is the size of a cell: the work of one leader on the
+	// smallest instances, measured in docs/CAPACITY.md.
+	workersPerCell = 70
+	// maxCells is the number of partitions of a topic.
+	maxCells = 24
+	// layoutTopic holds the number of cells.
+	layoutTopic = "layout"
+	layoutKey   = "cells"
+	// registryWait is how long a first start waits for workers to register
+	// before it settles the number of cells.
+	registryWait = 2 * time.Second
+
+	// termLease is how long a term lasts without a renewal.
+	termLease = 1500 * time.Millisecond
+	// renewPeriod allows two renewals to fail.
+	renewPeriod = 500 * time.Millisecond
+	// startAuthority is how long after its last renewal a leader that can't
+	// reach the log goes on to start tasks.
+	startAuthority = 4 * time.Second
+	// callTimeout bounds one call to the log.
+	callTimeout = 800 * time.Millisecond
+	// electionPause is the pause between two looks at a term.
+	electionPause = 150 * time.Millisecond
+	// claimSpread spreads the claims of several instances; an instance near
+	// the log claims first, since claimTrips round trips are added.
+	claimSpread = 40 * time.Millisecond
+	claimTrips  = 3
+)
+
+func cellName(number int) string { return "cell-" + strconv.Itoa(number) }
+
+// followCells settles the number of cells and takes part in the election of
+// each.
+func (e *Entry) followCells(ctx context.Context) {
+	began := time.Now()
+	for e.leaders.Cells() == 0 && ctx.Err() == nil {
+		cells, err := e.readLayout(ctx, time.Since(began) > registryWait)
+		if err != nil {
+			e.options.Journal.Retry("number of cells", err)
+		}
+		if cells > 0 {
+			e.leaders.setCells(cells)
+			break
+		}
+		sleep(ctx, electionPause)
+	}
+	for number := range e.leaders.Cells() {
+		e.spawn(func() { e.followCell(ctx, number) })
+	}
+}
+
+// readLayout returns the number of cells. The first instance that finds none
+// derives it from the registered workers; it then holds for good.
+func (e *Entry) readLayout(ctx context.Context, settle bool) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	layout := store.Partition{Topic: layoutTopic}
+	records, end, err := e.options.Log.Newest(ctx, layout)
+	if err != nil {
+		return 0, err
+	}
+	for _, record := range records {
+		if record.Key == layoutKey {
+			return strconv.Atoi(string(record.Value))
+		}
+	}
+	workers, _, err := e.options.Log.Newest(ctx, e.options.Registry)
+	if err != nil || len(workers) == 0 && !settle {
+		return 0, err
+	}
+	cells := min(maxCells, max(1, (len(workers)+workersPerCell-1)/workersPerCell))
+	content := []store.Record{{Key: layoutKey, Value: []byte(strconv.Itoa(cells))}}
+	_, err = e.options.Log.Append(ctx, layout, content, store.Condition{End: &end})
+	if err != nil {
+		return 0, err // Another instance settled it, or will at the next try.
+	}
+	return cells, nil
+}
+
+// followCell keeps a link to the leader of a cell, and leads it when there is
+// none.
+func (e *Entry) followCell(ctx context.Context, number int) {
+	var seen observation
+	for ctx.Err() == nil {
+		leader, known := e.leaders.table.Load().byCell[number]
+		dead := false
+		if known && leader.Address != "" && leader.Nonce != e.options.Self.Nonce {
+			dead = e.keepLink(ctx, leader.Address, leader.Nonce, leader.Epoch, number)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		current, trip, err := e.readTerm(ctx, number)
+		if err != nil {
+			e.options.Journal.Retry("term of "+cellName(number), err)
+			sleep(ctx, electionPause)
+			continue
+		}
+		if current.Epoch > 0 && !current.Released && current.Epoch > e.leaders.epoch(number) {
+			e.leaders.learnTerm(current)
+			seen = observation{}
+			continue
+		}
+		if seen.vacant(current, dead, e.options.Self) {
+			e.contend(ctx, current, trip)
+			continue
+		}
+		sleep(ctx, electionPause)
+	}
+}
+
+func (e *Entry) readTerm(ctx context.Context, number int) (term.Term, time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	began := time.Now()
+	current, err := term.Read(ctx, e.options.Log, number)
+	return current, time.Since(began), err
+}
+
+// observation is when a record of a term was first seen.
+type observation struct {
+	end   int64
+	first time.Time
+}
+
+// vacant says whether a claim is due: the term was given up, its holder is an
+// earlier process at a live address, or it was not renewed in time.
+func (o *observation) vacant(current term.Term, dead bool, self term.Holder) bool {
+	if current.End != o.end || o.first.IsZero() {
+		o.end = current.End
+		o.first = time.Now()
+	}
+	if current.Epoch == 0 || current.Released || dead {
+		return true
+	}
+	if current.Holder.Address == self.Address {
+		return true // An earlier process of this instance.
+	}
+	return time.Since(o.first) > termLease
+}
+
+// keepLink keeps a link to a leader until it is lost or a later term is known.
+// It returns true if the leader's process is known to have ended.
+func (e *Entry) keepLink(ctx context.Context, address string, nonce uint64, epoch int64, number int) (dead bool) {
+	link, err := e.leaders.dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	for {
+		changed := e.leaders.Changed()
+		if e.leaders.epoch(number) != epoch {
+			return false
+		}
+		if other := link.Nonce(); other != 0 && other != nonce {
+			return true
+		}
+		select {
+		case <-link.Done():
+			return false
+		case <-changed:
+		case <-time.After(celllink.PulsePeriod):
+		case <-ctx.Done():
+			return false
+		}
+		if e.released(number, epoch) {
+			return false
+		}
+	}
+}
+
+// released says whether the leader has said that it gave its term up.
+func (e *Entry) released(number int, epoch int64) bool {
+	leader := e.leaders.table.Load().byCell[number]
+	return leader.Epoch == epoch && leader.Address == ""
+}
+
+// contend claims a cell and leads it until the term is lost.
+func (e *Entry) contend(ctx context.Context, seen term.Term, trip time.Duration) {
+	select {
+	case <-e.draining:
+		sleep(ctx, electionPause)
+		return
+	case <-time.After(claimTrips*trip + rand.N(claimSpread)):
+	case <-ctx.Done():
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	held, err := term.Claim(call, e.options.Log, seen, e.options.Self)
+	cancel()
+	if err != nil {
+		held, err = e.claimed(ctx, seen)
+	}
+	if err != nil {
+		e.options.Journal.Retry("claim of "+cellName(seen.Cell), err)
+		return
+	}
+	if held.Epoch == 0 {
+		return // Another instance won.
+	}
+	e.lead(ctx, held)
+}
+
+// claimed finds out whether a claim that failed or got no reply has won. The
+// zero term means that it hasn't.
+func (e *Entry) claimed(ctx context.Context, seen term.Term) (term.Term, error) {
+	current, _, err := e.readTerm(ctx, seen.Cell)
+	if err != nil {
+		return term.Term{}, err
+	}
+	if current.Holder != e.options.Self || current.Epoch <= seen.Epoch || current.Released {
+		return term.Term{}, nil
+	}
+	return current, nil
+}
--- /dev/null
+++ b/internal/entry/lead.go
@@ -0,0 +1,425 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"poplarvalve/internal/connection/cellcodec"
+	"poplarvalve/internal/connection/workerlink"
+	"poplarvalve/internal/process/logging"
+	"poplarvalve/internal/process/store"
+	"poplarvalve/internal/process/term"
+	"poplarvalve/internal/version/cell"
+)
+
+const (
+	// tickPeriod is how often a leader looks at what depends on time alone.
+	tickPeriod = 100 * time.Millisecond
+	// registryPeriod is the time between two reads of the registry. With the
+	// round trip it is well below the time within which a leaving worker must
+	// get no more work.
+	registryPeriod = 300 * time.Millisecond
+	// eventQueue bounds the events that wait for the cell's goroutine.
+	eventQueue = 4096
+	// recoveryMargin covers the way of the last order of an earlier leader.
+	recoveryMargin = 500 * time.Millisecond
+)
+
+// errTermOver ends a leadership whose term another instance has replaced.
+var errTermOver = errors.New("a later term has begun")
+
+// event is a change that the cell's goroutine applies.
+type event func(now time.Time, c *cell.Cell)
+
+// leadership is one term of one cell at this instance. One goroutine owns the
+// cell; all others send it events.
+type leadership struct {
+	entry  *Entry
+	term   term.Term
+	cell   *cell.Cell
+	writer *writer
+	events chan event
+	// over is closed when the term has ended here.
+	over chan struct{}
+	why  atomic.Pointer[error]
+	end  context.CancelFunc
+
+	// renewed is when the last renewal was sent that the log has taken, in
+	// nanoseconds since began.
+	renewed atomic.Int64
+	began   time.Time
+
+	sessions map[cell.WorkerID]*openSession
+
+	requests atomic.Uint64
+	waiting  sync.Map // request number to chan struct{}
+	running  sync.WaitGroup
+}
+
+// openSession is the session with one worker and the address it goes to.
+type openSession struct {
+	*workerlink.Session
+	address string
+}
+
+// lead leads a cell until the term is lost, given up or ctx ends.
+func (e *Entry) lead(parent context.Context, held term.Term) {
+	ctx, cancel := context.WithCancel(parent)
+	defer cancel()
+	l := &leadership{
+		entry:    e,
+		term:     held,
+		writer:   newWriter(e.options.Log, held.Cell, held.Epoch),
+		events:   make(chan event, eventQueue),
+		over:     make(chan struct{}),
+		end:      cancel,
+		began:    time.Now(),
+		sessions: map[cell.WorkerID]*openSession{},
+	}
+	l.spawn(func() { l.renew(ctx) })
+	if err := l.recover(ctx); err != nil {
+		e.options.Journal.Retry("recovery of "+cellName(held.Cell), err)
+		l.finish(cancel)
+		return
+	}
+	e.options.Journal.Leading(held.Cell, held.Epoch, true, nil)
+	e.leaders.learnTerm(held)
+	e.leaders.setLed(held.Cell, l)
+	l.spawn(func() { l.writer.run(ctx) })
+	l.spawn(func() { l.followRegistry(ctx) })
+	l.run(ctx)
+	e.leaders.setLed(held.Cell, nil)
+	l.finish(cancel)
+	e.options.Journal.Leading(held.Cell, held.Epoch, false, l.reason())
+}
+
+func (l *leadership) spawn(do func()) {
+	l.running.Add(1)
+	go func() {
+		defer l.running.Done()
+		do()
+	}()
+}
+
+// finish ends all goroutines of the term, and answers what waits.
+func (l *leadership) finish(cancel context.CancelFunc) {
+	cancel()
+	close(l.over)
+	for _, session := range l.sessions {
+		session.Close()
+	}
+	l.running.Wait()
+}
+
+func (l *leadership) lose(err error) {
+	l.why.CompareAndSwap(nil, &err)
+	l.end()
+}
+
+func (l *leadership) reason() error {
+	if why := l.why.Load(); why != nil {
+		return *why
+	}
+	return nil
+}
+
+// recover fences off earlier terms and reads what they stored.
+func (l *leadership) recover(ctx context.Context) error {
+	o := l.entry.options
+	l.writer.failed = func(err error) { o.Journal.Retry("append", err) }
+	if err := l.writer.fence(ctx); err != nil {
+		return err
+	}
+	call, cancel := context.WithTimeout(ctx, 4*callTimeout)
+	defer cancel()
+	records, _, err := o.Log.Newest(call, l.writer.partition)
+	if err != nil {
+		return fmt.Errorf("reading the records of the cell: %w", err)
+	}
+	state, err := cellcodec.DecodeCell(records)
+	if err != nil {
+		return err
+	}
+	leaseEnd := min(o.Bounds.MaxLease, workerlink.Lease)
+	l.cell = cell.New(cell.Config{
+		Epoch:              l.term.Epoch,
+		RecoveryWait:       startAuthority - termLease + leaseEnd + recoveryMargin,
+		KeepEnded:          o.Bounds.KeepEnded,
+		StopTimeout:        o.Bounds.StopTimeout,
+		RemoteFactor:       o.Bounds.RemoteFactor,
+		PaceDelay:          o.Bounds.PaceDelay,
+		CheckpointInterval: o.Bounds.CheckpointInterval,
+	})
+	l.cell.SetManifest(l.entry.manifest.Load())
+	l.cell.Restore(time.Now(), state.Jobs, state.Progress, state.Workers)
+	l.writer.stored = func(number uint64, took time.Duration) {
+		o.Metrics.Stored(took)
+		l.post(func(_ time.Time, c *cell.Cell) { c.Stored(number) })
+	}
+	l.writer.lost = l.lose
+	o.Journal.Recovered(l.term.Cell, l.term.Epoch, len(state.Jobs), len(state.Workers))
+	return nil
+}
+
+// post hands an event to the cell's goroutine.
+func (l *leadership) post(e event) {
+	select {
+	case l.events <- e:
+	case <-l.over:
+	}
+}
+
+// run applies events until the term ends.
+func (l *leadership) run(ctx context.Context) {
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	draining := l.entry.draining
+	for {
+		l.openSessions(ctx)
+		l.perform(ctx, l.cell.Take(time.Now()))
+		select {
+		case e := <-l.events:
+			e(time.Now(), l.cell)
+			l.applyQueued()
+		case <-ticker.C:
+			l.tick()
+		case <-draining:
+			l.handOver(ctx)
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// applyQueued applies the events that wait already, so that one round of
+// decisions serves all of them.
+func (l *leadership) applyQueued() {
+	for range eventQueue {
+		select {
+		case e := <-l.events:
+			e(time.Now(), l.cell)
+		default:
+			return
+		}
+	}
+}
+
+func (l *leadership) tick() {
+	now := time.Now()
+	l.cell.SetStarting(l.sinceRenewal() < startAuthority)
+	l.cell.Tick(now)
+	if m := l.entry.manifest.Load(); m != nil {
+		l.cell.SetManifest(m)
+	}
+	if l.entry.leaders.epoch(l.term.Cell) > l.term.Epoch {
+		l.lose(errTermOver)
+	}
+}
+
+func (l *leadership) sinceRenewal() time.Duration {
+	return time.Since(l.began) - time.Duration(l.renewed.Load())
+}
+
+// handOver gives the term up, so that another instance leads at once. What is
+// in the writer's queue is repeated by its callers at the next leader.
+func (l *leadership) handOver(ctx context.Context) {
+	l.entry.leaders.setLed(l.term.Cell, nil)
+	l.entry.leaders.learn(cellcodec.Leader{Cell: l.term.Cell, Epoch: l.term.Epoch})
+	l.lose(errDraining)
+}
+
+var errDraining = errors.New("the instance is draining")
+
+// renew keeps the term, and ends the leadership when another one has begun.
+func (l *leadership) renew(ctx context.Context) {
+	ticker := time.NewTicker(renewPeriod)
+	defer ticker.Stop()
+	held := l.term
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			l.release(held)
+			return
+		}
+		sent := time.Since(l.began)
+		next, err := l.renewOnce(ctx, held)
+		if err == nil {
+			held = next
+			l.renewed.Store(int64(sent))
+			continue
+		}
+		if errors.Is(err, errTermOver) {
+			l.lose(err)
+			return
+		}
+		if ctx.Err() == nil {
+			l.entry.options.Journal.Retry("renewal of "+cellName(held.Cell), err)
+		}
+	}
+}
+
+// release gives the term up if the instance is draining.
+func (l *leadership) release(held term.Term) {
+	if !errors.Is(l.reason(), errDraining) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	if err := term.Release(ctx, l.entry.options.Log, held); err != nil {
+		l.entry.options.Journal.Retry("release of "+cellName(held.Cell), err)
+	}
+}
+
+func (l *leadership) renewOnce(ctx context.Context, held term.Term) (term.Term, error) {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	next, err := term.Renew(call, l.entry.options.Log, held)
+	if err == nil || store.ReasonOf(err) != store.Moved {
+		return next, err
+	}
+	current, _, err := l.entry.readTerm(ctx, held.Cell)
+	if err != nil {
+		return held, err
+	}
+	if current.Epoch != held.Epoch {
+		return held, errTermOver
+	}
+	held.End = current.End
+	return held, nil
+}
+
+// followRegistry tells the cell which workers are registered.
+func (l *leadership) followRegistry(ctx context.Context) {
+	follower := newRegistry(l.entry, l.term.Cell)
+	for ctx.Err() == nil {
+		infos, changed, err := follower.poll(ctx)
+		if err == nil && changed {
+			l.post(func(now time.Time, c *cell.Cell) { c.Register(now, infos) })
+		}
+		sleep(ctx, registryPeriod)
+	}
+}
+
+// openSessions opens a session with each worker of the cell, and closes those
+// of workers that are gone.
+func (l *leadership) openSessions(ctx context.Context) {
+	if !l.cell.WorkersChanged() {
+		return
+	}
+	wanted := map[cell.WorkerID]bool{}
+	for _, info := range l.cell.Workers() {
+		wanted[info.ID] = true
+		known := l.sessions[info.ID]
+		if known != nil && known.address == info.Address {
+			continue
+		}
+		if known != nil {
+			known.Close()
+		}
+		token := l.term.Epoch * workerlink.TokensPerTerm
+		session := workerlink.Open(ctx, info.ID, l.entry.options.DialWorker(info), l, token)
+		l.sessions[info.ID] = &openSession{session, info.Address}
+	}
+	for id, session := range l.sessions {
+		if !wanted[id] {
+			session.Close()
+			delete(l.sessions, id)
+		}
+	}
+}
+
+// perform carries out effects. Orders are sent by goroutines of their own.
+func (l *leadership) perform(ctx context.Context, effects cell.Effects) {
+	if effects.Write != nil {
+		l.writer.add(*effects.Write)
+	}
+	for _, order := range effects.Starts {
+		if session := l.sessions[order.Worker]; session != nil {
+			go session.Start(ctx, order)
+		}
+	}
+	for _, order := range effects.Stops {
+		l.stop(ctx, order)
+	}
+	for _, order := range effects.Paces {
+		l.setPace(ctx, order)
+	}
+	for _, ack := range effects.Acks {
+		if session := l.sessions[ack.Worker]; session != nil {
+			session.Seen(ack.Born, ack.Number)
+		}
+	}
+	for _, worker := range effects.Settle {
+		if session := l.sessions[worker]; session != nil {
+			session.Settle()
+		}
+	}
+	for _, request := range effects.Done {
+		l.answer(request)
+	}
+	l.log(effects)
+}
+
+func (l *leadership) stop(ctx context.Context, order cell.StopOrder) {
+	session := l.sessions[order.Worker]
+	if session == nil {
+		return
+	}
+	go func() {
+		if err := session.Stop(ctx, order); err != nil && ctx.Err() == nil {
+			l.entry.options.Journal.Retry("stop of "+taskName(order.Task), err)
+		}
+	}()
+}
+
+func (l *leadership) setPace(ctx context.Context, order cell.PaceOrder) {
+	session := l.sessions[order.Worker]
+	if session == nil {
+		return
+	}
+	go func() {
+		if err := session.Pace(ctx, order); err != nil && ctx.Err() == nil {
+			l.post(func(now time.Time, c *cell.Cell) { c.PaceFailed(order) })
+		}
+	}()
+}
+
+func (l *leadership) log(effects cell.Effects) {
+	o := l.entry.options
+	o.Metrics.Orders(len(effects.Starts), len(effects.Stops), len(effects.Paces))
+	for _, order := range effects.Starts {
+		o.Journal.Task(logging.TaskLine{Event: "start ordered", Task: taskName(order.Task), Run: order.Run, Worker: string(order.Worker), Epoch: l.term.Epoch})
+	}
+	for _, note := range effects.Notes {
+		name := ""
+		if note.Task.Job != "" {
+			name = taskName(note.Task)
+		}
+		o.Journal.Task(logging.TaskLine{Event: note.Event, Task: name, Run: note.Run, Worker: string(note.Worker), Outcome: note.Outcome, Age: note.Age, Epoch: l.term.Epoch})
+	}
+}
+
+func taskName(id cell.TaskID) string {
+	return fmt.Sprintf("%s.%d.%d.%d", id.Job, id.Occurrence, id.Step, id.Index)
+}
+
+// Report implements workerlink.Sink.
+func (l *leadership) Report(report cell.Report) {
+	l.post(func(now time.Time, c *cell.Cell) { c.Report(now, report) })
+}
+
+// Silent implements workerlink.Sink.
+func (l *leadership) Silent(worker cell.WorkerID, err error) {
+	l.post(func(now time.Time, c *cell.Cell) { c.Silent(now, worker) })
+}
+
+// StartResult implements workerlink.Sink.
+func (l *leadership) StartResult(result cell.StartResult) {
+	l.post(func(now time.Time, c *cell.Cell) { c.StartResult(now, result) })
+}
--- /dev/null
+++ b/internal/entry/leaders.go
@@ -0,0 +1,212 @@
+package entry
+
+import (
+	"context"
+	"maps"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"poplarvalve/internal/connection/cellcodec"
+	"poplarvalve/internal/connection/celllink"
+	"poplarvalve/internal/process/jobspec"
+	"poplarvalve/internal/process/publish"
+	"poplarvalve/internal/process/term"
+)
+
+// leaderTable is one version of what is known about leaders.
+type leaderTable struct {
+	cells  int
+	byCell map[int]cellcodec.Leader
+	// led are the cells that this instance leads.
+	led map[int]*leadership
+}
+
+// leaders knows the leader of each cell and keeps a link to it.
+type leaders struct {
+	entry *Entry
+	table *publish.Cell[leaderTable]
+
+	mu    sync.Mutex
+	links map[string]*celllink.Link
+}
+
+func newLeaders(e *Entry) *leaders {
+	return &leaders{
+		entry: e,
+		table: publish.New(&leaderTable{byCell: map[int]cellcodec.Leader{}, led: map[int]*leadership{}}),
+		links: map[string]*celllink.Link{},
+	}
+}
+
+func (l *leaders) change(derive func(next *leaderTable) bool) {
+	l.table.Update(func(current *leaderTable) *leaderTable {
+		next := &leaderTable{current.cells, maps.Clone(current.byCell), maps.Clone(current.led)}
+		if !derive(next) {
+			return current
+		}
+		return next
+	})
+}
+
+// learn takes in the leader of a term unless a later one is known. A leader
+// without an address has given its term up.
+func (l *leaders) learn(leader cellcodec.Leader) {
+	learned := false
+	l.change(func(next *leaderTable) bool {
+		known := next.byCell[leader.Cell]
+		gaveUp := known.Epoch == leader.Epoch && leader.Address == "" && known.Address != ""
+		learned = known.Epoch < leader.Epoch || gaveUp
+		next.byCell[leader.Cell] = leader
+		return learned
+	})
+	if learned {
+		l.entry.options.Journal.Leader(leader.Cell, leader.Epoch, leader.Address)
+	}
+}
+
+func (l *leaders) learnTerm(t term.Term) {
+	l.learn(cellcodec.Leader{Cell: t.Cell, Epoch: t.Epoch, Address: t.Holder.Address, Nonce: t.Holder.Nonce})
+}
+
+func (l *leaders) setCells(cells int) {
+	l.change(func(next *leaderTable) bool {
+		if next.cells == cells {
+			return false
+		}
+		next.cells = cells
+		return true
+	})
+}
+
+func (l *leaders) setLed(cell int, led *leadership) {
+	l.change(func(next *leaderTable) bool {
+		if led == nil {
+			delete(next.led, cell)
+		} else {
+			next.led[cell] = led
+		}
+		return true
+	})
+}
+
+// Cells implements intake.Leaders.
+func (l *leaders) Cells() int { return l.table.Load().cells }
+
+// CellOf implements intake.Leaders.
+func (l *leaders) CellOf(id jobspec.ID, cells int) int { return cellOf(string(id), cells) }
+
+// cellOf spreads jobs and workers over the cells.
+func cellOf(name string, cells int) int {
+	return int(xxhash.Sum64String(name) % uint64(cells))
+}
+
+// Changed implements intake.Leaders.
+func (l *leaders) Changed() <-chan struct{} { return l.table.Changed() }
+
+func (l *leaders) epoch(cell int) int64 { return l.table.Load().byCell[cell].Epoch }
+
+// Do implements intake.Leaders.
+func (l *leaders) Do(ctx context.Context, call cellcodec.Call) (reply cellcodec.Reply, sent bool) {
+	table := l.table.Load()
+	if led := table.led[call.Cell]; led != nil {
+		return led.serve(ctx, call), true
+	}
+	leader, known := table.byCell[call.Cell]
+	if !known || leader.Address == "" {
+		return cellcodec.Reply{}, false
+	}
+	link := l.open(leader.Address)
+	if link == nil {
+		return cellcodec.Reply{}, false
+	}
+	return link.Do(ctx, call)
+}
+
+// open returns a live link to an address, or nil.
+func (l *leaders) open(address string) *celllink.Link {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	link := l.links[address]
+	if link == nil {
+		return nil
+	}
+	select {
+	case <-link.Done():
+		delete(l.links, address)
+		return nil
+	default:
+		return link
+	}
+}
+
+// dial returns a live link to an address, and opens one if there is none.
+func (l *leaders) dial(ctx context.Context, address string) (*celllink.Link, error) {
+	if link := l.open(address); link != nil {
+		return link, nil
+	}
+	link, err := celllink.Dial(ctx, address, l)
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.links[address] = link
+	return link, nil
+}
+
+func (l *leaders) close() {
+	l.mu.Lock()
+	links := maps.Clone(l.links)
+	l.mu.Unlock()
+	for _, link := range links {
+		link.Close()
+	}
+}
+
+// Serve implements celllink.Server. A call is never passed on.
+func (l *leaders) Serve(ctx context.Context, call cellcodec.Call) cellcodec.Reply {
+	led := l.table.Load().led[call.Cell]
+	if led == nil {
+		return cellcodec.Reply{Result: cellcodec.NotLeader}
+	}
+	return led.serve(ctx, call)
+}
+
+// Pulse implements celllink.Server.
+func (l *leaders) Pulse(theirs int64) cellcodec.Pulse {
+	table := l.table.Load()
+	pulse := cellcodec.Pulse{Cells: table.cells, Nonce: l.entry.options.Self.Nonce}
+	for _, leader := range table.byCell {
+		pulse.Leaders = append(pulse.Leaders, leader)
+	}
+	if encoded := l.entry.encoded.Load(); encoded != nil {
+		pulse.Manifest = encoded.version
+		if theirs >= 0 && theirs < encoded.version {
+			pulse.Content = encoded.bytes
+		}
+	}
+	return pulse
+}
+
+// Pulsed implements celllink.Server.
+func (l *leaders) Pulsed(pulse cellcodec.Pulse) {
+	if pulse.Cells > 0 && l.Cells() == 0 {
+		l.setCells(pulse.Cells)
+	}
+	for _, leader := range pulse.Leaders {
+		l.learn(leader)
+	}
+	if len(pulse.Content) > 0 {
+		l.entry.adoptEncoded(pulse.Content)
+	}
+}
+
+func (l *leaders) dump() any {
+	table := l.table.Load()
+	state := map[string]any{"cells": table.cells, "leaders": table.byCell}
+	for number, led := range table.led {
+		state[cellName(number)] = led.dump()
+	}
+	return state
+}
--- /dev/null
+++ b/internal/entry/writer.go
@@ -0,0 +1,135 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"poplarvalve/internal/connection/cellcodec"
+	"poplarvalve/internal/process/fault"
+	"poplarvalve/internal/process/store"
+	"poplarvalve/internal/version/cell"
+)
+
+const (
+	// cellTopic holds the records of the cells, one partition each.
+	cellTopic = "cells"
+	// maxBatchRecords bounds one append.
+	maxBatchRecords = 1000
+	// writePause is the pause before an append is repeated.
+	writePause = 100 * time.Millisecond
+)
+
+// writer appends the writes of one term in order. Appends of an earlier term
+// fail once fence has returned.
+type writer struct {
+	log       store.Log
+	partition store.Partition
+	producer  store.Writer
+
+	mu     sync.Mutex
+	queue  []cell.Write
+	wakeup chan struct{}
+
+	// stored and lost are called from the writer's goroutine.
+	stored func(number uint64, took time.Duration)
+	lost   func(err error)
+	failed func(err error)
+}
+
+func newWriter(log store.Log, number int, epoch int64) *writer {
+	return &writer{
+		log:       log,
+		partition: store.Partition{Topic: cellTopic, Part: number},
+		producer:  store.Writer{Producer: "leader", Epoch: epoch},
+		wakeup:    make(chan struct{}, 1),
+	}
+}
+
+// fence makes the log refuse the appends of earlier terms.
+func (w *writer) fence(ctx context.Context) error {
+	return w.append(ctx, nil)
+}
+
+// add hands over a write. It never blocks.
+func (w *writer) add(write cell.Write) {
+	w.mu.Lock()
+	w.queue = append(w.queue, write)
+	w.mu.Unlock()
+	select {
+	case w.wakeup <- struct{}{}:
+	default:
+	}
+}
+
+// run appends until ctx ends or the term is fenced off.
+func (w *writer) run(ctx context.Context) {
+	for {
+		select {
+		case <-w.wakeup:
+		case <-ctx.Done():
+			return
+		}
+		for {
+			records, last, err := w.take()
+			if err != nil {
+				w.lost(err)
+				return
+			}
+			if last == 0 {
+				break
+			}
+			began := time.Now()
+			if err := w.append(ctx, records); err != nil {
+				if ctx.Err() == nil {
+					w.lost(err)
+				}
+				return
+			}
+			w.stored(last, time.Since(began))
+		}
+	}
+}
+
+// take returns the records of the writes that wait and the number of the last.
+func (w *writer) take() (records []store.Record, last uint64, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for len(w.queue) > 0 && len(records) < maxBatchRecords {
+		encoded, err := cellcodec.EncodeWrite(w.queue[0])
+		if err != nil {
+			return nil, 0, err
+		}
+		records = append(records, encoded...)
+		last = w.queue[0].Number
+		w.queue = w.queue[1:]
+	}
+	return records, last, nil
+}
+
+// append repeats an append under the same sequence until its outcome is known.
+// The error is of reason Fenced, or that of ctx.
+func (w *writer) append(ctx context.Context, records []store.Record) error {
+	if len(records) == 0 && w.producer.Sequence > 0 {
+		return nil
+	}
+	for {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		producer := w.producer
+		_, err := w.log.Append(call, w.partition, records, store.Condition{Writer: &producer})
+		cancel()
+		if err == nil {
+			w.producer.Sequence++
+			return nil
+		}
+		switch store.ReasonOf(err) {
+		case store.Fenced, store.Rejected, store.OutOfSequence:
+			return fault.Wrap(fault.Fenced, err, "append %d of epoch %d", w.producer.Sequence, w.producer.Epoch)
+		}
+		w.failed(err)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		sleep(ctx, writePause)
+	}
+}
--- /dev/null
+++ b/internal/request/intake/intake.go
@@ -0,0 +1,216 @@
+// Package intake serves one request about a job: it finds the queue and the
+// cell, asks the leader of the cell, and asks again when the leader changes.
+//
+// It guarantees that an answer NotRun is given only if no leader can have
+// taken the job in, and that OK is given only for what is stored.
+package intake
+
+import (
+	"context"
+	"time"
+
+	"poplarvalve/internal/connection/cellcodec"
+	"poplarvalve/internal/process/fault"
+	"poplarvalve/internal/process/jobspec"
+	"poplarvalve/internal/version/cell"
+	"poplarvalve/internal/version/manifest"
+)
+
+// Request is one request, whatever its encoding.
+type Request struct {
+	Operation cellcodec.Operation
+	Host      string
+	Path      string
+	// Job decodes the body of a submission. Its error is of kind BadRequest.
+	Job func() (*jobspec.Job, error)
+	// Deadline is when the caller stops waiting.
+	Deadline time.Time
+}
+
+// Verdict says how a request ended.
+type Verdict uint8
+
+const (
+	// Unknown means that the job may have been accepted.
+	Unknown Verdict = iota
+	OK
+	// NoQueue means that no queue has such a host and path.
+	NoQueue
+	// Absent means that there is no such job.
+	Absent
+	// NotRun means that the request had no effect and may be repeated after
+	// RetryAfter.
+	NotRun
+	// Bad means that the request can't be meant.
+	Bad
+)
+
+// Answer is what the caller is told.
+type Answer struct {
+	Verdict Verdict
+	State   cell.State
+	Pending int
+	// RetryAfter is set with NotRun.
+	RetryAfter time.Duration
+	// Cause is the kind of failure, for the log.
+	Cause fault.Kind
+	Job   jobspec.ID
+	Cell  int
+	// Manifest is the version that decided.
+	Manifest int64
+}
+
+// Leaders finds the leaders of cells.
+type Leaders interface {
+	// Cells returns the number of cells, or 0 if it isn't known yet.
+	Cells() int
+	// CellOf returns the cell of a job.
+	CellOf(id jobspec.ID, cells int) int
+	// Do asks the leader of a cell. sent is false if the call can't have
+	// reached one.
+	Do(ctx context.Context, call cellcodec.Call) (reply cellcodec.Reply, sent bool)
+	// Changed returns a channel that is closed when a leader changes.
+	Changed() <-chan struct{}
+}
+
+const (
+	// leaderWait is how long a request waits for a leader. A refusal is cheaper
+	// for the caller than a longer wait, since it may repeat elsewhere.
+	leaderWait = 140 * time.Millisecond
+	// retryAfter is about the time that a change of the leader takes.
+	retryAfter = time.Second
+	// answerMargin is left for the way of the answer.
+	answerMargin = 100 * time.Millisecond
+	// defaultAnswerTime is assumed for callers that don't say how long they
+	// wait.
+	defaultAnswerTime = 3 * time.Second
+)
+
+// Serve answers one request under one version of the manifest.
+func Serve(ctx context.Context, now time.Time, m *manifest.Manifest, leaders Leaders, request Request) Answer {
+	if m == nil {
+		return Answer{Verdict: NotRun, RetryAfter: retryAfter, Cause: fault.NoConfiguration}
+	}
+	queue, rest := m.Match(request.Host, request.Path)
+	if queue == nil {
+		return Answer{Verdict: NoQueue, Cause: fault.NotFound, Manifest: m.Version}
+	}
+	if request.Deadline.IsZero() {
+		request.Deadline = now.Add(defaultAnswerTime)
+	}
+	ctx, cancel := context.WithDeadline(ctx, request.Deadline.Add(-answerMargin))
+	defer cancel()
+	answer := serve(ctx, queue, rest, leaders, request)
+	answer.Manifest = m.Version
+	return answer
+}
+
+func serve(ctx context.Context, queue *manifest.Queue, rest string, leaders Leaders, request Request) Answer {
+	cells := leaders.Cells()
+	if cells == 0 {
+		return refusal(fault.LogUnavailable)
+	}
+	if request.Operation == cellcodec.OpStatus && rest == "" {
+		return pending(ctx, leaders, cells, queue.Name)
+	}
+	id := jobspec.ID(rest)
+	if !id.Valid() {
+		return Answer{Verdict: Bad, Cause: fault.BadRequest}
+	}
+	call := cellcodec.Call{Operation: request.Operation, Cell: leaders.CellOf(id, cells), ID: id, Queue: queue.Name}
+	if request.Operation == cellcodec.OpSubmit {
+		if answer, bad := describe(&call, queue, request); bad {
+			return answer
+		}
+	}
+	answer := ask(ctx, leaders, call)
+	answer.Job = id
+	answer.Cell = call.Cell
+	return answer
+}
+
+// describe adds the job to a submission.
+func describe(call *cellcodec.Call, queue *manifest.Queue, request Request) (refused Answer, bad bool) {
+	job, err := request.Job()
+	if err == nil {
+		err = job.Check()
+	}
+	if err != nil {
+		return Answer{Verdict: Bad, Cause: fault.KindOf(err)}, true
+	}
+	if queue.Advice {
+		// Starts need tickets, which no part asks for yet.
+		return refusal(fault.NoWorker), true
+	}
+	call.Job = job
+	call.Terms = &cell.Terms{
+		Queue:           queue.Name,
+		Pool:            queue.Pool,
+		Priority:        queue.Priority,
+		Attempts:        queue.Attempts,
+		Stretch:         queue.Stretch,
+		ObjectiveMillis: queue.Objective.Milliseconds(),
+	}
+	return Answer{}, false
+}
+
+func refusal(kind fault.Kind) Answer {
+	return Answer{Verdict: NotRun, RetryAfter: retryAfter, Cause: kind}
+}
+
+// ask asks the leader, and the next one if the leader is lost, until the
+// deadline. All operations may be repeated: a job is known by its identity.
+func ask(ctx context.Context, leaders Leaders, call cellcodec.Call) Answer {
+	maybe := false
+	patience := time.NewTimer(leaderWait)
+	defer patience.Stop()
+	expired := false
+	for ctx.Err() == nil {
+		changed := leaders.Changed()
+		reply, sent := leaders.Do(ctx, call)
+		if answer, final := conclude(reply); final {
+			return answer
+		}
+		maybe = maybe || sent && reply.Result == cellcodec.Unproven && call.Operation == cellcodec.OpSubmit
+		if expired && !maybe {
+			break
+		}
+		select {
+		case <-changed:
+		case <-patience.C:
+			expired = true
+		case <-time.After(askPause):
+		case <-ctx.Done():
+		}
+	}
+	if maybe {
+		return Answer{Verdict: Unknown, Cause: fault.PeerLost}
+	}
+	return refusal(fault.PeerUnreachable)
+}
+
+// askPause is the pause between two attempts to reach a leader.
+const askPause = 50 * time.Millisecond
+
+func conclude(reply cellcodec.Reply) (answer Answer, final bool) {
+	switch reply.Result {
+	case cellcodec.OK:
+		return Answer{Verdict: OK, State: reply.State, Pending: reply.Pending}, true
+	case cellcodec.Absent:
+		return Answer{Verdict: Absent}, true
+	}
+	return Answer{}, false
+}
+
+// pending adds up the jobs of all cells that wait.
+func pending(ctx context.Context, leaders Leaders, cells int, queue string) Answer {
+	total := 0
+	for number := range cells {
+		answer := ask(ctx, leaders, cellcodec.Call{Operation: cellcodec.OpPending, Cell: number, Queue: queue})
+		if answer.Verdict != OK {
+			return answer
+		}
+		total += answer.Pending
+	}
+	return Answer{Verdict: OK, Pending: total}
+}
--- /dev/null
+++ b/internal/version/cell/cell.go
@@ -0,0 +1,449 @@
+package cell
+
+import (
+	"slices"
+	"sync/atomic"
+	"time"
+
+	iradix "github.com/hashicorp/go-immutable-radix/v2"
+
+	"poplarvalve/internal/process/jobspec"
+	"poplarvalve/internal/version/manifest"
+)
+
+// Cell is the state of one cell in one term.
+type Cell struct {
+	config   Config
+	manifest *manifest.Manifest
+	jobs     map[jobspec.ID]*job
+	workers  map[WorkerID]*worker
+	// index is the published view of jobs, replaced whole.
+	index atomic.Pointer[iradix.Tree[*job]]
+
+	// recovering holds the workers that may have runs of earlier terms and
+	// haven't answered in this one.
+	recovering   map[WorkerID]bool
+	recoverUntil time.Time
+
+	ready []*task
+	// unsorted says that ready has tasks that rank has not seen.
+	unsorted bool
+	timed    []*job
+	dirty    []*job
+
+	effects Effects
+	write   Write
+	// writes is the number of the newest write handed out, actions what
+	// happens once a write is stored.
+	writes  uint64
+	actions []action
+
+	images images
+
+	workersChanged bool
+	// paused says that no task may be started.
+	paused bool
+}
+
+// action is run once the write with that number is stored.
+type action struct {
+	number uint64
+	do     func()
+}
+
+// New returns an empty cell.
+func New(config Config) *Cell {
+	c := &Cell{
+		config:     config,
+		jobs:       map[jobspec.ID]*job{},
+		workers:    map[WorkerID]*worker{},
+		recovering: map[WorkerID]bool{},
+		images:     newImages(),
+	}
+	c.index.Store(iradix.New[*job]())
+	return c
+}
+
+// Restore sets what earlier terms stored. It is called once, before any other
+// event. Workers in the list may still have runs of those terms.
+func (c *Cell) Restore(now time.Time, jobs []JobRecord, progress []ProgressRecord, workers []WorkerInfo) {
+	tree := c.index.Load().Txn()
+	for _, record := range jobs {
+		j := newJob(record, c.acceptedAt(now, record.AcceptedMillis))
+		j.recovered = true
+		c.jobs[j.id] = j
+		tree.Insert([]byte(j.id), j)
+	}
+	c.index.Store(tree.Commit())
+	for _, record := range progress {
+		if j := c.jobs[record.ID]; j != nil {
+			j.restore(record)
+		}
+	}
+	for _, j := range c.jobs {
+		j.visible.Store(uint32(j.state))
+		c.advance(now, j)
+	}
+	for _, info := range workers {
+		c.workers[info.ID] = newWorker(info)
+		c.workersChanged = true
+		c.recovering[info.ID] = true
+	}
+	c.recoverUntil = now.Add(c.config.RecoveryWait)
+	for _, j := range c.jobs {
+		c.openSteps(now, j)
+	}
+}
+
+// acceptedAt converts a stored time; a clock of an earlier leader that ran
+// ahead must not make a job younger than none.
+func (c *Cell) acceptedAt(now time.Time, millis int64) time.Time {
+	age := max(0, now.Sub(time.UnixMilli(millis)))
+	return now.Add(-age)
+}
+
+// SetManifest replaces the manifest. Accepted jobs keep the terms that they
+// were accepted under, but for the attempts and the priority of their queue.
+func (c *Cell) SetManifest(m *manifest.Manifest) { c.manifest = m }
+
+// Register replaces what the registry says of the cell's workers.
+func (c *Cell) Register(now time.Time, infos []WorkerInfo) {
+	listed := make(map[WorkerID]bool, len(infos))
+	for _, info := range infos {
+		listed[info.ID] = true
+		c.registerOne(now, info)
+	}
+	for id, w := range c.workers {
+		if !listed[id] && w.listed {
+			w.listed = false
+			c.note(Note{Event: "worker unlisted", Worker: id})
+		}
+	}
+}
+
+func (c *Cell) registerOne(now time.Time, info WorkerInfo) {
+	w := c.workers[info.ID]
+	if w == nil {
+		w = newWorker(info)
+		c.workers[info.ID] = w
+		c.workersChanged = true
+		c.write.Workers = append(c.write.Workers, info)
+	}
+	if info.Born != 0 && w.info.Born != 0 && info.Born != w.info.Born {
+		c.reborn(now, w, info.Born)
+	}
+	if !w.listed || w.info.Draining != info.Draining {
+		c.note(Note{Event: "worker listed", Worker: info.ID, Outcome: drainingWord(info.Draining)})
+	}
+	if info.Born == 0 {
+		info.Born = w.info.Born
+	}
+	if info.Address != w.info.Address {
+		c.workersChanged = true
+	}
+	w.listed = true
+	w.info = info
+}
+
+func drainingWord(draining bool) string {
+	if draining {
+		return "draining"
+	}
+	return "ready"
+}
+
+// WorkersChanged says whether the workers or their addresses changed since the
+// last call.
+func (c *Cell) WorkersChanged() bool {
+	changed := c.workersChanged
+	c.workersChanged = false
+	return changed
+}
+
+// SetStarting says whether tasks may be started. A leader that can't show that
+// its term goes on must not start any.
+func (c *Cell) SetStarting(starting bool) {
+	if starting == c.paused {
+		c.paused = !starting
+		c.note(Note{Event: "starts", Outcome: map[bool]string{true: "resumed", false: "paused"}[starting]})
+	}
+}
+
+// PaceFailed says that a pace order was not carried out, or may not have been.
+func (c *Cell) PaceFailed(order PaceOrder) {
+	if w := c.workers[order.Worker]; w != nil {
+		if r := w.find(order.Task, order.Run); r != nil && r.pace == order.Percent {
+			r.pace = -1
+		}
+	}
+}
+
+// Dump returns the state for operators.
+func (c *Cell) Dump(now time.Time) any {
+	type workerState struct {
+		Worker               WorkerID
+		Listed, Held, Silent bool
+		Draining             bool
+		Used, Capacity       Size
+		Runs                 int
+		HeardMillis          int64
+		FillPace             float64
+		FailuresInARow       int
+	}
+	var workers []workerState
+	for _, w := range c.workers {
+		workers = append(workers, workerState{
+			Worker: w.info.ID, Listed: w.listed, Held: w.held, Silent: w.silent, Draining: w.info.Draining,
+			Used: w.used, Capacity: w.info.Capacity, Runs: len(w.runs), HeardMillis: now.Sub(w.heard).Milliseconds(),
+			FillPace: w.fill.current(), FailuresInARow: w.health.failures,
+		})
+	}
+	states := map[string]int{}
+	for _, j := range c.jobs {
+		states[j.state.String()]++
+	}
+	return map[string]any{"epoch": c.config.Epoch, "jobs": states, "ready_tasks": len(c.ready), "workers": workers,
+		"recovering": len(c.recovering), "starts_paused": c.paused}
+}
+
+// Workers returns the workers that need a session, with their addresses.
+func (c *Cell) Workers() []WorkerInfo {
+	infos := make([]WorkerInfo, 0, len(c.workers))
+	for _, w := range c.workers {
+		infos = append(infos, w.info)
+	}
+	return infos
+}
+
+// SubmitResult says what Submit did.
+type SubmitResult uint8
+
+const (
+	// SubmitStored means that the job is accepted and stored.
+	SubmitStored SubmitResult = iota
+	// SubmitPending means that the request is in Done once the job is stored.
+	SubmitPending
+)
+
+// Submit takes a checked job. A job that is known is the same job, whatever
+// its content says. request is reported in Effects.Done.
+func (c *Cell) Submit(now time.Time, request uint64, id jobspec.ID, spec *jobspec.Job, terms Terms) SubmitResult {
+	known := c.jobs[id]
+	if known != nil && State(known.visible.Load()) != Hidden {
+		return SubmitStored
+	}
+	if known == nil {
+		c.accept(now, JobRecord{ID: id, Job: *spec, Terms: terms, AcceptedMillis: now.UnixMilli()})
+	}
+	c.afterWrite(func() { c.effects.Done = append(c.effects.Done, request) })
+	return SubmitPending
+}
+
+func (c *Cell) accept(now time.Time, record JobRecord) {
+	j := newJob(record, now)
+	c.jobs[j.id] = j
+	c.write.Jobs = append(c.write.Jobs, record)
+	c.afterWrite(func() {
+		tree, _, _ := c.index.Load().Insert([]byte(j.id), j)
+		c.index.Store(tree)
+		j.visible.CompareAndSwap(uint32(Hidden), uint32(Queued))
+		c.openSteps(now, j)
+	})
+}
+
+// Cancel ends a job. It returns false if there is no such job, and true if
+// request will be in Effects.Done.
+func (c *Cell) Cancel(now time.Time, request uint64, id jobspec.ID) bool {
+	j := c.jobs[id]
+	if j == nil || State(j.visible.Load()) == Hidden {
+		return false
+	}
+	if !j.state.Over() {
+		c.note(Note{Event: "job canceled", Task: TaskID{Job: id}})
+		c.end(now, j, Canceled)
+	}
+	c.afterWrite(func() { c.effects.Done = append(c.effects.Done, request) })
+	return true
+}
+
+// Lookup returns the state of a job that is stored. Any thread may call it.
+func (c *Cell) Lookup(id jobspec.ID) (State, bool) {
+	j, found := c.index.Load().Get([]byte(id))
+	if !found {
+		return Hidden, false
+	}
+	return State(j.visible.Load()), true
+}
+
+// Pending counts the accepted jobs of a queue of which no task has started.
+func (c *Cell) Pending(queue string) int {
+	count := 0
+	for _, j := range c.jobs {
+		if j.terms.Queue == queue && State(j.visible.Load()) == Queued {
+			count++
+		}
+	}
+	return count
+}
+
+// end settles the final state of a job and stops what still runs.
+func (c *Cell) end(now time.Time, j *job, state State) {
+	j.state = state
+	j.ended = now
+	c.markDirty(j)
+	c.afterWrite(func() {
+		j.visible.Store(uint32(state))
+		c.stopRuns(now, j)
+	})
+}
+
+func (c *Cell) stopRuns(now time.Time, j *job) {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				for _, r := range t.runs {
+					c.stop(now, r)
+				}
+			}
+		}
+	}
+}
+
+// stop orders the end of a run. Its room stays taken until the end is listed.
+func (c *Cell) stop(now time.Time, r *run) {
+	if r.phase == running || r.phase == stopping {
+		r.phase = stopping
+	}
+	r.stopped = now
+	c.effects.Stops = append(c.effects.Stops, StopOrder{r.worker.info.ID, r.task.id(), r.number})
+}
+
+func (c *Cell) markDirty(j *job) {
+	if j.dirty {
+		return
+	}
+	j.dirty = true
+	c.dirty = append(c.dirty, j)
+}
+
+// afterWrite runs do once everything decided so far is stored.
+func (c *Cell) afterWrite(do func()) {
+	c.actions = append(c.actions, action{c.writes + 1, do})
+}
+
+// Stored says that all writes up to number are stored.
+func (c *Cell) Stored(number uint64) {
+	done := 0
+	for done < len(c.actions) && c.actions[done].number <= number {
+		c.actions[done].do()
+		done++
+	}
+	c.actions = slices.Delete(c.actions, 0, done)
+}
+
+// Take schedules what can be started and returns the effects of all events
+// since the last call.
+func (c *Cell) Take(now time.Time) Effects {
+	c.schedule(now)
+	c.collectWrite()
+	effects := c.effects
+	c.effects = Effects{}
+	return effects
+}
+
+func (c *Cell) collectWrite() {
+	for _, j := range c.dirty {
+		j.dirty = false
+		c.write.Progress = append(c.write.Progress, j.progress())
+	}
+	c.dirty = nil
+	if c.write.empty() && !c.waiting() {
+		return
+	}
+	c.writes++
+	write := c.write
+	write.Number = c.writes
+	c.effects.Write = &write
+	c.write = Write{}
+}
+
+// waiting says whether an action waits for a write that isn't handed out.
+func (c *Cell) waiting() bool {
+	return len(c.actions) > 0 && c.actions[len(c.actions)-1].number > c.writes
+}
+
+func (w *Write) empty() bool {
+	return len(w.Jobs)+len(w.Progress)+len(w.Workers)+len(w.Gone)+len(w.Dropped) == 0
+}
+
+func (c *Cell) note(n Note) { c.effects.Notes = append(c.effects.Notes, n) }
+
+// Tick does what depends on time alone: occurrences that become due, leases
+// that are over, stops without an effect, ended jobs that are forgotten.
+func (c *Cell) Tick(now time.Time) {
+	c.openDue(now)
+	for _, w := range c.workers {
+		c.expire(now, w)
+	}
+	c.repeatStops(now)
+	c.forget(now)
+	c.backup(now)
+}
+
+// expire gives up the runs on a worker whose leases are all over.
+func (c *Cell) expire(now time.Time, w *worker) {
+	if !w.silent || now.Before(w.leaseUntil) || c.recovering[w.info.ID] && now.Before(c.recoverUntil) {
+		return
+	}
+	for r := range w.runs {
+		c.lost(now, r, "lease over")
+	}
+	if !w.listed {
+		delete(c.workers, w.info.ID)
+		c.workersChanged = true
+		delete(c.recovering, w.info.ID)
+		c.write.Gone = append(c.write.Gone, w.info.ID)
+		c.note(Note{Event: "worker gone", Worker: w.info.ID})
+	}
+}
+
+// stopRepeat is the pause before a stop order is repeated.
+const stopRepeat = time.Second
+
+func (c *Cell) repeatStops(now time.Time) {
+	for _, w := range c.workers {
+		if w.silent {
+			continue
+		}
+		for r := range w.runs {
+			if r.phase == stopping && now.Sub(r.stopped) > stopRepeat {
+				c.stop(now, r)
+			}
+		}
+	}
+}
+
+func (c *Cell) forget(now time.Time) {
+	for id, j := range c.jobs {
+		if !j.state.Over() || now.Sub(j.ended) < c.config.KeepEnded || c.hasRuns(j) {
+			continue
+		}
+		delete(c.jobs, id)
+		c.write.Dropped = append(c.write.Dropped, id)
+		tree, _, _ := c.index.Load().Delete([]byte(id))
+		c.index.Store(tree)
+	}
+}
+
+func (c *Cell) hasRuns(j *job) bool {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				if len(t.runs) > 0 {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/version/cell/place.go
@@ -0,0 +1,125 @@
+package cell
+
+import (
+	"slices"
+	"time"
+)
+
+// place returns the best worker for a task, or nil if none has room.
+func (c *Cell) place(now time.Time, t *task) *worker {
+	return c.placeAvoiding(now, t, nil)
+}
+
+// placeAvoiding is place without one worker.
+func (c *Cell) placeAvoiding(now time.Time, t *task, avoid *worker) *worker {
+	var best *worker
+	var bestScore float64
+	size := t.size()
+	for _, w := range c.workers {
+		if w == avoid || !w.usable() || !w.free().fits(size) || !w.allowed(t) {
+			continue
+		}
+		score, possible := c.score(now, t, w)
+		if !possible {
+			continue
+		}
+		if best == nil || score > bestScore || score == bestScore && w.info.ID < best.info.ID {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// placeGang returns a worker for each task of the step, or nil.
+func (c *Cell) placeGang(now time.Time, s *step) []*worker {
+	if !s.spec.SameRack {
+		return c.placeAll(now, s, "")
+	}
+	racks := []string{s.spec.DataRack}
+	for _, w := range c.workers {
+		if !slices.Contains(racks, w.info.Rack) {
+			racks = append(racks, w.info.Rack)
+		}
+	}
+	slices.Sort(racks[1:])
+	for _, rack := range racks {
+		if rack == "" {
+			continue
+		}
+		if placed := c.placeAll(now, s, rack); placed != nil {
+			return placed
+		}
+	}
+	return c.placeAll(now, s, "")
+}
+
+// placeAll places the tasks one after the other, on one rack if it isn't empty.
+// It leaves the accounts as they were.
+func (c *Cell) placeAll(now time.Time, s *step, rack string) []*worker {
+	var placed []*worker
+	var trial []*run
+	for _, t := range s.tasks {
+		w := c.placeOnRack(now, t, rack)
+		if w == nil {
+			placed = nil
+			break
+		}
+		r := &run{task: t, size: t.size()}
+		w.attach(r)
+		trial = append(trial, r)
+		placed = append(placed, w)
+	}
+	for _, r := range trial {
+		r.worker.detach(r)
+	}
+	return placed
+}
+
+func (c *Cell) placeOnRack(now time.Time, t *task, rack string) *worker {
+	var best *worker
+	var bestScore float64
+	for _, w := range c.workers {
+		if rack != "" && w.info.Rack != rack || !w.usable() || !w.free().fits(t.size()) || !w.allowed(t) {
+			continue
+		}
+		score, possible := c.score(now, t, w)
+		if possible && (best == nil || score > bestScore || score == bestScore && w.info.ID < best.info.ID) {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// Weights of a score, in cores of spare room that they outweigh.
+const (
+	// failedHere keeps a task off a worker where it failed.
+	failedHere = 1000
+	// suspectHere keeps tasks off a worker that failed or stalled others.
+	suspectHere = 300
+	// offDataRack is multiplied by how much longer a task takes there.
+	offDataRack = 20
+)
+
+// score rates a worker for a task; higher is better. It is false if the task
+// should rather wait.
+func (c *Cell) score(now time.Time, t *task, w *worker) (score float64, possible bool) {
+	if slices.Contains(t.failedOn, w.info.ID) {
+		score -= failedHere
+	}
+	switch w.health.verdict(now) {
+	case excluded:
+		return 0, false
+	case suspect:
+		score -= suspectHere
+	}
+	spec := t.spec()
+	if spec.DataRack != "" && w.info.Rack != spec.DataRack {
+		score -= offDataRack * (c.config.RemoteFactor - 1)
+	}
+	if spec.Fills {
+		room, enough := c.fillRoom(now, t, w)
+		return score + room, enough
+	}
+	// The fullest worker that has room, so that large tasks find a place too.
+	return score - float64(w.free().CPU-spec.CPU)/1000, true
+}
