--- a/internal/version/cell/cell.go
+++ b/internal/version/cell/cell.go
@@ -38,7 +38,8 @@
 	writes  uint64
 	actions []action
 
-	images images
+	images    images
+	pressures pressures
 
 	workersChanged bool
 	// paused says that no task may be started.
@@ -59,6 +60,7 @@
 		workers:    map[WorkerID]*worker{},
 		recovering: map[WorkerID]bool{},
 		images:     newImages(),
+		pressures:  newPressures(),
 	}
 	c.index.Store(iradix.New[*job]())
 	return c
@@ -187,7 +189,7 @@
 		Used, Capacity       Size
 		Runs                 int
 		HeardMillis          int64
-		FillPace             float64
+		FillBudget           float64
 		FailuresInARow       int
 	}
 	var workers []workerState
@@ -195,7 +197,7 @@
 		workers = append(workers, workerState{
 			Worker: w.info.ID, Listed: w.listed, Held: w.held, Silent: w.silent, Draining: w.info.Draining,
 			Used: w.used, Capacity: w.info.Capacity, Runs: len(w.runs), HeardMillis: now.Sub(w.heard).Milliseconds(),
-			FillPace: w.fill.current(), FailuresInARow: w.health.failures,
+			FillBudget: w.fill.share(), FailuresInARow: w.health.failures,
 		})
 	}
 	states := map[string]int{}
--- a/internal/version/cell/job.go
+++ b/internal/version/cell/job.go
@@ -97,11 +97,10 @@
 	gauge   int
 	// moved is when percent last changed.
 	moved time.Time
-	// pace is the share of full speed that was last ordered, pacedAt when.
-	pace    int
-	pacedAt time.Time
-	// over is since when a serving run reports a tail above its target.
-	over time.Time
+	// pace is the share of full speed that was last ordered, slowed since when
+	// it is low.
+	pace   int
+	slowed time.Time
 	// stopped is when the last stop order was sent.
 	stopped time.Time
 }
--- a/internal/version/cell/pace.go
+++ b/internal/version/cell/pace.go
@@ -5,59 +5,108 @@
 )
 
 // Tasks that fill use what the others leave, and disturb the tasks that serve
-// on the same worker. How much differs by image and changes within seconds, so
-// it is controlled by what each report shows: when a tail is over its target,
-// the work that fills is slowed at once, and it is let go again step by step.
+// on the same worker. They are placed where the learned pressure allows it, and
+// slowed or moved where a report shows that it doesn't.
 
 const (
 	// servingShare is the part of its declared processors that a serving task
 	// is assumed to use.
 	servingShare = 0.5
-	// minFillRoom is the least room, in cores, at which another task that
-	// fills is started on a worker.
-	minFillRoom = 0.5
-	// slowDown and speedUp change the pace of the work that fills.
-	slowDown = 0.5
-	speedUp  = 1.5
-	// calm is the part of its target below which a tail lets the pace rise.
-	calm = 0.8
 	// minPace is the lowest share of full speed, in percent. Work at 0 would
 	// hold its memory and never end.
-	minPace = 5
+	minPace = 3
 	// paceStep is the least change of a pace that is worth an order.
-	paceStep = 5
-	// settleTime is the time after a change before its effect shows in a
-	// report: a report covers half a second.
-	settleTime = 600 * time.Millisecond
+	paceStep = 8
+	// harmless is the pressure of a task that is never slowed for.
+	harmless = 0.01
+	// emergency multiplies the budget of a worker whose tail is over its
+	// target, at each report, and recovery lets it grow back.
+	emergency = 0.5
+	recovery  = 1.3
+	// slowedTooMuch is the pace below which a task is moved to a worker where
+	// it can run at full speed.
+	slowedTooMuch = 50
+	// moveAfter is how long a task is slowed before it is moved.
+	moveAfter = 600 * time.Millisecond
+	// pressureWeight converts pressure to cores of spare room in a score.
+	pressureWeight = 200
 )
 
 // fillState is what is known about the room for work that fills on a worker.
 type fillState struct {
-	// pace is the share of full speed, in percent; 0 stands for 100.
-	pace    float64
-	changed time.Time
+	// base is the pressure of the own load of each serving image.
+	base map[string]float64
+	// budget is the part of the allowed pressure that may be used; 0 stands
+	// for 1.
+	budget float64
 }
 
-func (f *fillState) current() float64 {
-	if f.pace == 0 {
-		return 100
+func (f *fillState) baseOf(image string) float64 {
+	if known, found := f.base[image]; found {
+		return known
 	}
-	return f.pace
+	return initialBase
 }
 
-// fillRoom returns the cores that would be left beside the task, and whether
-// they are enough for it to work.
-func (c *Cell) fillRoom(now time.Time, t *task, w *worker) (cores float64, enough bool) {
+func (f *fillState) share() float64 {
+	if f.budget == 0 {
+		return 1
+	}
+	return f.budget
+}
+
+// fillRoom returns the spare cores beside the task, less what its pressure on
+// the serving tasks costs, and whether it could work at full speed.
+func (c *Cell) fillRoom(t *task, w *worker) (cores float64, enough bool) {
 	used := 0.0
 	for r := range w.runs {
 		used += r.demand()
 	}
-	left := float64(w.info.Capacity.CPU) - used
-	if pace := w.fill.current(); pace < 100 {
-		return left/1000 - 50, false
-	}
 	need := float64(t.spec().CPU)
-	return (left - need) / 1000, left >= need
+	left := float64(w.info.Capacity.CPU) - used - need
+	if left < 0 {
+		return 0, false
+	}
+	worst := 0.0
+	for _, s := range c.servingOn(w) {
+		added := c.pressures.coefficient(s.image, t.spec().Image) * need / 1000
+		if added > harmless && w.fill.baseOf(s.image)+c.filling(s.image, w)+added > s.allowed*w.fill.share() {
+			return 0, false
+		}
+		worst = max(worst, added)
+	}
+	return left/1000 - pressureWeight*worst, true
+}
+
+// servingOn returns the serving images on a worker and what they allow.
+func (c *Cell) servingOn(w *worker) []serving {
+	var images []serving
+	for r := range w.runs {
+		if r.task.serves() {
+			images = addServing(images, r.task.spec().Image, r.task.spec().TargetMillis)
+		}
+	}
+	for i := range images {
+		images[i].allowed = targetShare * c.pressures.of(images[i].image, images[i].target, images[i].target)
+	}
+	return images
+}
+
+// filling returns the pressure on a serving image of all that fills on a
+// worker, at full speed.
+func (c *Cell) filling(image string, w *worker) float64 {
+	total := 0.0
+	for r := range w.runs {
+		if r.task.spec().Fills {
+			total += c.pressureOf(image, r)
+		}
+	}
+	return total
+}
+
+// pressureOf returns the pressure of one run at full speed.
+func (c *Cell) pressureOf(image string, r *run) float64 {
+	return c.pressures.coefficient(image, r.task.spec().Image) * float64(r.task.spec().CPU) / 1000
 }
 
 // demand returns the thousandths of a core that a run is assumed to use.
@@ -69,60 +118,89 @@
 	return declared
 }
 
-// pace adapts the speed of the work that fills on a worker to its report.
+func (r *run) fills() bool {
+	return r.phase == running && r.task.spec().Fills
+}
+
+// pace learns from a report and adapts the speed of what fills on the worker.
 func (c *Cell) pace(now time.Time, w *worker) {
-	worst := w.worstTail()
-	if now.Sub(w.fill.changed) < settleTime {
-		return
-	}
-	pace := w.fill.current()
-	switch {
-	case worst > 1:
-		pace = max(minPace, pace*slowDown)
-	case worst < calm && pace < 100:
-		pace = min(100, pace*speedUp)
+	images := c.observe(now, w)
+	if w.fill.base == nil {
+		w.fill.base = map[string]float64{}
 	}
-	if pace == w.fill.current() && !w.paceDiffers(int(pace)) {
-		return
+	over := false
+	for _, s := range images {
+		w.fill.base[s.image] = c.pressures.learn(s, w.fill.baseOf(s.image), w)
+		over = over || s.worst > 1
 	}
-	w.fill.pace = pace
-	w.fill.changed = now
-	c.applyPace(now, w, int(pace))
-}
-
-func (w *worker) paceDiffers(percent int) bool {
+	w.fill.adapt(over)
 	for r := range w.runs {
-		if r.fills() && abs(r.pace-percent) >= paceStep {
-			return true
+		if r.fills() {
+			c.setPace(now, r, c.paceFor(images, r, w))
 		}
 	}
-	return false
 }
 
-func (r *run) fills() bool {
-	return r.phase == running && r.task.spec().Fills
+// adapt shrinks the budget while a tail is over its target.
+func (f *fillState) adapt(over bool) {
+	if over {
+		f.budget = f.share() * emergency
+		return
+	}
+	f.budget = min(1, f.share()*recovery)
 }
 
-func (c *Cell) applyPace(now time.Time, w *worker, percent int) {
-	for r := range w.runs {
-		if !r.fills() || abs(r.pace-percent) < paceStep && percent != 100 || r.pace == percent {
+// paceFor returns the share of full speed, in percent, at which all serving
+// images beside the run keep their targets.
+func (c *Cell) paceFor(images []serving, r *run, w *worker) int {
+	pace := 100.0
+	for _, s := range images {
+		if c.pressureOf(s.image, r) <= harmless {
 			continue
 		}
-		r.pace = percent
-		r.pacedAt = now
-		c.effects.Paces = append(c.effects.Paces, PaceOrder{w.info.ID, r.task.id(), r.number, percent})
+		total := 0.0
+		for other := range w.runs {
+			if p := c.pressureOf(s.image, other); other.fills() && p > harmless {
+				total += p
+			}
+		}
+		room := max(0, s.allowed-w.fill.baseOf(s.image)) * w.fill.share()
+		pace = min(pace, 100*room/total)
 	}
+	return int(max(minPace, pace))
 }
 
-// worstTail returns the highest tail on the worker as a part of its target.
-func (w *worker) worstTail() float64 {
-	worst := 0.0
-	for r := range w.runs {
-		if target := r.task.spec().TargetMillis; target > 0 {
-			worst = max(worst, float64(r.gauge)/target)
-		}
+func (c *Cell) setPace(now time.Time, r *run, percent int) {
+	if percent >= slowedTooMuch {
+		r.slowed = time.Time{}
+	} else if r.slowed.IsZero() {
+		r.slowed = now
+	}
+	if r.pace == percent || abs(r.pace-percent) < paceStep && percent < 100 {
+		return
+	}
+	r.pace = percent
+	c.effects.Paces = append(c.effects.Paces, PaceOrder{r.worker.info.ID, r.task.id(), r.number, percent})
+}
+
+// relocate moves a task that is slowed to a worker where it isn't.
+func (c *Cell) relocate(now time.Time, r *run) {
+	if r.slowed.IsZero() || now.Sub(r.slowed) < moveAfter || !r.fills() || r.task.spec().Gang {
+		return
+	}
+	t := r.task
+	if !t.spec().Checkpointing && r.percent > keepAbove {
+		return
 	}
-	return worst
+	if c.placeAvoiding(now, t, r.worker) == nil {
+		return
+	}
+	c.note(Note{Event: "run moved", Task: t.id(), Run: r.number, Worker: r.worker.info.ID, Age: now.Sub(r.slowed)})
+	c.stop(now, r)
 }
 
+// keepAbove is the progress, in percent, from which a task that would start
+// anew elsewhere is left where it is.
+const keepAbove = 40
+
 func abs(n int) int { return max(n, -n) }
--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -246,13 +246,6 @@
 	}
 	r.percent = row.Percent
 	r.gauge = row.Gauge
-	target := r.task.spec().TargetMillis
-	switch {
-	case target <= 0 || float64(r.gauge) <= target:
-		r.over = time.Time{}
-	case r.over.IsZero():
-		r.over = now
-	}
 }
 
 func (c *Cell) began(j *job) {
--- a/internal/version/cell/schedule.go
+++ b/internal/version/cell/schedule.go
@@ -222,6 +222,7 @@
 			if r.phase == running && c.slow(now, r) {
 				c.copyOrMove(now, r)
 			}
+			c.relocate(now, r)
 		}
 	}
 }
