--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -137,6 +137,7 @@
 	if answer.Verdict != intake.OK || request.Operation != cellcodec.OpStatus {
 		e.options.Journal.Request(logging.RequestLine{
 			Operation: operationWord(request.Operation),
+			Queue:     answer.Queue,
 			Job:       string(answer.Job),
 			Cell:      answer.Cell,
 			Verdict:   verdictWord(answer.Verdict),
--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -397,12 +397,16 @@
 		o.Journal.Task(logging.TaskLine{Event: "start ordered", Task: taskName(order.Task), Run: order.Run, Worker: string(order.Worker), Epoch: l.term.Epoch})
 	}
 	for _, note := range effects.Notes {
-		name := ""
-		if note.Task.Job != "" {
-			name = taskName(note.Task)
-		}
-		o.Journal.Task(logging.TaskLine{Event: note.Event, Task: name, Run: note.Run, Worker: string(note.Worker), Outcome: note.Outcome, Age: note.Age, Epoch: l.term.Epoch})
+		o.Journal.Task(logging.TaskLine{Event: note.Event, Task: noteName(note), Run: note.Run, Worker: string(note.Worker), Outcome: note.Outcome, Age: note.Age, Epoch: l.term.Epoch})
+	}
+}
+
+// noteName returns the task or the job that a note is about.
+func noteName(note cell.Note) string {
+	if note.Run == 0 {
+		return string(note.Task.Job)
 	}
+	return taskName(note.Task)
 }
 
 func taskName(id cell.TaskID) string {
--- a/internal/process/logging/journal.go
+++ b/internal/process/logging/journal.go
@@ -9,9 +9,11 @@
 )
 
 const (
-	// maxLinesPerSecond bounds the lines about requests and tasks. At about 5
-	// microseconds a line they take a thousandth of a core.
-	maxLinesPerSecond = 200
+	// maxRequestLines and maxTaskLines bound the lines in one second, apart, so
+	// that a wave of tasks doesn't hide the requests. At about 5 microseconds a
+	// line they take up to 3 thousandths of a core.
+	maxRequestLines = 200
+	maxTaskLines    = 400
 	// maxWaitingLines bounds the lines that wait for the output.
 	maxWaitingLines = 1024
 )
@@ -20,19 +22,28 @@
 // what the process believes. It never blocks: lines beyond a limit are counted
 // and left out. It may be used by several threads.
 type Journal struct {
-	log    log.Logger
-	output *output
+	log      log.Logger
+	output   *output
+	requests budget
+	tasks    budget
+	onDrop   func()
+}
+
+// budget bounds the lines of one sort in one second.
+type budget struct {
+	most   int64
 	window atomic.Int64
 	lines  atomic.Int64
-	// dropped counts the lines left out since the last line that was written.
+	// dropped counts the lines left out since the last one that was written.
 	dropped atomic.Int64
-	onDrop  func()
 }
 
 // NewJournal returns a journal that writes JSON lines to w. onDrop is called
 // for each line that is left out.
 func NewJournal(w io.Writer, level, instance string, onDrop func()) *Journal {
 	j := &Journal{output: newOutput(w, onDrop), onDrop: onDrop}
+	j.requests.most = maxRequestLines
+	j.tasks.most = maxTaskLines
 	j.log = log.Logger{
 		Level:      log.ParseLevel(level),
 		TimeFormat: timeFormat,
@@ -46,18 +57,18 @@
 func (j *Journal) Close() { j.output.close() }
 
 // limited returns a line unless too many were written in this second.
-func (j *Journal) limited() *log.Entry {
+func (j *Journal) limited(b *budget) *log.Entry {
 	second := time.Now().Unix()
-	if j.window.Swap(second) != second {
-		j.lines.Store(0)
+	if b.window.Swap(second) != second {
+		b.lines.Store(0)
 	}
-	if j.lines.Add(1) > maxLinesPerSecond {
-		j.dropped.Add(1)
+	if b.lines.Add(1) > b.most {
+		b.dropped.Add(1)
 		j.onDrop()
 		return nil
 	}
 	entry := j.log.Info()
-	if dropped := j.dropped.Swap(0); dropped > 0 {
+	if dropped := b.dropped.Swap(0); dropped > 0 {
 		entry = entry.Int64("dropped_before", dropped)
 	}
 	return entry
@@ -66,6 +77,7 @@
 // RequestLine describes one answered request.
 type RequestLine struct {
 	Operation string
+	Queue     string
 	Job       string
 	Cell      int
 	Verdict   string
@@ -78,7 +90,7 @@
 
 // Request says how a request was answered.
 func (j *Journal) Request(line RequestLine) {
-	j.limited().Str("op", line.Operation).Str("job", line.Job).Int("cell", line.Cell).Str("verdict", line.Verdict).
+	j.limited(&j.requests).Str("op", line.Operation).Str("queue", line.Queue).Str("job", line.Job).Int("cell", line.Cell).Str("verdict", line.Verdict).
 		Str("cause", line.Cause).Int64("manifest", line.Manifest).Int64("epoch", line.Epoch).
 		Int64("took_ms", line.Took.Milliseconds()).Msg("request")
 }
@@ -97,7 +109,7 @@
 
 // Task says what was decided about a task or a worker.
 func (j *Journal) Task(line TaskLine) {
-	entry := j.limited().Int64("epoch", line.Epoch)
+	entry := j.limited(&j.tasks).Int64("epoch", line.Epoch)
 	if line.Task != "" {
 		entry = entry.Str("task", line.Task).Int64("run", line.Run)
 	}
@@ -156,10 +168,10 @@
 
 // Retry says that something failed and is tried again.
 func (j *Journal) Retry(what string, err error) {
-	j.limited().Str("what", what).Err(err).Msg("failed, trying again")
+	j.limited(&j.requests).Str("what", what).Err(err).Msg("failed, trying again")
 }
 
 // Skipped says that a record of others can't be used.
 func (j *Journal) Skipped(source, key string, err error) {
-	j.limited().Str("source", source).Str("key", key).Err(err).Msg("record skipped")
+	j.limited(&j.requests).Str("source", source).Str("key", key).Err(err).Msg("record skipped")
 }
--- a/internal/process/logging/output.go
+++ b/internal/process/logging/output.go
@@ -6,6 +6,9 @@
 	"sync"
 )
 
+// maxBatchBytes bounds one write of lines that wait.
+const maxBatchBytes = 16 << 10
+
 // output passes lines to a writer that may block, from a goroutine of its own.
 type output struct {
 	lines  chan []byte
@@ -32,9 +35,12 @@
 
 func (o *output) run(w io.Writer) {
 	defer close(o.done)
-	for line := range o.lines {
-		// A line that can't be written has nowhere else to go.
-		_, _ = w.Write(line)
+	for batch := range o.lines {
+		for len(o.lines) > 0 && len(batch) < maxBatchBytes {
+			batch = append(batch, <-o.lines...)
+		}
+		// Lines that can't be written have nowhere else to go.
+		_, _ = w.Write(batch)
 	}
 }
 
--- a/internal/request/intake/intake.go
+++ b/internal/request/intake/intake.go
@@ -55,6 +55,7 @@
 	// Cause is the kind of failure, for the log.
 	Cause fault.Kind
 	Job   jobspec.ID
+	Queue string
 	Cell  int
 	// Manifest is the version that decided.
 	Manifest int64
@@ -102,6 +103,7 @@
 	defer cancel()
 	answer := serve(ctx, queue, rest, leaders, request)
 	answer.Manifest = m.Version
+	answer.Queue = queue.Name
 	return answer
 }
 
--- a/internal/version/cell/cell.go
+++ b/internal/version/cell/cell.go
@@ -40,6 +40,8 @@
 
 	images    images
 	pressures pressures
+	reserve   reserve
+	room      room
 
 	workersChanged bool
 	// paused says that no task may be started.
@@ -261,7 +263,6 @@
 		return false
 	}
 	if !j.state.Over() {
-		c.note(Note{Event: "job canceled", Task: TaskID{Job: id}})
 		c.end(now, j, Canceled)
 	}
 	c.afterWrite(func() { c.effects.Done = append(c.effects.Done, request) })
@@ -292,6 +293,7 @@
 func (c *Cell) end(now time.Time, j *job, state State) {
 	j.state = state
 	j.ended = now
+	c.note(Note{Event: "job ended", Task: TaskID{Job: j.id}, Outcome: state.String(), Age: now.Sub(j.accepted)})
 	c.markDirty(j)
 	c.afterWrite(func() {
 		j.visible.Store(uint32(state))
--- a/internal/version/cell/pace.go
+++ b/internal/version/cell/pace.go
@@ -11,14 +11,14 @@
 const (
 	// servingShare is the part of its declared processors that a serving task
 	// is assumed to use.
-	servingShare = 0.5
+	servingShare = 0.42
 	// minPace is the lowest share of full speed, in percent. Work at 0 would
 	// hold its memory and never end.
 	minPace = 3
 	// paceStep is the least change of a pace that is worth an order.
 	paceStep = 8
 	// harmless is the pressure of a task that is never slowed for.
-	harmless = 0.01
+	harmless = 0.03
 	// emergency multiplies the budget of a worker whose tail is over its
 	// target, at each report, and recovery lets it grow back.
 	emergency = 0.5
--- a/internal/version/cell/place.go
+++ b/internal/version/cell/place.go
@@ -121,5 +121,36 @@
 		return score + room, enough
 	}
 	// The fullest worker that has room, so that large tasks find a place too.
-	return score - float64(w.free().CPU-spec.CPU)/1000, true
+	score -= float64(w.free().CPU-spec.CPU) / 1000
+	if !spec.LongRunning {
+		return score, true
+	}
+	return score + w.company(t), c.reserve.allows(c.freeCPU(), spec.CPU)
+}
+
+// Scores of serving tasks, in cores of spare room. Workers whose serving tasks
+// are all of one image leave a place for every image that fills.
+const (
+	sameImage  = 60
+	otherImage = -60
+)
+
+// company rates a worker by the images that serve there.
+func (w *worker) company(t *task) float64 {
+	others := map[string]bool{}
+	score := 0.0
+	for r := range w.runs {
+		image := r.task.spec().Image
+		switch {
+		case !r.task.serves():
+		case image == t.spec().Image:
+			score = sameImage
+		case !others[image]:
+			others[image] = true
+		}
+	}
+	if score == 0 {
+		return otherImage * float64(len(others))
+	}
+	return score
 }
--- a/internal/version/cell/pressure.go
+++ b/internal/version/cell/pressure.go
@@ -25,6 +25,9 @@
 	ridge = 3.0
 	// maxCoefficient is that of a filler of which one core is too much.
 	maxCoefficient = 0.6
+	// swing is what the own load alone adds at times. Only what exceeds it is
+	// put down to a filler, since most pairs don't disturb each other.
+	swing = 0.1
 	// baseRate is the weight of one report in the pressure of the own load.
 	baseRate = 0.3
 	// initialBase is assumed for the own load until the first report.
@@ -151,6 +154,9 @@
 		power += used * used
 	}
 	miss := s.pressure - base - expected
+	if miss > 0 {
+		miss = math.Max(0, miss-swing)
+	}
 	for image, used := range cores {
 		corrected := p.coefficient(s.image, image) + learningRate*miss*used/power
 		p.coefficients[pair{s.image, image}] = math.Min(maxCoefficient, math.Max(0, corrected))
--- a/internal/version/cell/schedule.go
+++ b/internal/version/cell/schedule.go
@@ -79,6 +79,7 @@
 	if c.unsorted {
 		c.rank(now)
 	}
+	c.measureRoom(now)
 	recovered := c.recovered(now)
 	kept := c.ready[:0]
 	var full demand
@@ -178,6 +179,9 @@
 	t.lastRun = number
 	t.runs = append(t.runs, r)
 	w.attach(r)
+	if t.spec().LongRunning {
+		c.room.free -= r.size.CPU
+	}
 	c.began(t.job())
 	c.effects.Starts = append(c.effects.Starts, StartOrder{
 		Worker:     w.info.ID,
