--- a/internal/version/cell/place.go
+++ b/internal/version/cell/place.go
@@ -15,6 +15,9 @@
 	var best *worker
 	var bestScore float64
 	size := t.size()
+	if t.spec().LongRunning && !c.reserve.allows(c.room.free, size.CPU) && c.places(t) < placesToHold {
+		return nil
+	}
 	for _, w := range c.workers {
 		if w == avoid || !w.usable() || !w.free().fits(size) || !w.allowed(t) {
 			continue
@@ -30,6 +33,27 @@
 	return best
 }
 
+// placesToHold is the number of places at which a task that lasts is started
+// even if that leaves too little room for short tasks.
+const placesToHold = 2
+
+// places counts how many tasks like t would find a place.
+func (c *Cell) places(t *task) int {
+	size := t.size()
+	count := 0
+	for _, w := range c.workers {
+		if !w.usable() || !w.allowed(t) {
+			continue
+		}
+		free := w.free()
+		for free.fits(size) && count < placesToHold {
+			count++
+			free = free.minus(size)
+		}
+	}
+	return count
+}
+
 // placeGang returns a worker for each task of the step, or nil.
 func (c *Cell) placeGang(now time.Time, s *step) []*worker {
 	if !s.spec.SameRack {
@@ -122,10 +146,10 @@
 	}
 	// The fullest worker that has room, so that large tasks find a place too.
 	score -= float64(w.free().CPU-spec.CPU) / 1000
-	if !spec.LongRunning {
-		return score, true
+	if spec.LongRunning {
+		score += w.company(t)
 	}
-	return score + w.company(t), c.reserve.allows(c.freeCPU(), spec.CPU)
+	return score, true
 }
 
 // Scores of serving tasks, in cores of spare room. Workers whose serving tasks
--- a/internal/version/cell/reserve.go
+++ b/internal/version/cell/reserve.go
@@ -41,9 +41,6 @@
 	return float64(free-cpu) >= reserveMargin*r.peak
 }
 
-// freeCPU returns what is not reserved by tasks that last, on usable workers.
-func (c *Cell) freeCPU() int { return c.room.free }
-
 // room sums up the processors of the usable workers.
 type room struct {
 	capacity int
