--- a/internal/version/cell/schedule.go
+++ b/internal/version/cell/schedule.go
@@ -84,8 +84,8 @@
 	kept := c.ready[:0]
 	var full demand
 	for _, t := range c.ready {
-		if t.done || t.job().state.Over() {
-			t.queued = false
+		if t.done || len(t.runs) > 0 || t.job().state.Over() {
+			t.queued = false // It ended or was found running meanwhile.
 			continue
 		}
 		if t.job().recovered && !recovered || full.covers(t) || !c.start(now, t) {
