--- a/internal/version/cell/cell.go
+++ b/internal/version/cell/cell.go
@@ -1,6 +1,8 @@
 package cell
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -17,6 +19,8 @@
 	manifest *manifest.Manifest
 	jobs     map[jobspec.ID]*job
 	workers  map[WorkerID]*worker
+	// ordered holds the workers in a fixed order; list keeps it up.
+	ordered []*worker
 	// index is the published view of jobs, replaced whole.
 	index atomic.Pointer[iradix.Tree[*job]]
 
@@ -24,6 +28,8 @@
 	// haven't answered in this one.
 	recovering   map[WorkerID]bool
 	recoverUntil time.Time
+	// registered says that the registry was read in this term.
+	registered bool
 
 	ready []*task
 	// unsorted says that ready has tasks that rank has not seen.
@@ -117,6 +123,7 @@
 		listed[info.ID] = true
 		c.registerOne(now, info)
 	}
+	c.registered = true
 	for id, w := range c.workers {
 		if !listed[id] && w.listed {
 			w.listed = false
@@ -131,17 +138,17 @@
 		w = newWorker(info)
 		c.workers[info.ID] = w
 		c.workersChanged = true
+		if !c.registered {
+			c.recovering[info.ID] = true
+		}
 		c.write.Workers = append(c.write.Workers, info)
 	}
-	if info.Born != 0 && w.info.Born != 0 && info.Born != w.info.Born {
-		c.reborn(now, w, info.Born)
-	}
 	if !w.listed || w.info.Draining != info.Draining {
 		c.note(Note{Event: "worker listed", Worker: info.ID, Outcome: drainingWord(info.Draining)})
 	}
-	if info.Born == 0 {
-		info.Born = w.info.Born
-	}
+	// Only a report shows what another life runs: an order to the earlier one
+	// may still arrive there.
+	info.Born = w.info.Born
 	if info.Address != w.info.Address {
 		c.workersChanged = true
 	}
@@ -210,6 +217,16 @@
 		"recovering": len(c.recovering), "starts_paused": c.paused}
 }
 
+// list returns the workers in a fixed order.
+func (c *Cell) list() []*worker {
+	if len(c.ordered) != len(c.workers) {
+		c.ordered = slices.SortedFunc(maps.Values(c.workers), func(a, b *worker) int {
+			return cmp.Compare(a.info.ID, b.info.ID)
+		})
+	}
+	return c.ordered
+}
+
 // Workers returns the workers that need a session, with their addresses.
 func (c *Cell) Workers() []WorkerInfo {
 	infos := make([]WorkerInfo, 0, len(c.workers))
@@ -404,6 +421,7 @@
 	}
 	if !w.listed {
 		delete(c.workers, w.info.ID)
+		c.ordered = nil
 		c.workersChanged = true
 		delete(c.recovering, w.info.ID)
 		c.write.Gone = append(c.write.Gone, w.info.ID)
--- a/internal/version/cell/job.go
+++ b/internal/version/cell/job.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -46,6 +47,8 @@
 	tasks      []*task
 	left       int
 	open       bool
+	// retryAt ends the pause after a task of the step found no place.
+	retryAt time.Time
 	// perWorker counts the runs on each worker, for steps with a spread.
 	perWorker map[WorkerID]int
 }
@@ -55,7 +58,7 @@
 	step       *step
 	index      int
 	done       bool
-	failures   int
+	failedRuns []int64
 	lastRun    int64
 	checkpoint string
 	runs       []*run
@@ -222,12 +225,12 @@
 
 func appendTouched(to []TaskRecord, s *step) []TaskRecord {
 	for _, t := range s.tasks {
-		if !t.done && t.failures == 0 && t.checkpoint == "" {
+		if !t.done && len(t.failedRuns) == 0 && t.checkpoint == "" {
 			continue
 		}
 		to = append(to, TaskRecord{
 			Occurrence: s.occurrence.number, Step: s.index, Index: t.index,
-			Done: t.done, Failures: t.failures, LastRun: t.lastRun, Checkpoint: t.checkpoint,
+			Done: t.done, FailedRuns: slices.Clone(t.failedRuns), LastRun: t.lastRun, Checkpoint: t.checkpoint,
 		})
 	}
 	return to
@@ -246,7 +249,7 @@
 		if t == nil {
 			continue
 		}
-		t.failures = stored.Failures
+		t.failedRuns = stored.FailedRuns
 		t.lastRun = stored.LastRun
 		t.checkpoint = stored.Checkpoint
 		if stored.Done {
--- a/internal/version/cell/pace.go
+++ b/internal/version/cell/pace.go
@@ -55,22 +55,51 @@
 	return f.budget
 }
 
+// load sums up what runs on a worker.
+type load struct {
+	// demand is the thousandths of a core that the runs are assumed to use.
+	demand float64
+	// serving holds the serving images, with the pressure that is left beside
+	// their own load and all that fills, at full speed.
+	serving []serving
+	left    []float64
+}
+
+// loadOf returns the sums for a worker, computed anew if its runs or its
+// pressures changed.
+func (c *Cell) loadOf(w *worker) *load {
+	if w.load != nil {
+		return w.load
+	}
+	l := &load{}
+	for r := range w.runs {
+		l.demand += r.demand()
+		if r.task.serves() {
+			l.serving = addServing(l.serving, r.task.spec().Image, r.task.spec().TargetMillis)
+		}
+	}
+	for i := range l.serving {
+		s := &l.serving[i]
+		s.allowed = targetShare * c.pressures.of(s.image, s.target, s.target)
+		l.left = append(l.left, s.allowed*w.fill.share()-w.fill.baseOf(s.image)-c.filling(s.image, w))
+	}
+	w.load = l
+	return l
+}
+
 // fillRoom returns the spare cores beside the task, less what its pressure on
 // the serving tasks costs, and whether it could work at full speed.
 func (c *Cell) fillRoom(t *task, w *worker) (cores float64, enough bool) {
-	used := 0.0
-	for r := range w.runs {
-		used += r.demand()
-	}
+	l := c.loadOf(w)
 	need := float64(t.spec().CPU)
-	left := float64(w.info.Capacity.CPU) - used - need
+	left := float64(w.info.Capacity.CPU) - l.demand - need
 	if left < 0 {
 		return 0, false
 	}
 	worst := 0.0
-	for _, s := range c.servingOn(w) {
+	for i, s := range l.serving {
 		added := c.pressures.coefficient(s.image, t.spec().Image) * need / 1000
-		if added > harmless && w.fill.baseOf(s.image)+c.filling(s.image, w)+added > s.allowed*w.fill.share() {
+		if added > harmless && added > l.left[i] {
 			return 0, false
 		}
 		worst = max(worst, added)
@@ -78,20 +107,6 @@
 	return left/1000 - pressureWeight*worst, true
 }
 
-// servingOn returns the serving images on a worker and what they allow.
-func (c *Cell) servingOn(w *worker) []serving {
-	var images []serving
-	for r := range w.runs {
-		if r.task.serves() {
-			images = addServing(images, r.task.spec().Image, r.task.spec().TargetMillis)
-		}
-	}
-	for i := range images {
-		images[i].allowed = targetShare * c.pressures.of(images[i].image, images[i].target, images[i].target)
-	}
-	return images
-}
-
 // filling returns the pressure on a serving image of all that fills on a
 // worker, at full speed.
 func (c *Cell) filling(image string, w *worker) float64 {
@@ -124,6 +139,7 @@
 
 // pace learns from a report and adapts the speed of what fills on the worker.
 func (c *Cell) pace(now time.Time, w *worker) {
+	w.load = nil
 	images := c.observe(now, w)
 	if w.fill.base == nil {
 		w.fill.base = map[string]float64{}
--- a/internal/version/cell/place.go
+++ b/internal/version/cell/place.go
@@ -15,11 +15,11 @@
 	var best *worker
 	var bestScore float64
 	size := t.size()
-	if t.spec().LongRunning && !c.reserve.allows(c.room.free, size.CPU) && c.places(t) < placesToHold {
+	if t.spec().LongRunning && !c.reserve.allows(c.room.free, size.CPU) && c.places(now, t) < placesToHold {
 		return nil
 	}
-	for _, w := range c.workers {
-		if w == avoid || !w.usable() || !w.free().fits(size) || !w.allowed(t) {
+	for _, w := range c.list() {
+		if w == avoid || !w.usable(now) || !w.free().fits(size) || !w.allowed(t) {
 			continue
 		}
 		score, possible := c.score(now, t, w)
@@ -38,11 +38,11 @@
 const placesToHold = 2
 
 // places counts how many tasks like t would find a place.
-func (c *Cell) places(t *task) int {
+func (c *Cell) places(now time.Time, t *task) int {
 	size := t.size()
 	count := 0
-	for _, w := range c.workers {
-		if !w.usable() || !w.allowed(t) {
+	for _, w := range c.list() {
+		if !w.usable(now) || !w.allowed(t) {
 			continue
 		}
 		free := w.free()
@@ -60,7 +60,7 @@
 		return c.placeAll(now, s, "")
 	}
 	racks := []string{s.spec.DataRack}
-	for _, w := range c.workers {
+	for _, w := range c.list() {
 		if !slices.Contains(racks, w.info.Rack) {
 			racks = append(racks, w.info.Rack)
 		}
@@ -102,8 +102,8 @@
 func (c *Cell) placeOnRack(now time.Time, t *task, rack string) *worker {
 	var best *worker
 	var bestScore float64
-	for _, w := range c.workers {
-		if rack != "" && w.info.Rack != rack || !w.usable() || !w.free().fits(t.size()) || !w.allowed(t) {
+	for _, w := range c.list() {
+		if rack != "" && w.info.Rack != rack || !w.usable(now) || !w.free().fits(t.size()) || !w.allowed(t) {
 			continue
 		}
 		score, possible := c.score(now, t, w)
--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 )
 
@@ -69,13 +70,18 @@
 	c.note(Note{Event: "worker silent", Worker: id, Age: now.Sub(w.heard)})
 }
 
-// Reborn says that another life of the worker answered, so nothing that was
-// started in the earlier one runs.
+// reborn applies that another life of the worker answered, so that nothing
+// that the earlier one started runs.
 func (c *Cell) reborn(now time.Time, w *worker, born int64) {
 	c.note(Note{Event: "worker restarted", Worker: w.info.ID})
 	for r := range w.runs {
-		c.lost(now, r, "worker restarted")
+		// An order on its way may arrive in the new life; a report under a
+		// higher token settles it.
+		if r.phase == running || r.phase == stopping {
+			c.lost(now, r, "worker restarted")
+		}
 	}
+	c.effects.Settle = append(c.effects.Settle, w.info.ID)
 	w.info.Born = born
 	w.lastEnd = 0
 	w.held = false
@@ -149,9 +155,9 @@
 		c.taskDone(now, t)
 		return
 	case EndFailed:
-		t.failures++
+		t.countFailure(end.Run)
 		t.failedOn = append(t.failedOn, w.info.ID)
-		if !t.spec().LongRunning && t.failures >= max(1, t.job().terms.Attempts) {
+		if !t.spec().LongRunning && len(t.failedRuns) >= max(1, t.job().terms.Attempts) {
 			c.note(Note{Event: "job failed", Task: t.id(), Run: end.Run, Worker: w.info.ID})
 			c.end(now, t.job(), Failed)
 			return
@@ -161,6 +167,13 @@
 	c.requeue(now, t)
 }
 
+// countFailure counts the failure of a run once, however often it is listed.
+func (t *task) countFailure(run int64) {
+	if !slices.Contains(t.failedRuns, run) {
+		t.failedRuns = append(t.failedRuns, run)
+	}
+}
+
 func (c *Cell) taskDone(now time.Time, t *task) {
 	if t.spec().LongRunning {
 		c.requeue(now, t)
@@ -297,8 +310,13 @@
 	w := r.worker
 	c.note(Note{Event: "start refused", Task: t.id(), Run: r.number, Worker: w.info.ID, Outcome: string(why), Age: now.Sub(r.ordered)})
 	w.detach(r)
+	w.blockedUntil = now.Add(refusalPause)
 	if why == RefusedHealth {
 		w.health.refused(now)
 	}
 	c.requeue(now, t)
 }
+
+// refusalPause is how long a worker that refused a start gets no other: the
+// next report, which may change what is believed of it, takes about as long.
+const refusalPause = 300 * time.Millisecond
--- a/internal/version/cell/reserve.go
+++ b/internal/version/cell/reserve.go
@@ -50,11 +50,17 @@
 	short int
 }
 
-// measureRoom is called once in each round of decisions.
+// measurePeriod is the time between two sums over all workers.
+const measurePeriod = 50 * time.Millisecond
+
+// measureRoom is called in each round of decisions.
 func (c *Cell) measureRoom(now time.Time) {
+	if now.Sub(c.reserve.seen) < measurePeriod {
+		return
+	}
 	c.room = room{}
-	for _, w := range c.workers {
-		if !w.usable() {
+	for _, w := range c.list() {
+		if !w.usable(now) {
 			continue
 		}
 		c.room.capacity += w.info.Capacity.CPU
--- a/internal/version/cell/schedule.go
+++ b/internal/version/cell/schedule.go
@@ -68,7 +68,7 @@
 // recovered says whether every worker that may have runs of earlier terms has
 // answered or can't have any.
 func (c *Cell) recovered(now time.Time) bool {
-	return len(c.recovering) == 0 || !now.Before(c.recoverUntil)
+	return c.registered && len(c.recovering) == 0 || !now.Before(c.recoverUntil)
 }
 
 // schedule starts the ready tasks that find a place.
@@ -82,14 +82,13 @@
 	c.measureRoom(now)
 	recovered := c.recovered(now)
 	kept := c.ready[:0]
-	var full demand
 	for _, t := range c.ready {
 		if t.done || len(t.runs) > 0 || t.job().state.Over() {
 			t.queued = false // It ended or was found running meanwhile.
 			continue
 		}
-		if t.job().recovered && !recovered || full.covers(t) || !c.start(now, t) {
-			full.add(t)
+		if t.job().recovered && !recovered || now.Before(t.step.retryAt) || !c.start(now, t) {
+			t.step.postpone(now)
 			kept = append(kept, t)
 		}
 	}
@@ -97,18 +96,16 @@
 	c.ready = kept
 }
 
-// demand remembers the steps that found no place in this pass, so that their
-// other tasks aren't tried.
-type demand struct{ steps []*step }
+// retryPause is how long the tasks of a step that found no place wait. Reports
+// come every few milliseconds, and each would try all tasks that wait.
+const retryPause = 30 * time.Millisecond
 
-func (d *demand) add(t *task) {
-	if !d.covers(t) {
-		d.steps = append(d.steps, t.step)
+func (s *step) postpone(now time.Time) {
+	if !now.Before(s.retryAt) {
+		s.retryAt = now.Add(retryPause)
 	}
 }
 
-func (d *demand) covers(t *task) bool { return slices.Contains(d.steps, t.step) }
-
 // rank orders the ready tasks: priority first, then by the time at which the
 // job is late, and large tasks before small ones of the same job.
 func (c *Cell) rank(now time.Time) {
--- a/internal/version/cell/types.go
+++ b/internal/version/cell/types.go
@@ -300,7 +300,9 @@
 	Step       int
 	Index      int
 	Done       bool
-	Failures   int
+	// FailedRuns are the runs whose failure counts. A worker lists an end
+	// again to the next leader if it was not told that the end is stored.
+	FailedRuns []int64
 	LastRun    int64
 	Checkpoint string
 }
--- a/internal/version/cell/worker.go
+++ b/internal/version/cell/worker.go
@@ -20,12 +20,16 @@
 	// leaseUntil is when everything on the worker has lapsed at the latest.
 	leaseUntil time.Time
 	heard      time.Time
+	// blockedUntil ends the pause after a refused start.
+	blockedUntil time.Time
 	// lastEnd is the number of the newest end that was applied, stored the
 	// newest that is stored, acked the newest that the worker was told of.
 	lastEnd int64
 	health  health
 	// fill is the learned state of the work that fills on this worker.
 	fill fillState
+	// load sums up the runs; it is nil if they changed since.
+	load *load
 }
 
 func newWorker(info WorkerInfo) *worker {
@@ -33,8 +37,8 @@
 }
 
 // usable says whether new runs may be started.
-func (w *worker) usable() bool {
-	return w.listed && w.held && !w.silent && !w.info.Draining
+func (w *worker) usable(now time.Time) bool {
+	return w.listed && w.held && !w.silent && !w.info.Draining && !now.Before(w.blockedUntil)
 }
 
 func (w *worker) free() Size { return w.info.Capacity.minus(w.used) }
@@ -55,6 +59,7 @@
 // attach counts a run on the worker.
 func (w *worker) attach(r *run) {
 	r.worker = w
+	w.load = nil
 	w.runs[r] = struct{}{}
 	w.used = w.used.plus(r.size)
 	if r.task.step.perWorker != nil {
@@ -68,6 +73,7 @@
 		return
 	}
 	delete(w.runs, r)
+	w.load = nil
 	w.used = w.used.minus(r.size)
 	if r.task.step.perWorker != nil {
 		r.task.step.perWorker[w.info.ID]--
