--- a/internal/version/cell/pace.go
+++ b/internal/version/cell/pace.go
@@ -23,6 +23,13 @@
 	// target, at each report, and recovery lets it grow back.
 	emergency = 0.5
 	recovery  = 1.3
+	// holdAfter is how long a tail is over its target, by the reports, before
+	// all that fills is held, and stopAfter before it is stopped. A report lags
+	// by about a second, and four seconds are a failure.
+	holdAfter = 500 * time.Millisecond
+	stopAfter = 1600 * time.Millisecond
+	// stopBelow is the progress, in percent, up to which a held run is stopped.
+	stopBelow = 97
 	// slowedTooMuch is the pace below which a task is moved to a worker where
 	// it can run at full speed.
 	slowedTooMuch = 50
@@ -39,6 +46,8 @@
 	// budget is the part of the allowed pressure that may be used; 0 stands
 	// for 1.
 	budget float64
+	// over is since when reports have shown a tail over its target.
+	over time.Time
 }
 
 func (f *fillState) baseOf(image string) float64 {
@@ -149,21 +158,48 @@
 		w.fill.base[s.image] = c.pressures.learn(s, w.fill.baseOf(s.image), w)
 		over = over || s.worst > 1
 	}
-	w.fill.adapt(over)
+	w.fill.adapt(now, over)
 	for r := range w.runs {
 		if r.fills() {
-			c.setPace(now, r, c.paceFor(images, r, w))
+			c.setPace(now, r, c.limit(now, images, r, w))
 		}
 	}
 }
 
+// limit returns the pace of a run. What is learned decides until a tail stays
+// over its target: then all that fills is held, whatever is believed of it.
+func (c *Cell) limit(now time.Time, images []serving, r *run, w *worker) int {
+	over := w.fill.overFor(now)
+	if over >= stopAfter && r.percent <= stopBelow {
+		c.note(Note{Event: "run displaced", Task: r.task.id(), Run: r.number, Worker: w.info.ID, Age: over})
+		c.stop(now, r)
+		return minPace
+	}
+	if over >= holdAfter {
+		return minPace
+	}
+	return c.paceFor(images, r, w)
+}
+
 // adapt shrinks the budget while a tail is over its target.
-func (f *fillState) adapt(over bool) {
-	if over {
-		f.budget = f.share() * emergency
+func (f *fillState) adapt(now time.Time, over bool) {
+	if !over {
+		f.over = time.Time{}
+		f.budget = min(1, f.share()*recovery)
 		return
 	}
-	f.budget = min(1, f.share()*recovery)
+	if f.over.IsZero() {
+		f.over = now
+	}
+	f.budget = f.share() * emergency
+}
+
+// overFor returns how long reports have shown a tail over its target.
+func (f *fillState) overFor(now time.Time) time.Duration {
+	if f.over.IsZero() {
+		return 0
+	}
+	return now.Sub(f.over)
 }
 
 // paceFor returns the share of full speed, in percent, at which all serving
