entry: take over from a leader that can't renew, and release a term nobody reaches

Cause: followers kept their link to a leader that the log refused for 9 s, and a leader cut off from all others went on renewing.

--- a/internal/connection/cellcodec/cellcodec.go
+++ b/internal/connection/cellcodec/cellcodec.go
@@ -171,6 +171,18 @@
 	Content  []byte `cbor:"3,keyasint,omitempty"`
 	// Cells is the number of cells of the deployment; 0 if unknown.
 	Cells int `cbor:"4,keyasint,omitempty"`
+	// Led are the cells that the sender leads.
+	Led []Led `cbor:"6,keyasint,omitempty"`
+}
+
+// Led shows how a leader's term stands.
+type Led struct {
+	_     struct{} `cbor:",toarray"`
+	Cell  int
+	Epoch int64
+	// End is the offset after the newest renewal, RenewedMillis its age.
+	End           int64
+	RenewedMillis int64
 }
 
 // Leader says who leads a cell in which term.
--- a/internal/connection/celllink/link.go
+++ b/internal/connection/celllink/link.go
@@ -38,6 +38,10 @@
 	Pulse(manifest int64) cellcodec.Pulse
 	// Pulsed takes what the other instance knows.
 	Pulsed(pulse cellcodec.Pulse)
+	// Opened and Closed enclose the life of a link that another instance
+	// opened.
+	Opened()
+	Closed()
 }
 
 // Link is one connection. Its methods may be called by any thread.
@@ -80,7 +84,10 @@
 		if err != nil {
 			return // Accept has written the refusal.
 		}
-		<-open(conn, server).Done()
+		link := open(conn, server)
+		server.Opened()
+		<-link.Done()
+		server.Closed()
 	})
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -125,7 +125,7 @@
 		return false
 	default:
 	}
-	return e.manifest.Load() != nil && e.leaders.Cells() > 0
+	return e.manifest.Load() != nil && e.leaders.reachable()
 }
 
 // Serve answers one request.
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -28,6 +28,12 @@
 
 	// termLease is how long a term lasts without a renewal.
 	termLease = 1500 * time.Millisecond
+	// stalledAfter is the age of the newest renewal at which others try to
+	// take over, if they reach the log.
+	stalledAfter = 1100 * time.Millisecond
+	// isolationPause is how long an instance that no other reaches leaves the
+	// lead to others.
+	isolationPause = 2 * time.Second
 	// renewPeriod allows two renewals to fail.
 	renewPeriod = 500 * time.Millisecond
 	// startAuthority is how long after its last renewal a leader that can't
@@ -98,6 +104,11 @@
 func (e *Entry) followCell(ctx context.Context, number int) {
 	var seen observation
 	for ctx.Err() == nil {
+		if e.leaders.isolated() {
+			// Another instance that the others reach has to lead.
+			sleep(ctx, isolationPause)
+			e.leaders.rejoin()
+		}
 		leader, known := e.leaders.table.Load().byCell[number]
 		dead := false
 		if known && leader.Address != "" && leader.Nonce != e.options.Self.Nonce {
@@ -117,6 +128,10 @@
 			seen = observation{}
 			continue
 		}
+		shown, found := e.leaders.renewed(number, current.Epoch)
+		if found && shown.end == current.End {
+			seen = observation{current.End, shown.at}
+		}
 		if seen.vacant(current, dead, e.options.Self) {
 			e.contend(ctx, current, trip)
 			continue
@@ -133,7 +148,7 @@
 	return current, time.Since(began), err
 }
 
-// observation is when a record of a term was first seen.
+// observation is when a record of a term was first seen, or was written.
 type observation struct {
 	end   int64
 	first time.Time
@@ -155,41 +170,39 @@
 	return time.Since(o.first) > termLease
 }
 
-// keepLink keeps a link to a leader until it is lost or a later term is known.
-// It returns true if the leader's process is known to have ended.
-func (e *Entry) keepLink(ctx context.Context, address string, nonce uint64, epoch int64, number int) (dead bool) {
+// keepLink keeps a link to a leader until it is lost, a later term is known or
+// the leader can't renew its term. It returns true if another instance has to
+// lead: the leader's process has ended, or it can't reach the log.
+func (e *Entry) keepLink(ctx context.Context, address string, nonce uint64, epoch int64, number int) (vacant bool) {
 	link, err := e.leaders.dial(ctx, address)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
+	ticker := time.NewTicker(celllink.PulsePeriod)
+	defer ticker.Stop()
 	for {
 		changed := e.leaders.Changed()
-		if e.leaders.epoch(number) != epoch {
+		leader := e.leaders.table.Load().byCell[number]
+		if leader.Epoch != epoch || leader.Address == "" {
 			return false
 		}
 		if other := link.Nonce(); other != 0 && other != nonce {
 			return true
 		}
+		if shown, found := e.leaders.renewed(number, epoch); found && time.Since(shown.at) > stalledAfter {
+			return true
+		}
 		select {
 		case <-link.Done():
 			return false
 		case <-changed:
-		case <-time.After(celllink.PulsePeriod):
+		case <-ticker.C:
 		case <-ctx.Done():
 			return false
 		}
-		if e.released(number, epoch) {
-			return false
-		}
 	}
 }
 
-// released says whether the leader has said that it gave its term up.
-func (e *Entry) released(number int, epoch int64) bool {
-	leader := e.leaders.table.Load().byCell[number]
-	return leader.Epoch == epoch && leader.Address == ""
-}
-
 // contend claims a cell and leads it until the term is lost.
 func (e *Entry) contend(ctx context.Context, seen term.Term, trip time.Duration) {
 	select {
--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -52,6 +52,8 @@
 	// nanoseconds since began.
 	renewed atomic.Int64
 	began   time.Time
+	// recordEnd is the offset after the newest renewal.
+	recordEnd atomic.Int64
 
 	sessions map[cell.WorkerID]*openSession
 
@@ -80,6 +82,7 @@
 		began:    time.Now(),
 		sessions: map[cell.WorkerID]*openSession{},
 	}
+	l.recordEnd.Store(held.End)
 	l.spawn(func() { l.renew(ctx) })
 	if err := l.recover(ctx); err != nil {
 		e.options.Journal.Retry("recovery of "+cellName(held.Cell), err)
@@ -188,7 +191,7 @@
 		case <-ticker.C:
 			l.tick()
 		case <-draining:
-			l.handOver(ctx)
+			l.giveUp(errDraining)
 			return
 		case <-ctx.Done():
 			return
@@ -216,8 +219,11 @@
 	if m := l.entry.manifest.Load(); m != nil {
 		l.cell.SetManifest(m)
 	}
-	if l.entry.leaders.epoch(l.term.Cell) > l.term.Epoch {
+	switch {
+	case l.entry.leaders.epoch(l.term.Cell) > l.term.Epoch:
 		l.lose(errTermOver)
+	case l.entry.leaders.isolated():
+		l.giveUp(errIsolated)
 	}
 }
 
@@ -225,15 +231,18 @@
 	return time.Since(l.began) - time.Duration(l.renewed.Load())
 }
 
-// handOver gives the term up, so that another instance leads at once. What is
-// in the writer's queue is repeated by its callers at the next leader.
-func (l *leadership) handOver(ctx context.Context) {
+// giveUp releases the term, so that another instance leads at once. Requests
+// that wait are repeated at the next leader.
+func (l *leadership) giveUp(why error) {
 	l.entry.leaders.setLed(l.term.Cell, nil)
 	l.entry.leaders.learn(cellcodec.Leader{Cell: l.term.Cell, Epoch: l.term.Epoch})
-	l.lose(errDraining)
+	l.lose(why)
 }
 
-var errDraining = errors.New("the instance is draining")
+var (
+	errDraining = errors.New("the instance is draining")
+	errIsolated = errors.New("no other instance reaches this one")
+)
 
 // renew keeps the term, and ends the leadership when another one has begun.
 func (l *leadership) renew(ctx context.Context) {
@@ -251,6 +260,7 @@
 		next, err := l.renewOnce(ctx, held)
 		if err == nil {
 			held = next
+			l.recordEnd.Store(held.End)
 			l.renewed.Store(int64(sent))
 			continue
 		}
@@ -264,9 +274,9 @@
 	}
 }
 
-// release gives the term up if the instance is draining.
+// release tells the log that the term was given up.
 func (l *leadership) release(held term.Term) {
-	if !errors.Is(l.reason(), errDraining) {
+	if why := l.reason(); !errors.Is(why, errDraining) && !errors.Is(why, errIsolated) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
--- a/internal/entry/leaders.go
+++ b/internal/entry/leaders.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -29,16 +30,78 @@
 
 	mu    sync.Mutex
 	links map[string]*celllink.Link
+	// renewals holds what leaders last showed of their terms.
+	renewals map[int]renewal
+	// inbound counts the links that others keep to this instance, lastInbound
+	// is when there was one, and most the highest count so far.
+	inbound     int
+	most        int
+	lastInbound time.Time
+}
+
+// renewal is what is known of the newest renewal of a term.
+type renewal struct {
+	epoch int64
+	end   int64
+	at    time.Time
 }
 
 func newLeaders(e *Entry) *leaders {
 	return &leaders{
-		entry: e,
-		table: publish.New(&leaderTable{byCell: map[int]cellcodec.Leader{}, led: map[int]*leadership{}}),
-		links: map[string]*celllink.Link{},
+		entry:    e,
+		table:    publish.New(&leaderTable{byCell: map[int]cellcodec.Leader{}, led: map[int]*leadership{}}),
+		links:    map[string]*celllink.Link{},
+		renewals: map[int]renewal{},
 	}
 }
 
+// renewed returns what the leader of a term last showed of it.
+func (l *leaders) renewed(cell int, epoch int64) (known renewal, found bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known, found = l.renewals[cell]
+	return known, found && known.epoch == epoch
+}
+
+// Opened implements celllink.Server.
+func (l *leaders) Opened() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.inbound++
+	l.most = max(l.most, l.inbound)
+}
+
+// Closed implements celllink.Server.
+func (l *leaders) Closed() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.inbound--
+	l.lastInbound = time.Now()
+}
+
+// isolated says whether all of several instances that kept a link have lost it.
+func (l *leaders) isolated() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.inbound == 0 && l.most >= isolationLinks && time.Since(l.lastInbound) > isolationTime
+}
+
+// rejoin forgets the links of the past, so that an instance that stays alone
+// may lead.
+func (l *leaders) rejoin() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.most = l.inbound
+}
+
+const (
+	// isolationLinks is the number of lost links from which a leader takes
+	// itself, and not the others, for cut off.
+	isolationLinks = 2
+	// isolationTime is how long a leader without links waits for one.
+	isolationTime = 300 * time.Millisecond
+)
+
 func (l *leaders) change(derive func(next *leaderTable) bool) {
 	l.table.Update(func(current *leaderTable) *leaderTable {
 		next := &leaderTable{current.cells, maps.Clone(current.byCell), maps.Clone(current.led)}
@@ -101,6 +164,18 @@
 	return int(xxhash.Sum64String(name) % uint64(cells))
 }
 
+// reachable says whether the instance can pass requests on to a leader of
+// every cell.
+func (l *leaders) reachable() bool {
+	table := l.table.Load()
+	for number := range table.cells {
+		if table.led[number] == nil && l.open(table.byCell[number].Address) == nil {
+			return false
+		}
+	}
+	return table.cells > 0
+}
+
 // Changed implements intake.Leaders.
 func (l *leaders) Changed() <-chan struct{} { return l.table.Changed() }
 
@@ -180,6 +255,12 @@
 	for _, leader := range table.byCell {
 		pulse.Leaders = append(pulse.Leaders, leader)
 	}
+	for number, led := range table.led {
+		pulse.Led = append(pulse.Led, cellcodec.Led{
+			Cell: number, Epoch: led.term.Epoch, End: led.recordEnd.Load(),
+			RenewedMillis: led.sinceRenewal().Milliseconds(),
+		})
+	}
 	if encoded := l.entry.encoded.Load(); encoded != nil {
 		pulse.Manifest = encoded.version
 		if theirs >= 0 && theirs < encoded.version {
@@ -197,6 +278,13 @@
 	for _, leader := range pulse.Leaders {
 		l.learn(leader)
 	}
+	l.mu.Lock()
+	for _, led := range pulse.Led {
+		if l.renewals[led.Cell].epoch <= led.Epoch {
+			l.renewals[led.Cell] = renewal{led.Epoch, led.End, time.Now().Add(-time.Duration(led.RenewedMillis) * time.Millisecond)}
+		}
+	}
+	l.mu.Unlock()
 	if len(pulse.Content) > 0 {
 		l.entry.adoptEncoded(pulse.Content)
 	}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -31,20 +31,17 @@
 	return cellcodec.Reply{Result: cellcodec.Refused}
 }
 
-// status answers only while the term is surely the newest or the state can't
-// change any more, so that no earlier state is shown.
+// status answers from what is stored. While a later term may have begun, it
+// doesn't say that there is no such job.
 func (l *leadership) status(call cellcodec.Call) cellcodec.Reply {
 	state, found := l.cell.Lookup(call.ID)
-	if found && state.Over() {
+	if found {
 		return cellcodec.Reply{Result: cellcodec.OK, State: state}
 	}
 	if l.sinceRenewal() > termLease {
 		return cellcodec.Reply{Result: cellcodec.NotLeader}
 	}
-	if !found {
-		return cellcodec.Reply{Result: cellcodec.Absent}
-	}
-	return cellcodec.Reply{Result: cellcodec.OK, State: state}
+	return cellcodec.Reply{Result: cellcodec.Absent}
 }
 
 // change runs do in the cell's goroutine and waits until its effect is stored.
