cell: blame the images that are believed to do the harm

Cause: least mean squares put an excess of pressure down to every image that was at work, so harmless pairs looked bad and their tasks were moved about. Coefficients are scaled instead.

--- a/internal/version/cell/pressure.go
+++ b/internal/version/cell/pressure.go
@@ -19,10 +19,18 @@
 	// unknownCoefficient is assumed for a pair without reports, in pressure per
 	// core: the filler is let in, on few cores.
 	unknownCoefficient = 0.012
-	// learningRate is the part of an error that one report corrects.
-	learningRate = 0.25
-	// ridge, in square cores, keeps reports of little work from changing much.
-	ridge = 3.0
+	// learningRate is the part of an error that one report corrects upwards,
+	// maxGrowth the most that a coefficient grows by, as a multiple, and decay
+	// the most that it shrinks by.
+	learningRate = 0.6
+	maxGrowth    = 3.0
+	decay        = 0.25
+	// halfKnown is the number of cores at which a report counts half.
+	halfKnown = 1.5
+	// leastExpected keeps a small expectation from growing without bound.
+	leastExpected = 0.05
+	// minCoefficient lets a harmless pair become a bad one again.
+	minCoefficient = 0.002
 	// maxCoefficient is that of a filler of which one core is too much.
 	maxCoefficient = 0.6
 	// swing is what the own load alone adds at times. Only what exceeds it is
@@ -142,7 +150,7 @@
 // learn corrects the coefficients of one serving image by a report, and
 // returns the pressure of its own load.
 func (p *pressures) learn(s serving, base float64, w *worker) float64 {
-	expected, power := 0.0, ridge
+	expected := 0.0
 	cores := map[string]float64{}
 	for r := range w.runs {
 		if r.fills() && r.gauge > 0 {
@@ -151,15 +159,33 @@
 	}
 	for image, used := range cores {
 		expected += p.coefficient(s.image, image) * used
-		power += used * used
 	}
-	miss := s.pressure - base - expected
-	if miss > 0 {
-		miss = math.Max(0, miss-swing)
+	p.correct(s.image, cores, expected, s.pressure-base-expected)
+	return base + baseRate*(math.Max(0, s.pressure-expected)-base)
+}
+
+// correct scales the coefficients of the images that were at work by what a
+// report missed. Those that are believed to do most of the harm are scaled most,
+// so that an image that was harmless elsewhere isn't blamed for its neighbour.
+func (p *pressures) correct(image string, cores map[string]float64, expected, miss float64) {
+	if len(cores) == 0 {
+		return
 	}
-	for image, used := range cores {
-		corrected := p.coefficient(s.image, image) + learningRate*miss*used/power
-		p.coefficients[pair{s.image, image}] = math.Min(maxCoefficient, math.Max(0, corrected))
+	largest := 0.0
+	for filling, used := range cores {
+		largest = math.Max(largest, p.coefficient(image, filling)*used)
+	}
+	for filling, used := range cores {
+		known := p.coefficient(image, filling)
+		share := known * used / largest
+		certainty := used / (used + halfKnown)
+		switch {
+		case miss > swing:
+			growth := math.Min(maxGrowth, learningRate*(miss-swing)/math.Max(expected, leastExpected))
+			known *= 1 + growth*share*certainty
+		case miss < 0:
+			known *= 1 - decay*math.Min(1, -miss/math.Max(expected, leastExpected))*certainty
+		}
+		p.coefficients[pair{image, filling}] = math.Min(maxCoefficient, math.Max(minCoefficient, known))
 	}
-	return base + baseRate*(math.Max(0, s.pressure-expected)-base)
 }
