--- a/internal/version/cell/cell.go
+++ b/internal/version/cell/cell.go
@@ -34,6 +34,7 @@
 	ready []*task
 	// unsorted says that ready has tasks that rank has not seen.
 	unsorted bool
+	rankedAt time.Time
 	timed    []*job
 	dirty    []*job
 
--- a/internal/version/cell/schedule.go
+++ b/internal/version/cell/schedule.go
@@ -76,7 +76,7 @@
 	if len(c.ready) == 0 || c.paused {
 		return
 	}
-	if c.unsorted {
+	if c.unsorted || now.Sub(c.rankedAt) > rankPeriod {
 		c.rank(now)
 	}
 	c.measureRoom(now)
@@ -106,42 +106,106 @@
 	}
 }
 
-// rank orders the ready tasks: priority first, then by the time at which the
-// job is late, and large tasks before small ones of the same job.
+// rank orders the ready tasks: priority first, then by what finishing the job
+// still earns.
 func (c *Cell) rank(now time.Time) {
 	c.unsorted = false
-	due := map[*job]time.Time{}
+	c.rankedAt = now
+	keys := map[*job]urgency{}
 	for _, t := range c.ready {
-		if _, known := due[t.job()]; !known {
-			due[t.job()] = c.lateAt(now, t.job())
+		if _, known := keys[t.job()]; !known {
+			keys[t.job()] = c.urgencyOf(now, t.job())
 		}
 	}
 	slices.SortStableFunc(c.ready, func(a, b *task) int {
 		if by := cmp.Compare(a.job().terms.Priority, b.job().terms.Priority); by != 0 {
 			return by
 		}
-		return due[a.job()].Compare(due[b.job()])
+		return keys[a.job()].compare(keys[b.job()])
 	})
 }
 
-// lateAt returns when the job stops being in time. A job that is too late
-// already comes after all that can still be in time.
-func (c *Cell) lateAt(now time.Time, j *job) time.Time {
-	chain := time.Duration(0)
-	for i := range j.spec.Steps {
-		chain += time.Duration(j.spec.Steps[i].EstimateMillis) * time.Millisecond
+// rankPeriod is how often tasks that wait are ranked anew, since jobs become
+// late meanwhile.
+const rankPeriod = 250 * time.Millisecond
+
+// class orders jobs by whether they can still be in time.
+type class uint8
+
+const (
+	// inTime jobs have begun and can be in time.
+	inTime class = iota
+	// fresh jobs have not begun and can be in time.
+	fresh
+	// late jobs earn a part of their worth.
+	late
+	// hopeless jobs earn nothing, but are run when there is room.
+	hopeless
+)
+
+// urgency is the place of a job among those of its priority.
+type urgency struct {
+	class class
+	at    time.Time
+}
+
+func (u urgency) compare(o urgency) int {
+	if by := cmp.Compare(u.class, o.class); by != 0 {
+		return by
 	}
-	allowed := time.Duration(j.terms.Stretch*float64(chain)) + time.Duration(j.terms.ObjectiveMillis)*time.Millisecond
-	at := j.accepted.Add(allowed)
-	if at.Before(now) {
-		return at.Add(lateHandicap)
+	return u.at.Compare(o.at)
+}
+
+// lateFactor is how many times its objective a job may take and still earn a
+// part of its worth.
+const lateFactor = 3
+
+// urgencyOf classes a job by the time that is left for the work that is left.
+// Under overload this keeps the room for jobs that can be in time, and
+// finishes what has begun.
+func (c *Cell) urgencyOf(now time.Time, j *job) urgency {
+	objective := c.objective(j)
+	end := now.Add(c.remaining(j))
+	switch {
+	case !end.After(j.accepted.Add(objective)):
+		if j.began {
+			return urgency{inTime, j.accepted.Add(objective)}
+		}
+		return urgency{fresh, j.accepted.Add(objective)}
+	case !end.After(j.accepted.Add(lateFactor * objective)):
+		return urgency{late, j.accepted.Add(lateFactor * objective)}
 	}
-	return at
+	return urgency{hopeless, j.accepted}
+}
+
+// objective returns the time within which a job is to be completed.
+func (c *Cell) objective(j *job) time.Duration {
+	chain := c.chain(j, func(int) bool { return true })
+	return time.Duration(j.terms.Stretch*float64(chain)) + time.Duration(j.terms.ObjectiveMillis)*time.Millisecond
+}
+
+// remaining returns the least time that the unfinished steps take.
+func (c *Cell) remaining(j *job) time.Duration {
+	o := j.occurrences[j.next]
+	return c.chain(j, func(step int) bool { return o == nil || o.steps[step].left > 0 })
 }
 
-// lateHandicap puts jobs that missed their objective behind those that haven't,
-// without starving them: a job that is this late comes before new ones.
-const lateHandicap = 20 * time.Second
+// chain returns the longest chain of estimates over the steps that count.
+func (c *Cell) chain(j *job, counts func(step int) bool) time.Duration {
+	longest := time.Duration(0)
+	ends := make([]time.Duration, len(j.spec.Steps))
+	for i := range j.spec.Steps {
+		step := &j.spec.Steps[i]
+		for _, earlier := range step.After {
+			ends[i] = max(ends[i], ends[earlier])
+		}
+		if counts(i) && !step.LongRunning {
+			ends[i] += time.Duration(step.EstimateMillis) * time.Millisecond
+		}
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
 
 // start places a task and orders its start. It returns false if there is no
 // place.
