--- a/internal/connection/cellcodec/cellcodec.go
+++ b/internal/connection/cellcodec/cellcodec.go
@@ -19,6 +19,7 @@
 	jobKey      = "j/"
 	progressKey = "p/"
 	workerKey   = "w/"
+	learnedKey  = "learned"
 )
 
 // CellState is what the records of a cell say.
@@ -26,6 +27,7 @@
 	Jobs     []cell.JobRecord
 	Progress []cell.ProgressRecord
 	Workers  []cell.WorkerInfo
+	Learned  cell.LearnedRecord
 }
 
 // EncodeWrite returns the records of a write, in order.
@@ -54,6 +56,11 @@
 			return nil, err
 		}
 	}
+	if write.Learned != nil {
+		if err := add(learnedKey, write.Learned); err != nil {
+			return nil, err
+		}
+	}
 	return append(records, removals(write)...), nil
 }
 
@@ -99,6 +106,8 @@
 		var worker cell.WorkerInfo
 		err = cbor.Unmarshal(record.Value, &worker)
 		s.Workers = append(s.Workers, worker)
+	case record.Key == learnedKey:
+		err = cbor.Unmarshal(record.Value, &s.Learned)
 	}
 	if err != nil {
 		return fault.Wrap(fault.Malformed, err, "the record %s", record.Key)
--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -160,6 +160,7 @@
 	})
 	l.cell.SetManifest(l.entry.manifest.Load())
 	l.cell.Restore(time.Now(), state.Jobs, state.Progress, state.Workers)
+	l.cell.RestoreLearned(state.Learned)
 	l.writer.stored = func(number uint64, took time.Duration) {
 		o.Metrics.Stored(took)
 		l.post(func(_ time.Time, c *cell.Cell) { c.Stored(number) })
--- a/internal/version/cell/cell.go
+++ b/internal/version/cell/cell.go
@@ -47,8 +47,10 @@
 
 	images    images
 	pressures pressures
-	reserve   reserve
-	room      room
+	// saved is when what was learned was last stored.
+	saved   time.Time
+	reserve reserve
+	room    room
 
 	workersChanged bool
 	// paused says that no task may be started.
@@ -395,7 +397,7 @@
 }
 
 func (w *Write) empty() bool {
-	return len(w.Jobs)+len(w.Progress)+len(w.Workers)+len(w.Gone)+len(w.Dropped) == 0
+	return w.Learned == nil && len(w.Jobs)+len(w.Progress)+len(w.Workers)+len(w.Gone)+len(w.Dropped) == 0
 }
 
 func (c *Cell) note(n Note) { c.effects.Notes = append(c.effects.Notes, n) }
@@ -404,6 +406,7 @@
 // that are over, stops without an effect, ended jobs that are forgotten.
 func (c *Cell) Tick(now time.Time) {
 	c.openDue(now)
+	c.saveLearned(now)
 	for _, w := range c.workers {
 		c.expire(now, w)
 	}
--- a/internal/version/cell/types.go
+++ b/internal/version/cell/types.go
@@ -231,6 +231,23 @@
 	Workers  []WorkerInfo
 	Gone     []WorkerID
 	Dropped  []jobspec.ID
+	// Learned replaces what was learned about images; nil changes nothing.
+	Learned *LearnedRecord
+}
+
+// LearnedRecord holds what was learned about images, for the next leader.
+type LearnedRecord struct {
+	Pairs    []PairRecord       `cbor:"1,keyasint"`
+	Unloaded map[string]float64 `cbor:"2,keyasint"`
+	Ratios   map[string]float64 `cbor:"3,keyasint"`
+}
+
+// PairRecord is the pressure that a core of one image puts on another.
+type PairRecord struct {
+	_           struct{} `cbor:",toarray"`
+	Serving     string
+	Filling     string
+	Coefficient float64
 }
 
 // Effects is what the owner of a Cell carries out.
