--- a/internal/version/cell/job.go
+++ b/internal/version/cell/job.go
@@ -127,16 +127,6 @@
 	return size
 }
 
-// runNumbered returns the run with that number, or nil.
-func (t *task) runNumbered(number int64) *run {
-	for _, r := range t.runs {
-		if r.number == number {
-			return r
-		}
-	}
-	return nil
-}
-
 // serves says whether the task answers users of its own.
 func (t *task) serves() bool { return t.step.spec.TargetMillis > 0 }
 
