--- a/internal/layering_test.go
+++ b/internal/layering_test.go
@@ -22,7 +22,7 @@
 		for _, dependency := range dependencies(t, folder) {
 			life, _, _ := strings.Cut(strings.TrimPrefix(dependency, module), "/")
 			assert.Assert(t, !slices.Contains(shorter, life), "%s depends on %s", folder, dependency)
-			assert.Assert(t, life != "instance", "%s depends on %s", folder, dependency)
+			assert.Assert(t, life != "instance" && life != "entry", "%s depends on %s", folder, dependency)
 		}
 	}
 }
--- a/test/fleet/worker.go
+++ b/test/fleet/worker.go
@@ -25,12 +25,10 @@
 	number  int64
 	highest map[string]int64
 	changed chan struct{}
-	// counts says how often each task was started and ended as done.
+	// Started and Done count how often each task was started and ended as done.
 	Started map[string]int
 	Done    map[string]int
-	// overlap is set when a task is started on two workers at once; shared by
-	// the workers of a test.
-	shared *Shared
+	shared  *Shared
 	// loseAnswers is the number of starts that are carried out without an
 	// answer.
 	loseAnswers int
@@ -218,37 +216,38 @@
 		return
 	}
 	deadline := time.After(time.Duration(order.Wait) * time.Millisecond)
-	for {
-		w.mu.Lock()
-		running, ended := [][]any{}, [][]any{}
-		for task, run := range w.runs {
-			running = append(running, []any{task, run.run, "", 50, 100})
+	for waiting := order.Wait > 0; ; {
+		reply, ends, changed := w.report(order.Seen)
+		if ends > 0 || !waiting {
+			answer(rw, http.StatusOK, reply)
+			return
 		}
-		for _, row := range w.ended {
-			if row[0].(int64) > order.Seen {
-				ended = append(ended, row)
-			}
-		}
-		changed := w.changed
-		w.mu.Unlock()
 		select {
+		case <-changed:
 		case <-deadline:
-			ended = append(ended, [][]any{}...)
-		default:
-			if len(ended) == 0 && order.Wait > 0 {
-				select {
-				case <-changed:
-					continue
-				case <-deadline:
-				case <-r.Context().Done():
-					return
-				}
-			}
+			waiting = false
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// report returns the answer to a hold, the number of ends in it, and what is
+// closed at the next end.
+func (w *Worker) report(seen int64) (reply map[string]any, ends int, changed chan struct{}) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	running, ended := [][]any{}, [][]any{}
+	for task, run := range w.runs {
+		running = append(running, []any{task, run.run, "", 50, 100})
+	}
+	for _, row := range w.ended {
+		if number, _ := row[0].(int64); number > seen {
+			ended = append(ended, row)
 		}
-		answer(rw, http.StatusOK, map[string]any{"clock_ms": w.clock(), "born": w.began.UnixMilli(),
-			"running": running, "ended": ended})
-		return
 	}
+	return map[string]any{"clock_ms": w.clock(), "born": w.began.UnixMilli(), "running": running, "ended": ended},
+		len(ended), w.changed
 }
 
 // TasksOf returns how many tasks of a job were done on the worker.
