--- a/internal/connection/celllink/link.go
+++ b/internal/connection/celllink/link.go
@@ -38,6 +38,9 @@
 	Pulse(manifest int64) cellcodec.Pulse
 	// Pulsed takes what the other instance knows.
 	Pulsed(pulse cellcodec.Pulse)
+	// Changed returns a channel that is closed when the next pulse says
+	// something new.
+	Changed() <-chan struct{}
 	// Opened and Closed enclose the life of a link that another instance
 	// opened.
 	Opened()
@@ -185,6 +188,7 @@
 	ticker := time.NewTicker(PulsePeriod)
 	defer ticker.Stop()
 	for {
+		changed := l.server.Changed()
 		pulse := l.server.Pulse(l.theirs.Load())
 		if err := l.send(cellcodec.Message{Pulse: &pulse}); err != nil {
 			l.Close()
@@ -192,6 +196,7 @@
 		}
 		select {
 		case <-ticker.C:
+		case <-changed:
 		case <-l.done:
 			return
 		}
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -110,8 +110,8 @@
 			e.leaders.rejoin()
 		}
 		leader, known := e.leaders.table.Load().byCell[number]
-		dead := false
-		if known && leader.Address != "" && leader.Nonce != e.options.Self.Nonce {
+		dead := known && leader.Address == "" // It gave its term up.
+		if known && !dead && leader.Nonce != e.options.Self.Nonce {
 			dead = e.keepLink(ctx, leader.Address, leader.Nonce, leader.Epoch, number)
 		}
 		if ctx.Err() != nil {
@@ -183,9 +183,12 @@
 	for {
 		changed := e.leaders.Changed()
 		leader := e.leaders.table.Load().byCell[number]
-		if leader.Epoch != epoch || leader.Address == "" {
+		if leader.Epoch != epoch {
 			return false
 		}
+		if leader.Address == "" {
+			return true
+		}
 		if other := link.Nonce(); other != 0 && other != nonce {
 			return true
 		}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -18,6 +18,9 @@
 		if call.Job == nil || call.Terms == nil {
 			return cellcodec.Reply{Result: cellcodec.Refused}
 		}
+		if _, known := l.cell.Lookup(call.ID); known {
+			return cellcodec.Reply{Result: cellcodec.OK}
+		}
 		return l.change(ctx, func(now time.Time, c *cell.Cell, request uint64) (done, found bool) {
 			return c.Submit(now, request, call.ID, call.Job, *call.Terms) == cell.SubmitStored, true
 		})
@@ -46,6 +49,9 @@
 
 // change runs do in the cell's goroutine and waits until its effect is stored.
 func (l *leadership) change(ctx context.Context, do func(now time.Time, c *cell.Cell, request uint64) (done, found bool)) cellcodec.Reply {
+	if l.writer.stalled() {
+		return cellcodec.Reply{Result: cellcodec.Refused}
+	}
 	request := l.requests.Add(1)
 	stored := make(chan struct{})
 	absent := make(chan struct{})
--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"poplarvalve/internal/connection/cellcodec"
@@ -27,6 +28,10 @@
 	partition store.Partition
 	producer  store.Writer
 
+	// began is when the append that is under way was first sent, in Unix
+	// nanoseconds; 0 if there is none.
+	began atomic.Int64
+
 	mu     sync.Mutex
 	queue  []cell.Write
 	wakeup chan struct{}
@@ -51,6 +56,16 @@
 	return w.append(ctx, nil)
 }
 
+// stalledWrite is the age of an append from which new work is refused: it
+// could not be stored in time.
+const stalledWrite = 500 * time.Millisecond
+
+// stalled says whether the log has not taken what was sent for some time.
+func (w *writer) stalled() bool {
+	began := w.began.Load()
+	return began != 0 && time.Since(time.Unix(0, began)) > stalledWrite
+}
+
 // add hands over a write. It never blocks.
 func (w *writer) add(write cell.Write) {
 	w.mu.Lock()
@@ -113,6 +128,8 @@
 	if len(records) == 0 && w.producer.Sequence > 0 {
 		return nil
 	}
+	w.began.Store(time.Now().UnixNano())
+	defer w.began.Store(0)
 	for {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		producer := w.producer
--- a/internal/request/intake/intake.go
+++ b/internal/request/intake/intake.go
@@ -170,7 +170,7 @@
 	for ctx.Err() == nil {
 		changed := leaders.Changed()
 		reply, sent := leaders.Do(ctx, call)
-		if answer, final := conclude(reply); final {
+		if answer, final := conclude(reply); final && !(maybe && answer.Verdict == NotRun) {
 			return answer
 		}
 		maybe = maybe || sent && reply.Result == cellcodec.Unproven && call.Operation == cellcodec.OpSubmit
@@ -200,6 +200,8 @@
 		return Answer{Verdict: OK, State: reply.State, Pending: reply.Pending}, true
 	case cellcodec.Absent:
 		return Answer{Verdict: Absent}, true
+	case cellcodec.Refused:
+		return refusal(fault.LogUnavailable), true
 	}
 	return Answer{}, false
 }
--- a/internal/version/cell/cell.go
+++ b/internal/version/cell/cell.go
@@ -187,7 +187,7 @@
 func (c *Cell) PaceFailed(order PaceOrder) {
 	if w := c.workers[order.Worker]; w != nil {
 		if r := w.find(order.Task, order.Run); r != nil && r.pace == order.Percent {
-			r.pace = -1
+			r.pace = unknownPace
 		}
 	}
 }
--- a/internal/version/cell/pace.go
+++ b/internal/version/cell/pace.go
@@ -228,7 +228,7 @@
 	} else if r.slowed.IsZero() {
 		r.slowed = now
 	}
-	if r.pace == percent || abs(r.pace-percent) < paceStep && percent < 100 {
+	if r.pace == percent || r.pace != unknownPace && abs(r.pace-percent) < paceStep && percent < 100 {
 		return
 	}
 	r.pace = percent
--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -244,10 +244,13 @@
 	return r
 }
 
+// unknownPace is that of a run that an earlier leader may have slowed.
+const unknownPace = -1
+
 // adopt takes over a run that an earlier term or an order without an answer
 // began. A run that is not wanted is stopped, but counted until it ends.
 func (c *Cell) adopt(now time.Time, w *worker, t *task, row Row) *run {
-	r := &run{task: t, number: row.Run, phase: running, size: t.size(), ordered: now, answered: now, pace: 100, moved: now}
+	r := &run{task: t, number: row.Run, phase: running, size: t.size(), ordered: now, answered: now, pace: unknownPace, moved: now}
 	unwanted := t.done || t.job().state.Over() || (len(t.runs) > 0 && !t.spec().Speculative)
 	t.runs = append(t.runs, r)
 	t.lastRun = max(t.lastRun, row.Run)
