--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -86,6 +87,7 @@
 			return
 		}
 		for {
+			w.gather(ctx)
 			records, last, err := w.take()
 			if err != nil {
 				w.lost(err)
@@ -106,6 +108,32 @@
 	}
 }
 
+// gatherTime is how long writes that no caller waits for are gathered into one
+// append. Each append is paid for, and takes the log a millisecond.
+const gatherTime = 25 * time.Millisecond
+
+// gather waits for more writes, unless a caller waits for one.
+func (w *writer) gather(ctx context.Context) {
+	timer := time.NewTimer(gatherTime)
+	defer timer.Stop()
+	for w.patient() {
+		select {
+		case <-w.wakeup:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// patient says whether writes wait, none of them for a caller.
+func (w *writer) patient() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.queue) > 0 && !slices.ContainsFunc(w.queue, func(write cell.Write) bool { return write.Urgent })
+}
+
 // take returns the records of the writes that wait and the number of the last.
 func (w *writer) take() (records []store.Record, last uint64, err error) {
 	w.mu.Lock()
--- a/internal/version/cell/cell.go
+++ b/internal/version/cell/cell.go
@@ -259,7 +259,7 @@
 	if known == nil {
 		c.accept(now, JobRecord{ID: id, Job: *spec, Terms: terms, AcceptedMillis: now.UnixMilli()})
 	}
-	c.afterWrite(func() { c.effects.Done = append(c.effects.Done, request) })
+	c.answerAfterWrite(request)
 	return SubmitPending
 }
 
@@ -285,7 +285,7 @@
 	if !j.state.Over() {
 		c.end(now, j, Canceled)
 	}
-	c.afterWrite(func() { c.effects.Done = append(c.effects.Done, request) })
+	c.answerAfterWrite(request)
 	return true
 }
 
@@ -355,6 +355,11 @@
 	c.actions = append(c.actions, action{c.writes + 1, do})
 }
 
+func (c *Cell) answerAfterWrite(request uint64) {
+	c.write.Urgent = true
+	c.afterWrite(func() { c.effects.Done = append(c.effects.Done, request) })
+}
+
 // Stored says that all writes up to number are stored.
 func (c *Cell) Stored(number uint64) {
 	done := 0
--- a/internal/version/cell/types.go
+++ b/internal/version/cell/types.go
@@ -225,7 +225,9 @@
 // Write is what has to be stored, in order. Its parts are never modified
 // afterwards.
 type Write struct {
-	Number   uint64
+	Number uint64
+	// Urgent says that a caller waits for the write.
+	Urgent   bool
 	Jobs     []JobRecord
 	Progress []ProgressRecord
 	Workers  []WorkerInfo
