--- a/internal/version/cell/pressure.go
+++ b/internal/version/cell/pressure.go
@@ -42,7 +42,7 @@
 	initialBase = 0.35
 	// targetShare is the part of the pressure at the target that is used; the
 	// rest is for the swing of the own load within one report's age.
-	targetShare = 0.8
+	targetShare = 0.72
 	// least part of a target that an unloaded tail is taken for. The lowest
 	// tail seen replaces it.
 	unloadedShare = 0.25
