--- a/cmd/poplarvalved/entry.go
+++ b/cmd/poplarvalved/entry.go
@@ -94,6 +94,7 @@
 		Self:          d.self,
 		Zone:          s.Zone,
 		Region:        s.Region,
+		CPUShare:      s.CPUShare,
 		Log:           platform.NewLog(s.LogAddress.String(), client),
 		Configuration: platform.Configuration,
 		Registry:      platform.Registry,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -7,6 +7,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"poplarvalve/internal/connection/cellcodec"
@@ -35,9 +36,9 @@
 	Self   term.Holder
 	Zone   string
 	Region string
-	// Seeds are link addresses of other instances. They may be stale.
-	Seeds []string
-	Log   store.Log
+	// CPUShare is the part of a core that the instance may use.
+	CPUShare float64
+	Log      store.Log
 	// Configuration and Registry are the partitions that others write.
 	Configuration store.Partition
 	Registry      store.Partition
@@ -71,9 +72,11 @@
 	encoded  *publish.Cell[encodedManifest]
 	leaders  *leaders
 	draining chan struct{}
-	stop     context.CancelFunc
-	running  sync.WaitGroup
-	drain    sync.Once
+	// contending counts the claims that were begun a short time ago.
+	contending atomic.Int64
+	stop       context.CancelFunc
+	running    sync.WaitGroup
+	drain      sync.Once
 }
 
 // New returns an instance that does nothing yet.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -75,6 +75,7 @@
 	number := uint64(len(d.entries) + 1)
 	i.entry = entry.New(entry.Options{
 		Self:          term.Holder{Name: fmt.Sprint("e", number), Address: i.link.Listener.Addr().String(), Nonce: number},
+		CPUShare:      1,
 		Log:           platform.NewLog(d.log.Address(), client),
 		Configuration: platform.Configuration,
 		Registry:      platform.Registry,
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -22,9 +22,13 @@
 	// layoutTopic holds the number of cells.
 	layoutTopic = "layout"
 	layoutKey   = "cells"
-	// registryWait is how long a first start waits for workers to register
-	// before it settles the number of cells.
-	registryWait = 2 * time.Second
+	// censusCalm is how long the number of registered workers must stay the
+	// same on a first start, which takes a heartbeat or two to register them
+	// all; censusLimit bounds the wait.
+	censusCalm  = 1200 * time.Millisecond
+	censusLimit = 7 * time.Second
+	// layoutPause is the pause between two looks at the number of cells.
+	layoutPause = 300 * time.Millisecond
 
 	// termLease is how long a term lasts without a renewal.
 	termLease = 1500 * time.Millisecond
@@ -47,6 +51,10 @@
 	// the log claims first, since claimTrips round trips are added.
 	claimSpread = 40 * time.Millisecond
 	claimTrips  = 3
+	// ledPenalty delays the claims of an instance for each cell that it leads,
+	// and smallPenalty, divided by its share of a core, those of a small one.
+	ledPenalty   = 150 * time.Millisecond
+	smallPenalty = 10 * time.Millisecond
 )
 
 func cellName(number int) string { return "cell-" + strconv.Itoa(number) }
@@ -54,9 +62,9 @@
 // followCells settles the number of cells and takes part in the election of
 // each.
 func (e *Entry) followCells(ctx context.Context) {
-	began := time.Now()
+	count := census{began: time.Now()}
 	for e.leaders.Cells() == 0 && ctx.Err() == nil {
-		cells, err := e.readLayout(ctx, time.Since(began) > registryWait)
+		cells, err := e.readLayout(ctx, &count)
 		if err != nil {
 			e.options.Journal.Retry("number of cells", err)
 		}
@@ -64,16 +72,32 @@
 			e.leaders.setCells(cells)
 			break
 		}
-		sleep(ctx, electionPause)
+		sleep(ctx, layoutPause)
 	}
 	for number := range e.leaders.Cells() {
 		e.spawn(func() { e.followCell(ctx, number) })
 	}
 }
 
+// census waits until the number of registered workers no longer changes.
+type census struct {
+	began   time.Time
+	workers int
+	since   time.Time
+}
+
+// settled takes in a count and says whether it may be used.
+func (c *census) settled(now time.Time, workers int) bool {
+	if workers != c.workers || c.since.IsZero() {
+		c.workers = workers
+		c.since = now
+	}
+	return workers > 0 && now.Sub(c.since) >= censusCalm || now.Sub(c.began) >= censusLimit
+}
+
 // readLayout returns the number of cells. The first instance that finds none
 // derives it from the registered workers; it then holds for good.
-func (e *Entry) readLayout(ctx context.Context, settle bool) (int, error) {
+func (e *Entry) readLayout(ctx context.Context, count *census) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	layout := store.Partition{Topic: layoutTopic}
@@ -87,7 +111,7 @@
 		}
 	}
 	workers, _, err := e.options.Log.Newest(ctx, e.options.Registry)
-	if err != nil || len(workers) == 0 && !settle {
+	if err != nil || !count.settled(time.Now(), len(workers)) {
 		return 0, err
 	}
 	cells := min(maxCells, max(1, (len(workers)+workersPerCell-1)/workersPerCell))
@@ -212,7 +236,7 @@
 	case <-e.draining:
 		sleep(ctx, electionPause)
 		return
-	case <-time.After(claimTrips*trip + rand.N(claimSpread)):
+	case <-time.After(e.claimDelay(trip)):
 	case <-ctx.Done():
 		return
 	}
@@ -232,6 +256,16 @@
 	e.lead(ctx, held)
 }
 
+// claimDelay lets instances claim first that are near the log, have processors
+// to spare and lead few cells.
+func (e *Entry) claimDelay(trip time.Duration) time.Duration {
+	e.contending.Add(1)
+	others := e.contending.Load() - 1 + int64(len(e.leaders.table.Load().led))
+	time.AfterFunc(ledPenalty, func() { e.contending.Add(-1) })
+	small := time.Duration(float64(smallPenalty) / e.options.CPUShare)
+	return claimTrips*trip + time.Duration(others)*ledPenalty + small + rand.N(claimSpread)
+}
+
 // claimed finds out whether a claim that failed or got no reply has won. The
 // zero term means that it hasn't.
 func (e *Entry) claimed(ctx context.Context, seen term.Term) (term.Term, error) {
--- a/internal/process/settings/entry.go
+++ b/internal/process/settings/entry.go
@@ -27,6 +27,8 @@
 	LogAddress netip.AddrPort
 	// Memory is in megabytes, for the whole process.
 	Memory int
+	// CPUShare is the part of a core that the process may use.
+	CPUShare float64
 	// Grace is the time from SIGTERM until the process is killed.
 	Grace        time.Duration
 	MaxLease     time.Duration
@@ -70,6 +72,7 @@
 		OperatorAddress: r.address("instance", "operator_address"),
 		LogAddress:      r.address("log", "address"),
 		Memory:          int(r.number("limits", "memory_mb", 16, 1<<20)),
+		CPUShare:        r.number("limits", "cpu_share", 0.01, 1024),
 		Grace:           r.seconds("limits", "grace_s"),
 		MaxLease:        r.millis("workers", "max_lease_ms"),
 		StopTimeout:     r.millis("workers", "stop_timeout_ms"),
