--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -25,10 +25,10 @@
 	// censusCalm is how long the number of registered workers must stay the
 	// same on a first start, which takes a heartbeat or two to register them
 	// all; censusLimit bounds the wait.
-	censusCalm  = 1200 * time.Millisecond
+	censusCalm  = 500 * time.Millisecond
 	censusLimit = 7 * time.Second
 	// layoutPause is the pause between two looks at the number of cells.
-	layoutPause = 300 * time.Millisecond
+	layoutPause = 250 * time.Millisecond
 
 	// termLease is how long a term lasts without a renewal.
 	termLease = 1500 * time.Millisecond
