--- a/cmd/poplarvalve/commands.go
+++ b/cmd/poplarvalve/commands.go
@@ -85,7 +85,7 @@
 		Flags: flags,
 		Subcommands: []*ff.Command{
 			t.rulesCommand(flags), t.submitCommand(flags), t.callCommand(flags),
-			t.jobCommand(flags), t.cancelCommand(flags),
+			t.jobCommand(flags), t.cancelCommand(flags), t.queueCommand(flags),
 			t.get(flags, "status", "", "show the state of an instance", statusPath),
 			t.get(flags, "explain", "JOB", "say where a job stands and why", explainPath),
 			t.get(flags, "dump", "", "print the state dump of an instance", dumpPath),
--- a/cmd/poplarvalved/entry.go
+++ b/cmd/poplarvalved/entry.go
@@ -15,6 +15,8 @@
 	klog "github.com/go-kratos/kratos/v2/log"
 	"github.com/go-kratos/kratos/v2/transport"
 
+	"poplarvalve/internal/connection/jobapi"
+	"poplarvalve/internal/connection/operator"
 	"poplarvalve/internal/connection/peer"
 	"poplarvalve/internal/connection/workerlink"
 	"poplarvalve/internal/entry"
@@ -155,7 +157,8 @@
 	links.HandlePrefix(peer.Path, d.entry.LinkHandler())
 	operators := newServer(s.OperatorAddress)
 	operators.Handle("/metrics", counters.Handler())
-	operators.HandleFunc("/v1/dump", d.dump)
+	operators.HandleFunc(operator.PathDump, d.dump)
+	operators.HandlePrefix(jobapi.PathQueues, jobapi.NewHandler(d.entry))
 	return []transport.Server{callers, ready, links, operators}
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,6 +12,7 @@
 
 	"poplarvalve/internal/connection/cellcodec"
 	"poplarvalve/internal/connection/celllink"
+	"poplarvalve/internal/connection/jobapi"
 	"poplarvalve/internal/connection/workerlink"
 	"poplarvalve/internal/process/logging"
 	"poplarvalve/internal/process/metrics"
@@ -132,12 +133,12 @@
 }
 
 // Serve answers one request.
-func (e *Entry) Serve(ctx context.Context, request intake.Request) intake.Answer {
+func (e *Entry) Serve(ctx context.Context, request jobapi.Request) jobapi.Answer {
 	began := time.Now()
 	answer := intake.Serve(ctx, began, e.manifest.Load(), e.leaders, request)
 	took := time.Since(began)
 	e.options.Metrics.Answered(uint8(request.Operation), uint8(answer.Verdict), took)
-	if answer.Verdict != intake.OK || request.Operation != cellcodec.OpStatus {
+	if answer.Verdict != jobapi.OK || request.Operation != cellcodec.OpStatus {
 		e.options.Journal.Request(logging.RequestLine{
 			Operation: operationWord(request.Operation),
 			Queue:     answer.Queue,
@@ -171,17 +172,17 @@
 	return "pending"
 }
 
-func verdictWord(verdict intake.Verdict) string {
+func verdictWord(verdict jobapi.Verdict) string {
 	switch verdict {
-	case intake.OK:
+	case jobapi.OK:
 		return "ok"
-	case intake.NoQueue:
+	case jobapi.NoQueue:
 		return "no_queue"
-	case intake.Absent:
+	case jobapi.Absent:
 		return "absent"
-	case intake.NotRun:
+	case jobapi.NotRun:
 		return "not_run"
-	case intake.Bad:
+	case jobapi.Bad:
 		return "bad_request"
 	}
 	return "unknown"
--- a/internal/request/intake/intake.go
+++ b/internal/request/intake/intake.go
@@ -1,8 +1,8 @@
 // Package intake serves one request about a job: it finds the queue and the
 // cell, asks the leader of the cell, and asks again when the leader changes.
 //
-// It guarantees that an answer NotRun is given only if no leader can have
-// taken the job in, and that OK is given only for what is stored.
+// It guarantees that an answer jobapi.NotRun is given only if no leader can have
+// taken the job in, and that jobapi.OK is given only for what is stored.
 package intake
 
 import (
@@ -10,57 +10,13 @@
 	"time"
 
 	"poplarvalve/internal/connection/cellcodec"
+	"poplarvalve/internal/connection/jobapi"
 	"poplarvalve/internal/process/fault"
 	"poplarvalve/internal/process/jobspec"
 	"poplarvalve/internal/version/cell"
 	"poplarvalve/internal/version/manifest"
 )
 
-// Request is one request, whatever its encoding.
-type Request struct {
-	Operation cellcodec.Operation
-	Host      string
-	Path      string
-	// Job decodes the body of a submission. Its error is of kind BadRequest.
-	Job func() (*jobspec.Job, error)
-	// Deadline is when the caller stops waiting.
-	Deadline time.Time
-}
-
-// Verdict says how a request ended.
-type Verdict uint8
-
-const (
-	// Unknown means that the job may have been accepted.
-	Unknown Verdict = iota
-	OK
-	// NoQueue means that no queue has such a host and path.
-	NoQueue
-	// Absent means that there is no such job.
-	Absent
-	// NotRun means that the request had no effect and may be repeated after
-	// RetryAfter.
-	NotRun
-	// Bad means that the request can't be meant.
-	Bad
-)
-
-// Answer is what the caller is told.
-type Answer struct {
-	Verdict Verdict
-	State   cell.State
-	Pending int
-	// RetryAfter is set with NotRun.
-	RetryAfter time.Duration
-	// Cause is the kind of failure, for the log.
-	Cause fault.Kind
-	Job   jobspec.ID
-	Queue string
-	Cell  int
-	// Manifest is the version that decided.
-	Manifest int64
-}
-
 // Leaders finds the leaders of cells.
 type Leaders interface {
 	// Cells returns the number of cells, or 0 if it isn't known yet.
@@ -92,13 +48,13 @@
 )
 
 // Serve answers one request under one version of the manifest.
-func Serve(ctx context.Context, now time.Time, m *manifest.Manifest, leaders Leaders, request Request) Answer {
+func Serve(ctx context.Context, now time.Time, m *manifest.Manifest, leaders Leaders, request jobapi.Request) jobapi.Answer {
 	if m == nil {
-		return Answer{Verdict: NotRun, RetryAfter: retryAfter, Cause: fault.NoConfiguration}
+		return jobapi.Answer{Verdict: jobapi.NotRun, RetryAfter: retryAfter, Cause: fault.NoConfiguration}
 	}
-	queue, rest := m.Match(request.Host, request.Path)
+	queue, rest := find(m, request)
 	if queue == nil {
-		return Answer{Verdict: NoQueue, Cause: fault.NotFound, Manifest: m.Version}
+		return jobapi.Answer{Verdict: jobapi.NoQueue, Cause: fault.NotFound, Manifest: m.Version}
 	}
 	if request.Deadline.IsZero() {
 		request.Deadline = now.Add(defaultAnswerTime)
@@ -111,6 +67,14 @@
 	return answer
 }
 
+// find returns the queue that the request names, and the identity of its job.
+func find(m *manifest.Manifest, request jobapi.Request) (queue *manifest.Queue, rest string) {
+	if request.Queue != "" {
+		return m.Queue(request.Queue), string(request.ID)
+	}
+	return m.Match(request.Host, request.Path)
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -118,17 +82,17 @@
 	return b
 }
 
-func serve(ctx context.Context, queue *manifest.Queue, rest string, leaders Leaders, request Request) Answer {
+func serve(ctx context.Context, queue *manifest.Queue, rest string, leaders Leaders, request jobapi.Request) jobapi.Answer {
 	cells := leaders.Cells()
 	if cells == 0 {
 		return refusal(fault.LogUnavailable)
 	}
-	if request.Operation == cellcodec.OpStatus && rest == "" {
+	if request.Operation == cellcodec.OpPending || request.Operation == cellcodec.OpStatus && rest == "" {
 		return pending(ctx, leaders, cells, queue.Name)
 	}
 	id := jobspec.ID(rest)
 	if !id.Valid() {
-		return Answer{Verdict: Bad, Cause: fault.BadRequest}
+		return jobapi.Answer{Verdict: jobapi.Bad, Cause: fault.BadRequest}
 	}
 	call := cellcodec.Call{Operation: request.Operation, Cell: leaders.CellOf(id, cells), ID: id, Queue: queue.Name}
 	if request.Operation == cellcodec.OpSubmit {
@@ -143,13 +107,13 @@
 }
 
 // describe adds the job to a submission.
-func describe(call *cellcodec.Call, queue *manifest.Queue, request Request) (refused Answer, bad bool) {
+func describe(call *cellcodec.Call, queue *manifest.Queue, request jobapi.Request) (refused jobapi.Answer, bad bool) {
 	job, err := request.Job()
 	if err == nil {
 		err = job.Check()
 	}
 	if err != nil {
-		return Answer{Verdict: Bad, Cause: fault.KindOf(err)}, true
+		return jobapi.Answer{Verdict: jobapi.Bad, Cause: fault.KindOf(err)}, true
 	}
 	if queue.Advice {
 		// Starts need tickets, which no part asks for yet.
@@ -164,16 +128,16 @@
 		Stretch:         queue.Stretch,
 		ObjectiveMillis: queue.Objective.Milliseconds(),
 	}
-	return Answer{}, false
+	return jobapi.Answer{}, false
 }
 
-func refusal(kind fault.Kind) Answer {
-	return Answer{Verdict: NotRun, RetryAfter: retryAfter, Cause: kind}
+func refusal(kind fault.Kind) jobapi.Answer {
+	return jobapi.Answer{Verdict: jobapi.NotRun, RetryAfter: retryAfter, Cause: kind}
 }
 
 // ask asks the leader, and the next one if the leader is lost, until the
 // deadline. All operations may be repeated: a job is known by its identity.
-func ask(ctx context.Context, leaders Leaders, call cellcodec.Call) Answer {
+func ask(ctx context.Context, leaders Leaders, call cellcodec.Call) jobapi.Answer {
 	maybe := false
 	patience := time.NewTimer(leaderWait)
 	defer patience.Stop()
@@ -181,7 +145,7 @@
 	for ctx.Err() == nil {
 		changed := leaders.Changed()
 		reply, sent := leaders.Do(ctx, call)
-		if answer, final := conclude(reply); final && !(maybe && answer.Verdict == NotRun) {
+		if answer, final := conclude(reply); final && !(maybe && answer.Verdict == jobapi.NotRun) {
 			return answer
 		}
 		maybe = maybe || sent && reply.Result == cellcodec.Unproven && call.Operation == cellcodec.OpSubmit
@@ -197,7 +161,7 @@
 		}
 	}
 	if maybe {
-		return Answer{Verdict: Unknown, Cause: fault.PeerLost}
+		return jobapi.Answer{Verdict: jobapi.Unknown, Cause: fault.PeerLost}
 	}
 	return refusal(fault.PeerUnreachable)
 }
@@ -205,27 +169,27 @@
 // askPause is the pause between two attempts to reach a leader.
 const askPause = 50 * time.Millisecond
 
-func conclude(reply cellcodec.Reply) (answer Answer, final bool) {
+func conclude(reply cellcodec.Reply) (answer jobapi.Answer, final bool) {
 	switch reply.Result {
 	case cellcodec.OK:
-		return Answer{Verdict: OK, State: reply.State, Pending: reply.Pending}, true
+		return jobapi.Answer{Verdict: jobapi.OK, State: reply.State, Pending: reply.Pending}, true
 	case cellcodec.Absent:
-		return Answer{Verdict: Absent}, true
+		return jobapi.Answer{Verdict: jobapi.Absent}, true
 	case cellcodec.Refused:
 		return refusal(fault.LogUnavailable), true
 	}
-	return Answer{}, false
+	return jobapi.Answer{}, false
 }
 
 // pending adds up the jobs of all cells that wait.
-func pending(ctx context.Context, leaders Leaders, cells int, queue string) Answer {
+func pending(ctx context.Context, leaders Leaders, cells int, queue string) jobapi.Answer {
 	total := 0
 	for number := range cells {
 		answer := ask(ctx, leaders, cellcodec.Call{Operation: cellcodec.OpPending, Cell: number, Queue: queue})
-		if answer.Verdict != OK {
+		if answer.Verdict != jobapi.OK {
 			return answer
 		}
 		total += answer.Pending
 	}
-	return Answer{Verdict: OK, Pending: total}
+	return jobapi.Answer{Verdict: jobapi.OK, Pending: total}
 }
