--- a/internal/connection/workerlink/session_test.go
+++ b/internal/connection/workerlink/session_test.go
@@ -104,6 +104,9 @@
 		before := len(worker.orders)
 		worker.mu.Unlock()
 		time.Sleep(10 * time.Second)
+		session.Close()
+		cancel()
+		synctest.Wait()
 		prolonged := 0
 		for _, order := range worker.seen()[before:] {
 			if order.Until > 0 {
@@ -111,12 +114,11 @@
 			}
 		}
 		assert.Assert(t, prolonged <= 1, "%d holds prolonged the lease", prolonged)
+		got.mu.Lock()
+		defer got.mu.Unlock()
 		assert.Assert(t, len(got.silent) > 2)
 		assert.Assert(t, !got.silent[0].IsZero(), "the first may have prolonged it")
 		assert.Assert(t, got.silent[1].IsZero())
-		session.Close()
-		cancel()
-		synctest.Wait()
 	})
 }
 
@@ -168,6 +170,7 @@
 		for run := int64(1); run <= 3; run++ {
 			session.Start(ctx, cell.StartOrder{Worker: "w", Run: run})
 		}
+		synctest.Wait()
 		assert.Equal(t, got.results[0].Outcome, cell.StartAccepted)
 		assert.Equal(t, got.results[1].Outcome, cell.StartRefused)
 		assert.Equal(t, got.results[1].Refusal, cell.RefusedRoom)
