--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -135,9 +135,12 @@
 			e.leaders.rejoin()
 		}
 		leader, known := e.leaders.table.Load().byCell[number]
-		dead := known && leader.Address == "" // It gave its term up.
-		if known && !dead && leader.Nonce != e.options.Self.Nonce {
-			dead = e.keepLink(ctx, leader.Address, leader.Nonce, leader.Epoch, number)
+		need := linkHeld
+		if known && leader.Address == "" {
+			need = leaderEnded // It gave its term up.
+		}
+		if known && need == linkHeld && leader.Nonce != e.options.Self.Nonce {
+			need = e.keepLink(ctx, leader.Address, leader.Nonce, leader.Epoch, number)
 		}
 		if ctx.Err() != nil {
 			return
@@ -157,7 +160,8 @@
 		if found && shown.end == current.End {
 			seen = observation{current.End, shown.at}
 		}
-		if seen.vacant(current, dead, e.options.Self) {
+		need = need.confirmed(current, shown, found)
+		if seen.vacant(current, need != linkHeld, e.options.Self) {
 			e.contend(ctx, current, trip)
 			continue
 		}
@@ -181,12 +185,12 @@
 
 // vacant says whether a claim is due: the term was given up, its holder is an
 // earlier process at a live address, or it was not renewed in time.
-func (o *observation) vacant(current term.Term, dead bool, self term.Holder) bool {
+func (o *observation) vacant(current term.Term, gone bool, self term.Holder) bool {
 	if current.End != o.end || o.first.IsZero() {
 		o.end = current.End
 		o.first = time.Now()
 	}
-	if current.Epoch == 0 || current.Released || dead {
+	if current.Epoch == 0 || current.Released || gone {
 		return true
 	}
 	if current.Holder.Address == self.Address {
@@ -195,13 +199,36 @@
 	return time.Since(o.first) > termLease
 }
 
+// standing says why another instance may have to lead.
+type standing uint8
+
+const (
+	// linkHeld means that nothing is known against the leader.
+	linkHeld standing = iota
+	// leaderEnded means that its process has ended or gave the term up.
+	leaderEnded
+	// leaderStalled means that it could not renew its term for some time.
+	leaderStalled
+)
+
+// confirmed takes back that a leader is stalled if it has renewed its term
+// since it last showed its state.
+func (s standing) confirmed(current term.Term, shown renewal, found bool) standing {
+	if s == leaderStalled && !(found && shown.end == current.End) {
+		return linkHeld
+	}
+	return s
+}
+
 // keepLink keeps a link to a leader until it is lost, a later term is known or
-// the leader can't renew its term. It returns true if another instance has to
-// lead: the leader's process has ended, or it can't reach the log.
-func (e *Entry) keepLink(ctx context.Context, address string, nonce uint64, epoch int64, number int) (vacant bool) {
+// the leader can't renew its term.
+func (e *Entry) keepLink(ctx context.Context, address string, nonce uint64, epoch int64, number int) standing {
 	link, err := e.leaders.dial(ctx, address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return leaderEnded
+	case err != nil:
+		return linkHeld
 	}
 	ticker := time.NewTicker(celllink.PulsePeriod)
 	defer ticker.Stop()
@@ -209,24 +236,24 @@
 		changed := e.leaders.Changed()
 		leader := e.leaders.table.Load().byCell[number]
 		if leader.Epoch != epoch {
-			return false
+			return linkHeld
 		}
 		if leader.Address == "" {
-			return true
+			return leaderEnded
 		}
 		if other := link.Nonce(); other != 0 && other != nonce {
-			return true
+			return leaderEnded
 		}
 		if shown, found := e.leaders.renewed(number, epoch); found && time.Since(shown.at) > stalledAfter {
-			return true
+			return leaderStalled
 		}
 		select {
 		case <-link.Done():
-			return false
+			return linkHeld
 		case <-changed:
 		case <-ticker.C:
 		case <-ctx.Done():
-			return false
+			return linkHeld
 		}
 	}
 }
--- /dev/null
+++ b/internal/entry/follow_test.go
@@ -0,0 +1,50 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"poplarvalve/internal/process/term"
+)
+
+// Guards against an election that follows an outage of the log although the
+// leader has renewed its term at once.
+func TestStalledLeaderThatRenewedKeepsItsTerm(t *testing.T) {
+	shown := renewal{epoch: 3, end: 80, at: time.Now().Add(-5 * time.Second)}
+	assert.Equal(t, leaderStalled.confirmed(term.Term{Epoch: 3, End: 80}, shown, true), leaderStalled)
+	assert.Equal(t, leaderStalled.confirmed(term.Term{Epoch: 3, End: 81}, shown, true), linkHeld)
+	assert.Equal(t, leaderEnded.confirmed(term.Term{Epoch: 3, End: 81}, shown, true), leaderEnded)
+}
+
+// Guards against a claim on a term that is renewed, and against a term without
+// renewals that is never claimed.
+func TestVacancy(t *testing.T) {
+	self := term.Holder{Name: "a", Address: "10.0.0.1:1", Nonce: 1}
+	other := term.Holder{Name: "b", Address: "10.0.0.2:1", Nonce: 2}
+	held := term.Term{Epoch: 3, End: 80, Holder: other}
+	var seen observation
+	assert.Assert(t, !seen.vacant(held, false, self))
+	seen.first = time.Now().Add(-2 * termLease)
+	assert.Assert(t, seen.vacant(held, false, self), "not renewed for its lease")
+	held.End = 81
+	assert.Assert(t, !seen.vacant(held, false, self), "renewed")
+	assert.Assert(t, seen.vacant(held, true, self), "its process has ended")
+	assert.Assert(t, seen.vacant(term.Term{}, false, self), "no term yet")
+	earlier := term.Term{Epoch: 3, End: 81, Holder: term.Holder{Address: self.Address, Nonce: 9}}
+	assert.Assert(t, seen.vacant(earlier, false, self), "an earlier process of this instance")
+}
+
+// Guards against a number of cells that is settled while workers register.
+func TestCensusWaitsForCalm(t *testing.T) {
+	now := time.Now()
+	count := census{began: now}
+	assert.Assert(t, !count.settled(now, 10))
+	assert.Assert(t, !count.settled(now.Add(censusCalm/2), 20))
+	assert.Assert(t, !count.settled(now.Add(censusCalm), 20))
+	assert.Assert(t, count.settled(now.Add(2*censusCalm), 20))
+	empty := census{began: now}
+	assert.Assert(t, !empty.settled(now.Add(2*censusCalm), 0))
+	assert.Assert(t, empty.settled(now.Add(censusLimit), 0))
+}
