--- a/cmd/poplarvalved/entry.go
+++ b/cmd/poplarvalved/entry.go
@@ -18,13 +18,13 @@
 	"poplarvalve/internal/connection/jobapi"
 	"poplarvalve/internal/connection/operator"
 	"poplarvalve/internal/connection/peer"
+	"poplarvalve/internal/connection/term"
 	"poplarvalve/internal/connection/workerlink"
 	"poplarvalve/internal/entry"
 	"poplarvalve/internal/process/fault"
 	"poplarvalve/internal/process/logging"
 	"poplarvalve/internal/process/metrics"
 	"poplarvalve/internal/process/settings"
-	"poplarvalve/internal/process/term"
 	"poplarvalve/internal/version/cell"
 	"poplarvalve/platform"
 )
@@ -94,8 +94,6 @@
 	client := &http.Client{Transport: newTransport()}
 	return entry.Options{
 		Self:          d.self,
-		Zone:          s.Zone,
-		Region:        s.Region,
 		CPUShare:      s.CPUShare,
 		Log:           platform.NewLog(s.LogAddress.String(), client),
 		Configuration: platform.Configuration,
@@ -105,12 +103,9 @@
 			return platform.NewWorker(info.Address, client)
 		},
 		Bounds: entry.Bounds{
-			MaxLease:           s.MaxLease,
-			StopTimeout:        s.StopTimeout,
-			KeepEnded:          s.KeepEnded,
-			RemoteFactor:       s.RemoteFactor,
-			PaceDelay:          s.PaceDelay,
-			CheckpointInterval: s.Checkpoint,
+			MaxLease:     s.MaxLease,
+			KeepEnded:    s.KeepEnded,
+			RemoteFactor: s.RemoteFactor,
 		},
 		Journal: d.journal,
 		Metrics: counters,
--- a/internal/connection/cellcodec/cellcodec.go
+++ b/internal/connection/cellcodec/cellcodec.go
@@ -11,6 +11,7 @@
 	"poplarvalve/internal/process/jobspec"
 	"poplarvalve/internal/process/store"
 	"poplarvalve/internal/version/cell"
+	"poplarvalve/internal/version/manifest"
 )
 
 // Keys of the records of a cell: a job and its progress are apart, so that
@@ -221,3 +222,22 @@
 	}
 	return message, nil
 }
+
+// EncodeManifest returns a manifest as peers pass it on.
+func EncodeManifest(m *manifest.Manifest) ([]byte, error) {
+	encoded, err := cbor.Marshal(m)
+	if err != nil {
+		return nil, fault.Wrap(fault.Internal, err, "encoding a manifest")
+	}
+	return encoded, nil
+}
+
+// DecodeManifest returns the manifest of a peer, or a failure of kind
+// Malformed.
+func DecodeManifest(data []byte) (*manifest.Manifest, error) {
+	var decoded manifest.Manifest
+	if err := cbor.Unmarshal(data, &decoded); err != nil {
+		return nil, fault.Wrap(fault.Malformed, err, "a manifest of %d bytes", len(data))
+	}
+	return manifest.New(decoded.Version, decoded.Queues), nil
+}
--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -5,9 +5,7 @@
 	"errors"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
-	"poplarvalve/internal/process/fault"
+	"poplarvalve/internal/connection/cellcodec"
 	"poplarvalve/internal/process/store"
 	"poplarvalve/internal/version/manifest"
 )
@@ -101,7 +99,7 @@
 		return
 	}
 	e.options.Journal.Manifest(next.Version, source, len(next.Queues))
-	bytes, err := cbor.Marshal(next)
+	bytes, err := cellcodec.EncodeManifest(next)
 	if err != nil {
 		e.options.Journal.Skipped("configuration", "manifest", err)
 		return
@@ -116,12 +114,12 @@
 
 // adoptEncoded takes a manifest from a peer.
 func (e *Entry) adoptEncoded(bytes []byte) {
-	var decoded manifest.Manifest
-	if err := cbor.Unmarshal(bytes, &decoded); err != nil {
-		e.options.Journal.Skipped("peer", "manifest", fault.Wrap(fault.Malformed, err, "a manifest of a peer"))
+	decoded, err := cellcodec.DecodeManifest(bytes)
+	if err != nil {
+		e.options.Journal.Skipped("peer", "manifest", err)
 		return
 	}
-	e.adopt(manifest.New(decoded.Version, decoded.Queues, decoded.Pools, decoded.MaxBodyBytes), "peer")
+	e.adopt(decoded, "peer")
 }
 
 // sleep waits for d or the end of ctx.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,12 +13,12 @@
 	"poplarvalve/internal/connection/cellcodec"
 	"poplarvalve/internal/connection/celllink"
 	"poplarvalve/internal/connection/jobapi"
+	"poplarvalve/internal/connection/term"
 	"poplarvalve/internal/connection/workerlink"
 	"poplarvalve/internal/process/logging"
 	"poplarvalve/internal/process/metrics"
 	"poplarvalve/internal/process/publish"
 	"poplarvalve/internal/process/store"
-	"poplarvalve/internal/process/term"
 	"poplarvalve/internal/request/intake"
 	"poplarvalve/internal/version/cell"
 	"poplarvalve/internal/version/manifest"
@@ -34,9 +34,7 @@
 
 // Options holds the parts of an Entry. All fields are required.
 type Options struct {
-	Self   term.Holder
-	Zone   string
-	Region string
+	Self term.Holder
 	// CPUShare is the part of a core that the instance may use.
 	CPUShare float64
 	Log      store.Log
@@ -54,15 +52,10 @@
 type Bounds struct {
 	// MaxLease is the longest lease that a worker grants.
 	MaxLease time.Duration
-	// StopTimeout is how long a worker takes to stop a run.
-	StopTimeout time.Duration
 	// KeepEnded is how long callers may ask for an ended job.
 	KeepEnded time.Duration
 	// RemoteFactor is how much longer a task takes off its data rack.
 	RemoteFactor float64
-	PaceDelay    time.Duration
-	// CheckpointInterval is the work between two checkpoints.
-	CheckpointInterval time.Duration
 }
 
 // Entry is one instance.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -15,11 +15,11 @@
 	"gotest.tools/v3/poll"
 
 	"poplarvalve/internal/connection/peer"
+	"poplarvalve/internal/connection/term"
 	"poplarvalve/internal/connection/workerlink"
 	"poplarvalve/internal/entry"
 	"poplarvalve/internal/process/logging"
 	"poplarvalve/internal/process/metrics"
-	"poplarvalve/internal/process/term"
 	"poplarvalve/internal/version/cell"
 	"poplarvalve/platform"
 	"poplarvalve/test/fleet"
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"poplarvalve/internal/connection/celllink"
+	"poplarvalve/internal/connection/term"
 	"poplarvalve/internal/process/store"
-	"poplarvalve/internal/process/term"
 )
 
 const (
--- a/internal/entry/follow_test.go
+++ b/internal/entry/follow_test.go
@@ -6,7 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"poplarvalve/internal/process/term"
+	"poplarvalve/internal/connection/term"
 )
 
 // Guards against an election that follows an outage of the log although the
--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -9,10 +9,10 @@
 	"time"
 
 	"poplarvalve/internal/connection/cellcodec"
+	"poplarvalve/internal/connection/term"
 	"poplarvalve/internal/connection/workerlink"
 	"poplarvalve/internal/process/logging"
 	"poplarvalve/internal/process/store"
-	"poplarvalve/internal/process/term"
 	"poplarvalve/internal/version/cell"
 )
 
@@ -149,16 +149,12 @@
 	}
 	leaseEnd := min(o.Bounds.MaxLease, workerlink.Lease)
 	l.cell = cell.New(cell.Config{
-		Epoch:              l.term.Epoch,
-		RecoveryWait:       startAuthority - termLease + leaseEnd + recoveryMargin,
-		Lease:              leaseEnd + recoveryMargin,
-		KeepEnded:          o.Bounds.KeepEnded,
-		StopTimeout:        o.Bounds.StopTimeout,
-		RemoteFactor:       o.Bounds.RemoteFactor,
-		PaceDelay:          o.Bounds.PaceDelay,
-		CheckpointInterval: o.Bounds.CheckpointInterval,
+		Epoch:        l.term.Epoch,
+		RecoveryWait: startAuthority - termLease + leaseEnd + recoveryMargin,
+		Lease:        leaseEnd + recoveryMargin,
+		KeepEnded:    o.Bounds.KeepEnded,
+		RemoteFactor: o.Bounds.RemoteFactor,
 	})
-	l.cell.SetManifest(l.entry.manifest.Load())
 	l.cell.Restore(time.Now(), state.Jobs, state.Progress, state.Workers)
 	l.cell.RestoreLearned(state.Learned)
 	l.writer.stored = func(number uint64, took time.Duration) {
@@ -218,9 +214,6 @@
 	now := time.Now()
 	l.cell.SetStarting(l.sinceRenewal() < startAuthority)
 	l.cell.Tick(now)
-	if m := l.entry.manifest.Load(); m != nil {
-		l.cell.SetManifest(m)
-	}
 	switch {
 	case l.entry.leaders.epoch(l.term.Cell) > l.term.Epoch:
 		l.lose(errTermOver)
--- a/internal/entry/leaders.go
+++ b/internal/entry/leaders.go
@@ -10,9 +10,9 @@
 
 	"poplarvalve/internal/connection/cellcodec"
 	"poplarvalve/internal/connection/celllink"
+	"poplarvalve/internal/connection/term"
 	"poplarvalve/internal/process/jobspec"
 	"poplarvalve/internal/process/publish"
-	"poplarvalve/internal/process/term"
 )
 
 // leaderTable is one version of what is known about leaders.
--- a/internal/process/settings/entry.go
+++ b/internal/process/settings/entry.go
@@ -13,9 +13,7 @@
 
 // Entry is what an instance that runs jobs of steps is started with.
 type Entry struct {
-	Name   string
-	Zone   string
-	Region string
+	Name string
 	// CallerAddress takes requests, ReadyAddress the balancer's question
 	// whether to send more, LinkAddress the links of other instances, and
 	// OperatorAddress metrics and the state dump.
@@ -32,11 +30,8 @@
 	// Grace is the time from SIGTERM until the process is killed.
 	Grace        time.Duration
 	MaxLease     time.Duration
-	StopTimeout  time.Duration
 	KeepEnded    time.Duration
 	RemoteFactor float64
-	PaceDelay    time.Duration
-	Checkpoint   time.Duration
 	LogLevel     string
 }
 
@@ -64,8 +59,6 @@
 	r := &entryReader{file: file, parsed: parsed}
 	s := &Entry{
 		Name:            r.text("instance", "name"),
-		Zone:            r.text("instance", "zone"),
-		Region:          r.text("instance", "region"),
 		CallerAddress:   r.address("instance", "caller_address"),
 		ReadyAddress:    r.address("instance", "ready_address"),
 		LinkAddress:     r.address("instance", "link_address"),
@@ -75,11 +68,8 @@
 		CPUShare:        r.number("limits", "cpu_share", 0.01, 1024),
 		Grace:           r.seconds("limits", "grace_s"),
 		MaxLease:        r.millis("workers", "max_lease_ms"),
-		StopTimeout:     r.millis("workers", "stop_timeout_ms"),
 		KeepEnded:       r.seconds("jobs", "keep_ended_s"),
 		RemoteFactor:    r.number("workers", "remote_factor", 1, 1000),
-		PaceDelay:       r.millis("workers", "pace_delay_ms"),
-		Checkpoint:      r.seconds("workers", "checkpoint_interval_s"),
 		LogLevel:        parsed.Section("output").Key("level").MustString("info"),
 	}
 	return s, r.problems
--- a/internal/process/settings/entry_test.go
+++ b/internal/process/settings/entry_test.go
@@ -18,7 +18,7 @@
 	text := strings.ReplaceAll(string(content), "{{ip}}:{{internal_ports.0}}", "10.0.0.1:7700")
 	text = strings.ReplaceAll(text, "{{ip}}:{{internal_ports.1}}", "10.0.0.1:7701")
 	text = regexp.MustCompile(`(address = ?)\{\{[^}]*\}\}`).ReplaceAllString(text, "${1}10.0.0.1:8000")
-	text = regexp.MustCompile(`(name|zone|region) = \{\{[^}]*\}\}`).ReplaceAllString(text, "$1 = x")
+	text = regexp.MustCompile(`(name) = \{\{[^}]*\}\}`).ReplaceAllString(text, "$1 = x")
 	return regexp.MustCompile(`\{\{[^}]*\}\}`).ReplaceAllString(text, "20")
 }
 
@@ -26,7 +26,7 @@
 func TestTemplateLoads(t *testing.T) {
 	s, problems := ParseEntry("template", []byte(filled(t)))
 	assert.Equal(t, len(problems), 0, "%v", problems)
-	assert.Equal(t, s.StopTimeout, 20*time.Millisecond)
+	assert.Equal(t, s.MaxLease, 20*time.Millisecond)
 	assert.Equal(t, s.Grace, 20*time.Second)
 	assert.Equal(t, s.LinkAddress.String(), "10.0.0.1:7700")
 }
@@ -39,5 +39,5 @@
 	_, problems := ParseEntry("file", []byte(text))
 	assert.Equal(t, len(problems), 2, "%v", problems)
 	_, problems = ParseEntry("file", nil)
-	assert.Assert(t, len(problems) > 10)
+	assert.Assert(t, len(problems) >= 9)
 }
--- a/internal/version/cell/cell.go
+++ b/internal/version/cell/cell.go
@@ -10,15 +10,13 @@
 	iradix "github.com/hashicorp/go-immutable-radix/v2"
 
 	"poplarvalve/internal/process/jobspec"
-	"poplarvalve/internal/version/manifest"
 )
 
 // Cell is the state of one cell in one term.
 type Cell struct {
-	config   Config
-	manifest *manifest.Manifest
-	jobs     map[jobspec.ID]*job
-	workers  map[WorkerID]*worker
+	config  Config
+	jobs    map[jobspec.ID]*job
+	workers map[WorkerID]*worker
 	// ordered holds the workers in a fixed order; list keeps it up.
 	ordered []*worker
 	// index is the published view of jobs, replaced whole.
@@ -115,10 +113,6 @@
 	return now.Add(-age)
 }
 
-// SetManifest replaces the manifest. Accepted jobs keep the terms that they
-// were accepted under, but for the attempts and the priority of their queue.
-func (c *Cell) SetManifest(m *manifest.Manifest) { c.manifest = m }
-
 // Register replaces what the registry says of the cell's workers.
 func (c *Cell) Register(now time.Time, infos []WorkerInfo) {
 	listed := make(map[WorkerID]bool, len(infos))
--- a/internal/version/cell/health.go
+++ b/internal/version/cell/health.go
@@ -49,15 +49,8 @@
 	}
 }
 
-// stalled counts a run that stood still.
-func (h *health) stalled(now time.Time) {
-	h.failures++
-	h.lastJob = ""
-	h.lastBad = now
-}
-
-// refused counts a start that the worker turned away as unhealthy.
-func (h *health) refused(now time.Time) {
+// bad counts a run that stood still or a start that was refused as unhealthy.
+func (h *health) bad(now time.Time) {
 	h.failures++
 	h.lastJob = ""
 	h.lastBad = now
--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -329,7 +329,7 @@
 	w.detach(r)
 	w.blockedUntil = now.Add(refusalPause)
 	if why == RefusedHealth {
-		w.health.refused(now)
+		w.health.bad(now)
 	}
 	c.requeue(now, t)
 }
--- a/internal/version/cell/schedule.go
+++ b/internal/version/cell/schedule.go
@@ -324,7 +324,7 @@
 		return
 	}
 	c.note(Note{Event: "run stalled", Task: t.id(), Run: r.number, Worker: r.worker.info.ID, Age: now.Sub(r.moved)})
-	r.worker.health.stalled(now)
+	r.worker.health.bad(now)
 	t.failedOn = append(t.failedOn, r.worker.info.ID)
 	c.stop(now, r)
 }
--- a/internal/version/cell/simulation_test.go
+++ b/internal/version/cell/simulation_test.go
@@ -148,7 +148,7 @@
 func (s *simulation) lead() {
 	s.epoch += 3
 	c := New(Config{Epoch: s.epoch, RecoveryWait: 8 * time.Second, KeepEnded: time.Minute,
-		Lease: testLease, StopTimeout: 200 * time.Millisecond, RemoteFactor: 2})
+		Lease: testLease, RemoteFactor: 2})
 	var jobs []JobRecord
 	for _, job := range s.stored.jobs {
 		jobs = append(jobs, job)
--- a/internal/version/cell/types.go
+++ b/internal/version/cell/types.go
@@ -85,8 +85,6 @@
 	Rack     string   `cbor:"6,keyasint,omitempty"`
 	Capacity Size     `cbor:"7,keyasint"`
 	Draining bool     `cbor:"8,keyasint,omitempty"`
-	// Remaining is how long a draining worker stays at least.
-	Remaining time.Duration `cbor:"-"`
 	// Born is the Unix millisecond at which this life of the worker began; 0
 	// if unknown.
 	Born int64 `cbor:"9,keyasint,omitempty"`
@@ -338,12 +336,6 @@
 	Lease time.Duration
 	// KeepEnded is how long an ended job is known.
 	KeepEnded time.Duration
-	// StopTimeout is how long a worker takes to stop a run.
-	StopTimeout time.Duration
 	// RemoteFactor is how much longer a task takes off its data rack.
 	RemoteFactor float64
-	// PaceDelay is how long a worker takes to apply a pace.
-	PaceDelay time.Duration
-	// CheckpointInterval is the work between two checkpoints.
-	CheckpointInterval time.Duration
 }
--- a/internal/version/manifest/manifest.go
+++ b/internal/version/manifest/manifest.go
@@ -14,13 +14,9 @@
 type Manifest struct {
 	Version int64
 	Queues  []Queue
-	Pools   []Pool
-	// MaxBodyBytes bounds the body of a request.
-	MaxBodyBytes int64
 
 	byHost map[string][]*Queue
 	byName map[string]*Queue
-	pools  map[string]*Pool
 }
 
 // Queue takes the jobs of one kind.
@@ -38,31 +34,17 @@
 	// times its longest chain of work, and Objective more.
 	Stretch   float64
 	Objective time.Duration
-	// Timeout bounds one request.
-	Timeout time.Duration
 	// Advice is set for queues whose policy allows only some workers.
 	Advice bool
 }
 
-// Pool is a set of like workers.
-type Pool struct {
-	Name string
-	// Guarded workers refuse work beyond their capacity themselves.
-	Guarded bool
-	// Spare workers are off.
-	Spare bool
-}
-
-// New returns an indexed manifest. It takes ownership of the slices.
-func New(version int64, queues []Queue, pools []Pool, maxBody int64) *Manifest {
+// New returns an indexed manifest. It takes ownership of the slice.
+func New(version int64, queues []Queue) *Manifest {
 	m := &Manifest{
-		Version:      version,
-		Queues:       queues,
-		Pools:        pools,
-		MaxBodyBytes: maxBody,
-		byHost:       map[string][]*Queue{},
-		byName:       map[string]*Queue{},
-		pools:        map[string]*Pool{},
+		Version: version,
+		Queues:  queues,
+		byHost:  map[string][]*Queue{},
+		byName:  map[string]*Queue{},
 	}
 	for i := range queues {
 		queue := &queues[i]
@@ -72,9 +54,6 @@
 	for _, list := range m.byHost {
 		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
 	}
-	for i := range pools {
-		m.pools[pools[i].Name] = &pools[i]
-	}
 	return m
 }
 
@@ -91,6 +70,3 @@
 
 // Queue returns the queue of that name, or nil.
 func (m *Manifest) Queue(name string) *Queue { return m.byName[name] }
-
-// Pool returns the pool of that name, or nil.
-func (m *Manifest) Pool(name string) *Pool { return m.pools[name] }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -115,8 +115,6 @@
 	n.config = filepath.Join(s.dir, n.name+".ini")
 	text := fmt.Sprintf(`[instance]
 name = %[1]s
-zone = z
-region = r
 caller_address = %[2]s:8161
 ready_address = %[2]s:8162
 link_address = %[2]s:8163
@@ -125,10 +123,7 @@
 address = %[3]s
 [workers]
 max_lease_ms = 6000
-stop_timeout_ms = 200
-pace_delay_ms = 100
 remote_factor = 2
-checkpoint_interval_s = 1
 [jobs]
 keep_ended_s = 300
 [limits]
