--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -11,8 +11,6 @@
 	"poplarvalve/internal/connection/cellcodec"
 	"poplarvalve/internal/connection/term"
 	"poplarvalve/internal/connection/workerlink"
-	"poplarvalve/internal/process/logging"
-	"poplarvalve/internal/process/store"
 	"poplarvalve/internal/version/cell"
 )
 
@@ -29,9 +27,6 @@
 	recoveryMargin = 500 * time.Millisecond
 )
 
-// errTermOver ends a leadership whose term another instance has replaced.
-var errTermOver = errors.New("a later term has begun")
-
 // event is a change that the cell's goroutine applies.
 type event func(now time.Time, c *cell.Cell)
 
@@ -222,83 +217,11 @@
 	}
 }
 
-func (l *leadership) sinceRenewal() time.Duration {
-	return time.Since(l.began) - time.Duration(l.renewed.Load())
-}
-
-// giveUp releases the term, so that another instance leads at once. Requests
-// that wait are repeated at the next leader.
-func (l *leadership) giveUp(why error) {
-	l.entry.leaders.setLed(l.term.Cell, nil)
-	l.entry.leaders.learn(cellcodec.Leader{Cell: l.term.Cell, Epoch: l.term.Epoch})
-	l.lose(why)
-}
-
 var (
 	errDraining = errors.New("the instance is draining")
 	errIsolated = errors.New("no other instance reaches this one")
 )
 
-// renew keeps the term, and ends the leadership when another one has begun.
-func (l *leadership) renew(ctx context.Context) {
-	ticker := time.NewTicker(renewPeriod)
-	defer ticker.Stop()
-	held := l.term
-	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			l.release(held)
-			return
-		}
-		sent := time.Since(l.began)
-		next, err := l.renewOnce(ctx, held)
-		if err == nil {
-			held = next
-			l.recordEnd.Store(held.End)
-			l.renewed.Store(int64(sent))
-			continue
-		}
-		if errors.Is(err, errTermOver) {
-			l.lose(err)
-			return
-		}
-		if ctx.Err() == nil {
-			l.entry.options.Journal.Retry("renewal of "+cellName(held.Cell), err)
-		}
-	}
-}
-
-// release tells the log that the term was given up.
-func (l *leadership) release(held term.Term) {
-	if why := l.reason(); !errors.Is(why, errDraining) && !errors.Is(why, errIsolated) {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	if err := term.Release(ctx, l.entry.options.Log, held); err != nil {
-		l.entry.options.Journal.Retry("release of "+cellName(held.Cell), err)
-	}
-}
-
-func (l *leadership) renewOnce(ctx context.Context, held term.Term) (term.Term, error) {
-	call, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	next, err := term.Renew(call, l.entry.options.Log, held)
-	if err == nil || store.ReasonOf(err) != store.Moved {
-		return next, err
-	}
-	current, _, err := l.entry.readTerm(ctx, held.Cell)
-	if err != nil {
-		return held, err
-	}
-	if current.Epoch != held.Epoch {
-		return held, errTermOver
-	}
-	held.End = current.End
-	return held, nil
-}
-
 // followRegistry tells the cell which workers are registered.
 func (l *leadership) followRegistry(ctx context.Context) {
 	follower := newRegistry(l.entry, l.term.Cell)
@@ -339,85 +262,6 @@
 	}
 }
 
-// perform carries out effects. Orders are sent by goroutines of their own.
-func (l *leadership) perform(ctx context.Context, effects cell.Effects) {
-	if effects.Write != nil {
-		l.writer.add(*effects.Write)
-	}
-	for _, order := range effects.Starts {
-		if session := l.sessions[order.Worker]; session != nil {
-			go session.Start(ctx, order)
-		}
-	}
-	for _, order := range effects.Stops {
-		l.stop(ctx, order)
-	}
-	for _, order := range effects.Paces {
-		l.setPace(ctx, order)
-	}
-	for _, ack := range effects.Acks {
-		if session := l.sessions[ack.Worker]; session != nil {
-			session.Seen(ack.Born, ack.Number)
-		}
-	}
-	for _, worker := range effects.Settle {
-		if session := l.sessions[worker]; session != nil {
-			session.Settle()
-		}
-	}
-	for _, request := range effects.Done {
-		l.answer(request)
-	}
-	l.log(effects)
-}
-
-func (l *leadership) stop(ctx context.Context, order cell.StopOrder) {
-	session := l.sessions[order.Worker]
-	if session == nil {
-		return
-	}
-	go func() {
-		if err := session.Stop(ctx, order); err != nil && ctx.Err() == nil {
-			l.entry.options.Journal.Retry("stop of "+taskName(order.Task), err)
-		}
-	}()
-}
-
-func (l *leadership) setPace(ctx context.Context, order cell.PaceOrder) {
-	session := l.sessions[order.Worker]
-	if session == nil {
-		return
-	}
-	go func() {
-		if err := session.Pace(ctx, order); err != nil && ctx.Err() == nil {
-			l.post(func(now time.Time, c *cell.Cell) { c.PaceFailed(order) })
-		}
-	}()
-}
-
-func (l *leadership) log(effects cell.Effects) {
-	o := l.entry.options
-	o.Metrics.Orders(len(effects.Starts), len(effects.Stops), len(effects.Paces))
-	for _, order := range effects.Starts {
-		o.Journal.Task(logging.TaskLine{Event: "start ordered", Task: taskName(order.Task), Run: order.Run, Worker: string(order.Worker), Epoch: l.term.Epoch})
-	}
-	for _, note := range effects.Notes {
-		o.Journal.Task(logging.TaskLine{Event: note.Event, Task: noteName(note), Run: note.Run, Worker: string(note.Worker), Outcome: note.Outcome, Age: note.Age, Epoch: l.term.Epoch})
-	}
-}
-
-// noteName returns the task or the job that a note is about.
-func noteName(note cell.Note) string {
-	if note.Run == 0 {
-		return string(note.Task.Job)
-	}
-	return taskName(note.Task)
-}
-
-func taskName(id cell.TaskID) string {
-	return fmt.Sprintf("%s.%d.%d.%d", id.Job, id.Occurrence, id.Step, id.Index)
-}
-
 // Report implements workerlink.Sink.
 func (l *leadership) Report(report cell.Report) {
 	l.post(func(now time.Time, c *cell.Cell) { c.Report(now, report) })
--- a/internal/version/cell/place.go
+++ b/internal/version/cell/place.go
@@ -12,21 +12,24 @@
 
 // placeAvoiding is place without one worker.
 func (c *Cell) placeAvoiding(now time.Time, t *task, avoid *worker) *worker {
+	if t.spec().LongRunning && !c.reserve.allows(c.room.free, t.size().CPU) && c.places(now, t) < placesToHold {
+		return nil
+	}
+	return c.best(now, t, func(w *worker) bool { return w != avoid })
+}
+
+// best returns the worker with the highest score among those that are suitable
+// and have room, or nil.
+func (c *Cell) best(now time.Time, t *task, suitable func(*worker) bool) *worker {
 	var best *worker
 	var bestScore float64
 	size := t.size()
-	if t.spec().LongRunning && !c.reserve.allows(c.room.free, size.CPU) && c.places(now, t) < placesToHold {
-		return nil
-	}
 	for _, w := range c.list() {
-		if w == avoid || !w.usable(now) || !w.free().fits(size) || !w.allowed(t) {
+		if !suitable(w) || !w.usable(now) || !w.free().fits(size) || !w.allowed(t) {
 			continue
 		}
 		score, possible := c.score(now, t, w)
-		if !possible {
-			continue
-		}
-		if best == nil || score > bestScore || score == bestScore && w.info.ID < best.info.ID {
+		if possible && (best == nil || score > bestScore) {
 			best, bestScore = w, score
 		}
 	}
@@ -83,7 +86,7 @@
 	var placed []*worker
 	var trial []*run
 	for _, t := range s.tasks {
-		w := c.placeOnRack(now, t, rack)
+		w := c.best(now, t, func(w *worker) bool { return rack == "" || w.info.Rack == rack })
 		if w == nil {
 			placed = nil
 			break
@@ -99,21 +102,6 @@
 	return placed
 }
 
-func (c *Cell) placeOnRack(now time.Time, t *task, rack string) *worker {
-	var best *worker
-	var bestScore float64
-	for _, w := range c.list() {
-		if rack != "" && w.info.Rack != rack || !w.usable(now) || !w.free().fits(t.size()) || !w.allowed(t) {
-			continue
-		}
-		score, possible := c.score(now, t, w)
-		if possible && (best == nil || score > bestScore || score == bestScore && w.info.ID < best.info.ID) {
-			best, bestScore = w, score
-		}
-	}
-	return best
-}
-
 // Weights of a score, in cores of spare room that they outweigh.
 const (
 	// failedHere keeps a task off a worker where it failed.
