--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -10,27 +10,9 @@
 
 	"poplarvalve/internal/connection/celllink"
 	"poplarvalve/internal/connection/term"
-	"poplarvalve/internal/process/store"
 )
 
 const (
-	// workersPerCell is the size of a cell. Work doesn't move between cells, so
-	// a task that lasts may find its cell full while another has room: smaller
-	// cells of 70 workers broke that rule on three of seven grown days.
-	workersPerCell = 500
-	// maxCells is the number of partitions of a topic.
-	maxCells = 24
-	// layoutTopic holds the number of cells.
-	layoutTopic = "layout"
-	layoutKey   = "cells"
-	// censusCalm is how long the number of registered workers must stay the
-	// same on a first start, which takes a heartbeat or two to register them
-	// all; censusLimit bounds the wait.
-	censusCalm  = 500 * time.Millisecond
-	censusLimit = 7 * time.Second
-	// layoutPause is the pause between two looks at the number of cells.
-	layoutPause = 250 * time.Millisecond
-
 	// termLease is how long a term lasts without a renewal.
 	termLease = 1500 * time.Millisecond
 	// stalledAfter is the age of the newest renewal at which others try to
@@ -60,70 +42,6 @@
 
 func cellName(number int) string { return "cell-" + strconv.Itoa(number) }
 
-// followCells settles the number of cells and takes part in the election of
-// each.
-func (e *Entry) followCells(ctx context.Context) {
-	count := census{began: time.Now()}
-	for e.leaders.Cells() == 0 && ctx.Err() == nil {
-		cells, err := e.readLayout(ctx, &count)
-		if err != nil {
-			e.options.Journal.Retry("number of cells", err)
-		}
-		if cells > 0 {
-			e.leaders.setCells(cells)
-			break
-		}
-		sleep(ctx, layoutPause)
-	}
-	for number := range e.leaders.Cells() {
-		e.spawn(func() { e.followCell(ctx, number) })
-	}
-}
-
-// census waits until the number of registered workers no longer changes.
-type census struct {
-	began   time.Time
-	workers int
-	since   time.Time
-}
-
-// settled takes in a count and says whether it may be used.
-func (c *census) settled(now time.Time, workers int) bool {
-	if workers != c.workers || c.since.IsZero() {
-		c.workers = workers
-		c.since = now
-	}
-	return workers > 0 && now.Sub(c.since) >= censusCalm || now.Sub(c.began) >= censusLimit
-}
-
-// readLayout returns the number of cells. The first instance that finds none
-// derives it from the registered workers; it then holds for good.
-func (e *Entry) readLayout(ctx context.Context, count *census) (int, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	layout := store.Partition{Topic: layoutTopic}
-	records, end, err := e.options.Log.Newest(ctx, layout)
-	if err != nil {
-		return 0, err
-	}
-	for _, record := range records {
-		if record.Key == layoutKey {
-			return strconv.Atoi(string(record.Value))
-		}
-	}
-	workers, _, err := e.options.Log.Newest(ctx, e.options.Registry)
-	if err != nil || !count.settled(time.Now(), len(workers)) {
-		return 0, err
-	}
-	cells := min(maxCells, max(1, (len(workers)+workersPerCell-1)/workersPerCell))
-	content := []store.Record{{Key: layoutKey, Value: []byte(strconv.Itoa(cells))}}
-	_, err = e.options.Log.Append(ctx, layout, content, store.Condition{End: &end})
-	if err != nil {
-		return 0, err // Another instance settled it, or will at the next try.
-	}
-	return cells, nil
-}
-
 // followCell keeps a link to the leader of a cell, and leads it when there is
 // none.
 func (e *Entry) followCell(ctx context.Context, number int) {
--- a/internal/entry/follow_test.go
+++ b/internal/entry/follow_test.go
@@ -48,3 +48,15 @@
 	assert.Assert(t, !empty.settled(now.Add(2*censusCalm), 0))
 	assert.Assert(t, empty.settled(now.Add(censusLimit), 0))
 }
+
+// Guards against a deployment that never settles its cells because the
+// instance that counts has ended, and against all others counting at once.
+func TestCounterIsReplacedOnce(t *testing.T) {
+	now := time.Now()
+	var count census
+	assert.Assert(t, count.overdue(now, ""), "nobody counts")
+	assert.Assert(t, !count.overdue(now, "1"))
+	late := now.Add(counterLimit + time.Second)
+	assert.Assert(t, count.overdue(late, "1"))
+	assert.Assert(t, !count.overdue(late, "2"), "another has begun to count")
+}
--- a/internal/entry/registry.go
+++ b/internal/entry/registry.go
@@ -32,11 +32,8 @@
 	if err != nil || !changed {
 		return nil, false, err
 	}
-	cells := r.entry.leaders.Cells()
 	for _, info := range r.known {
-		if cellOf(string(info.ID), cells) == r.cell {
-			infos = append(infos, info)
-		}
+		infos = append(infos, info)
 	}
 	return infos, true, nil
 }
@@ -65,8 +62,14 @@
 	return r.apply(batch.Records), nil
 }
 
+// apply takes in the records of the cell's own workers; the others are not
+// even decoded.
 func (r *registry) apply(records []store.Record) (changed bool) {
+	cells := r.entry.leaders.Cells()
 	for _, record := range records {
+		if cellOf(record.Key, cells) != r.cell {
+			continue
+		}
 		if len(record.Value) == 0 {
 			delete(r.known, record.Key)
 			changed = true
--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -151,6 +151,7 @@
 		return
 	}
 	t.lastRun = max(t.lastRun, end.Run)
+	c.began(j)
 	c.markDirty(j)
 	if end.How != EndDone {
 		c.note(Note{Event: "run ended", Task: end.Task, Run: end.Run, Worker: w.info.ID, Outcome: string(end.How), Age: ran})
@@ -267,6 +268,7 @@
 	if r.phase == starting || r.phase == uncertain {
 		r.phase = running
 		r.answered = now
+		c.began(r.task.job())
 	}
 	if row.Saved != "" {
 		r.saved = row.Saved
@@ -317,6 +319,7 @@
 	r.answered = now
 	r.moved = now
 	t := r.task
+	c.began(t.job())
 	if t.done || t.job().state.Over() {
 		c.stop(now, r)
 	}
--- a/internal/version/cell/schedule.go
+++ b/internal/version/cell/schedule.go
@@ -243,7 +243,6 @@
 	if t.spec().LongRunning {
 		c.room.free -= r.size.CPU
 	}
-	c.began(t.job())
 	c.effects.Starts = append(c.effects.Starts, StartOrder{
 		Worker:     w.info.ID,
 		Task:       t.id(),
