--- a/internal/connection/celllink/link.go
+++ b/internal/connection/celllink/link.go
@@ -34,8 +34,10 @@
 type Server interface {
 	Serve(ctx context.Context, call cellcodec.Call) cellcodec.Reply
 	// Pulse returns what to tell an instance that last showed a manifest of
-	// that version; -1 means that it has not spoken yet.
-	Pulse(manifest int64) cellcodec.Pulse
+	// that version; -1 means that it has not spoken yet. shown is what the
+	// last pulse of the link returned, or 0; what hasn't changed since is left
+	// out.
+	Pulse(manifest int64, shown uint64) (pulse cellcodec.Pulse, showing uint64)
 	// Pulsed takes what the other instance knows.
 	Pulsed(pulse cellcodec.Pulse)
 	// Changed returns a channel that is closed when the next pulse says
@@ -187,9 +189,11 @@
 func (l *Link) beat() {
 	ticker := time.NewTicker(PulsePeriod)
 	defer ticker.Stop()
+	shown := uint64(0)
 	for {
 		changed := l.server.Changed()
-		pulse := l.server.Pulse(l.theirs.Load())
+		var pulse cellcodec.Pulse
+		pulse, shown = l.server.Pulse(l.theirs.Load(), shown)
 		if err := l.send(cellcodec.Message{Pulse: &pulse}); err != nil {
 			l.Close()
 			return
--- a/internal/entry/leaders.go
+++ b/internal/entry/leaders.go
@@ -17,8 +17,10 @@
 
 // leaderTable is one version of what is known about leaders.
 type leaderTable struct {
-	cells  int
-	byCell map[int]cellcodec.Leader
+	// version rises with each change.
+	version uint64
+	cells   int
+	byCell  map[int]cellcodec.Leader
 	// led are the cells that this instance leads.
 	led map[int]*leadership
 }
@@ -104,7 +106,7 @@
 
 func (l *leaders) change(derive func(next *leaderTable) bool) {
 	l.table.Update(func(current *leaderTable) *leaderTable {
-		next := &leaderTable{current.cells, maps.Clone(current.byCell), maps.Clone(current.led)}
+		next := &leaderTable{current.version + 1, current.cells, maps.Clone(current.byCell), maps.Clone(current.led)}
 		if !derive(next) {
 			return current
 		}
@@ -248,12 +250,15 @@
 	return led.serve(ctx, call)
 }
 
-// Pulse implements celllink.Server.
-func (l *leaders) Pulse(theirs int64) cellcodec.Pulse {
+// Pulse implements celllink.Server. The leaders are told when they change: with
+// hundreds of instances, telling them each time fills the link between regions.
+func (l *leaders) Pulse(theirs int64, shown uint64) (pulse cellcodec.Pulse, showing uint64) {
 	table := l.table.Load()
-	pulse := cellcodec.Pulse{Cells: table.cells, Nonce: l.entry.options.Self.Nonce}
-	for _, leader := range table.byCell {
-		pulse.Leaders = append(pulse.Leaders, leader)
+	pulse = cellcodec.Pulse{Cells: table.cells, Nonce: l.entry.options.Self.Nonce}
+	if table.version != shown {
+		for _, leader := range table.byCell {
+			pulse.Leaders = append(pulse.Leaders, leader)
+		}
 	}
 	for number, led := range table.led {
 		pulse.Led = append(pulse.Led, cellcodec.Led{
@@ -267,7 +272,7 @@
 			pulse.Content = encoded.bytes
 		}
 	}
-	return pulse
+	return pulse, table.version
 }
 
 // Pulsed implements celllink.Server.
