--- a/internal/connection/celllink/link.go
+++ b/internal/connection/celllink/link.go
@@ -40,9 +40,9 @@
 	Pulse(manifest int64, shown uint64) (pulse cellcodec.Pulse, showing uint64)
 	// Pulsed takes what the other instance knows.
 	Pulsed(pulse cellcodec.Pulse)
-	// Changed returns a channel that is closed when the next pulse says
-	// something new.
-	Changed() <-chan struct{}
+	// Wake returns a channel that is closed when a pulse is due before its
+	// period is over.
+	Wake() <-chan struct{}
 	// Opened and Closed enclose the life of a link that another instance
 	// opened.
 	Opened()
@@ -191,7 +191,7 @@
 	defer ticker.Stop()
 	shown := uint64(0)
 	for {
-		changed := l.server.Changed()
+		wake := l.server.Wake()
 		var pulse cellcodec.Pulse
 		pulse, shown = l.server.Pulse(l.theirs.Load(), shown)
 		if err := l.send(cellcodec.Message{Pulse: &pulse}); err != nil {
@@ -200,7 +200,7 @@
 		}
 		select {
 		case <-ticker.C:
-		case <-changed:
+		case <-wake:
 		case <-l.done:
 			return
 		}
--- a/internal/entry/leaders.go
+++ b/internal/entry/leaders.go
@@ -29,6 +29,8 @@
 type leaders struct {
 	entry *Entry
 	table *publish.Cell[leaderTable]
+	// wake is replaced when the links have to tell something at once.
+	wake *publish.Cell[struct{}]
 
 	mu    sync.Mutex
 	links map[string]*celllink.Link
@@ -52,6 +54,7 @@
 	return &leaders{
 		entry:    e,
 		table:    publish.New(&leaderTable{byCell: map[int]cellcodec.Leader{}, led: map[int]*leadership{}}),
+		wake:     publish.New[struct{}](nil),
 		links:    map[string]*celllink.Link{},
 		renewals: map[int]renewal{},
 	}
@@ -105,13 +108,18 @@
 )
 
 func (l *leaders) change(derive func(next *leaderTable) bool) {
+	changed := false
 	l.table.Update(func(current *leaderTable) *leaderTable {
 		next := &leaderTable{current.version + 1, current.cells, maps.Clone(current.byCell), maps.Clone(current.led)}
 		if !derive(next) {
 			return current
 		}
+		changed = true
 		return next
 	})
+	if changed {
+		l.tell()
+	}
 }
 
 // learn takes in the leader of a term unless a later one is known. A leader
@@ -155,6 +163,12 @@
 	})
 }
 
+// tell sends a pulse on all links.
+func (l *leaders) tell() { l.wake.Publish(nil) }
+
+// Wake implements celllink.Server.
+func (l *leaders) Wake() <-chan struct{} { return l.wake.Changed() }
+
 // Cells implements intake.Leaders.
 func (l *leaders) Cells() int { return l.table.Load().cells }
 
--- a/internal/entry/leaders_test.go
+++ b/internal/entry/leaders_test.go
@@ -36,6 +36,18 @@
 	assert.Equal(t, len(third.Leaders), 1)
 }
 
+// Guards against a pulse that waits for its period when there is something to
+// tell.
+func TestChangeWakesTheLinks(t *testing.T) {
+	l := testEntry(t).leaders
+	wake := l.Wake()
+	l.learn(cellcodec.Leader{Cell: 0, Epoch: 5, Address: "10.0.0.2:1", Nonce: 2})
+	<-wake
+	wake = l.Wake()
+	l.tell()
+	<-wake
+}
+
 // Guards against an earlier leader that replaces a later one, and against a
 // term that was given up but is still asked.
 func TestOnlyLaterTermsAreLearned(t *testing.T) {
--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -43,6 +43,9 @@
 			held = next
 			l.recordEnd.Store(held.End)
 			l.renewed.Store(int64(sent))
+			// Others tell a leader that has ended from one that renews by
+			// whether they know its newest record.
+			l.entry.leaders.tell()
 			continue
 		}
 		if errors.Is(err, errTermOver) {
