jobapi: use the headers of caller; say how coefficients are learned

Read-through of the change: the two headers stood twice, a comment still named the method that was replaced, and another had a broken first line. No behaviour changes.

--- a/internal/connection/jobapi/http.go
+++ b/internal/connection/jobapi/http.go
@@ -7,17 +7,12 @@
 	"strconv"
 	"time"
 
+	"poplarvalve/internal/connection/caller"
 	"poplarvalve/internal/connection/cellcodec"
 	"poplarvalve/internal/process/fault"
 	"poplarvalve/internal/process/jobspec"
 )
 
-// The headers of a request and its answer.
-const (
-	HeaderDeadline = "Poplarvalve-Deadline-Ms"
-	HeaderOutcome  = "Poplarvalve-Outcome"
-)
-
 // PathQueues is the prefix of all calls.
 const PathQueues = "/v1/queues/"
 
@@ -111,7 +106,7 @@
 // subject returns the request that the path and the headers name.
 func subject(r *http.Request, operation cellcodec.Operation) Request {
 	request := Request{Operation: operation, Queue: r.PathValue("queue"), ID: jobspec.ID(r.PathValue("id"))}
-	if millis, err := strconv.ParseInt(r.Header.Get(HeaderDeadline), 10, 64); err == nil && millis > 0 {
+	if millis, err := strconv.ParseInt(r.Header.Get(caller.HeaderDeadline), 10, 64); err == nil && millis > 0 {
 		request.Deadline = time.Now().Add(time.Duration(millis) * time.Millisecond)
 	}
 	return request
@@ -153,7 +148,7 @@
 	case Unknown:
 		outcome = fault.Unknown
 	}
-	w.Header().Set(HeaderOutcome, outcome.String())
+	w.Header().Set(caller.HeaderOutcome, outcome.String())
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	// A caller that has left can't be told.
--- a/internal/connection/jobapi/http_test.go
+++ b/internal/connection/jobapi/http_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"poplarvalve/internal/connection/caller"
 	"poplarvalve/internal/connection/cellcodec"
 	"poplarvalve/internal/process/fault"
 	"poplarvalve/internal/version/cell"
@@ -53,7 +54,7 @@
 		server := &fixed{answer: Answer{Verdict: c.verdict, RetryAfter: time.Second, State: cell.Running, Job: "00000000000000aa"}}
 		response := exchange(t, server, http.MethodGet, testPath, "")
 		assert.Equal(t, response.StatusCode, c.status)
-		assert.Equal(t, response.Header.Get(HeaderOutcome), c.outcome)
+		assert.Equal(t, response.Header.Get(caller.HeaderOutcome), c.outcome)
 	}
 }
 
--- a/internal/request/intake/intake.go
+++ b/internal/request/intake/intake.go
@@ -1,8 +1,8 @@
 // Package intake serves one request about a job: it finds the queue and the
 // cell, asks the leader of the cell, and asks again when the leader changes.
 //
-// It guarantees that an answer jobapi.NotRun is given only if no leader can have
-// taken the job in, and that jobapi.OK is given only for what is stored.
+// It guarantees that a submission is answered NotRun only if no leader can have
+// taken the job in, and that OK is given only for what is stored.
 package intake
 
 import (
--- a/internal/version/cell/pressure.go
+++ b/internal/version/cell/pressure.go
@@ -12,8 +12,8 @@
 //
 // The pressure on a serving image is that of its own load, and for each task
 // that fills beside it a coefficient of the pair of images times the cores that
-// the task uses. Coefficients are learned from reports by normalized least mean
-// squares, since the pairs differ by orders of magnitude and only a few are bad.
+// the task uses. Coefficients are scaled by what each report misses, since the
+// pairs differ by orders of magnitude and only a few are bad.
 
 const (
 	// unknownCoefficient is assumed for a pair without reports, in pressure per
@@ -43,8 +43,8 @@
 	// targetShare is the part of the pressure at the target that is used; the
 	// rest is for the swing of the own load within one report's age.
 	targetShare = 0.72
-	// least part of a target that an unloaded tail is taken for. The lowest
-	// tail seen replaces it.
+	// unloadedShare is the part of its target that an unloaded tail is taken
+	// for until the lowest tail seen replaces it.
 	unloadedShare = 0.25
 )
 
