intake: a cancel without a reply has an open outcome

Cause: only submissions counted as open after a call that may have reached a leader, so a cancel whose reply was lost was answered 503 after 0.14 s although the leader may have stored it, and the next leader was not asked. Ruled out: questions for a state, which change nothing and stay refused at once. Before: TestOpenOutcomeIsNeverNotRun fails with verdict 4 (not run) for a cancel. After: the outcome is unknown (504) within 1.2 s, or that of the next leader.

--- a/internal/connection/cellcodec/cellcodec.go
+++ b/internal/connection/cellcodec/cellcodec.go
@@ -135,6 +135,10 @@
 	OpPending
 )
 
+// Changes says whether the operation changes what is stored, so that a call
+// without a reply has an open outcome.
+func (o Operation) Changes() bool { return o == OpSubmit || o == OpCancel }
+
 // Call is one request to the leader of a cell.
 type Call struct {
 	Operation Operation    `cbor:"1,keyasint"`
--- a/internal/request/intake/intake.go
+++ b/internal/request/intake/intake.go
@@ -1,8 +1,8 @@
 // Package intake serves one request about a job: it finds the queue and the
 // cell, asks the leader of the cell, and asks again when the leader changes.
 //
-// It guarantees that a submission is answered NotRun only if no leader can have
-// taken the job in, and that OK is given only for what is stored.
+// It guarantees that a submission or a cancel is answered NotRun only if no
+// leader can have taken it in, and that OK is given only for what is stored.
 package intake
 
 import (
@@ -148,7 +148,7 @@
 		if answer, final := conclude(reply); final && !(maybe && answer.Verdict == jobapi.NotRun) {
 			return answer
 		}
-		maybe = maybe || sent && reply.Result == cellcodec.Unproven && call.Operation == cellcodec.OpSubmit
+		maybe = maybe || sent && reply.Result == cellcodec.Unproven && call.Operation.Changes()
 		if expired && !maybe {
 			break
 		}
