instance: keep what runs in a region that is cut off

Cause: with region_cut = refuse the lease for starts also covered the renewal of run leases, so it lapsed when the other region could not promise and running tasks stopped 20 s later. Only members of a region own its workers, so their promises alone exclude another owner of what runs. Mend: a second lease, the hold, is renewed by the promises of the own region, also for an incarnation that lapsed, and run leases are renewed under it. The Leave of a lapsed incarnation is announced when the next one is a member and the hold is revoked; it was queued at the lapse.

--- a/internal/connection/worker/session.go
+++ b/internal/connection/worker/session.go
@@ -42,6 +42,7 @@
 	worker  ident.WorkerID
 	holder  ident.Incarnation
 	fence   *fence.Fence
+	hold    *fence.Fence
 	account *ledger.Account
 	random  func() float64
 	// only is whether the worker never had another owner.
@@ -71,9 +72,12 @@
 	Clock  clock.Clock
 	Worker ident.WorkerID
 	Holder ident.Incarnation
-	// Fence is the instance's own lease; no lease is asked for or renewed while
-	// it is closed.
+	// Fence is the instance's own lease; no lease for starts is asked for or
+	// renewed while it is closed.
 	Fence *fence.Fence
+	// Hold is the lease under which run leases are renewed; nil stands for
+	// Fence.
+	Hold *fence.Fence
 	// Account receives the tasks that the takeover finds.
 	Account *ledger.Account
 	// Random spreads retries; it returns values in [0, 1) and is safe for use
@@ -100,12 +104,16 @@
 	if options.Random == nil {
 		options.Random = rand.Float64
 	}
+	if options.Hold == nil {
+		options.Hold = options.Fence
+	}
 	return &Session{
 		API:     options.API,
 		clock:   options.Clock,
 		worker:  options.Worker,
 		holder:  options.Holder,
 		fence:   options.Fence,
+		hold:    options.Hold,
 		account: options.Account,
 		random:  options.Random,
 		cleared: make(chan struct{}),
@@ -221,8 +229,11 @@
 }
 
 // fenced returns a failure if the instance's own lease is over.
-func (s *Session) fenced() error {
-	if s.fence == nil || s.fence.Open(s.clock.Now()) {
+func (s *Session) fenced() error { return s.under(s.fence) }
+
+// under returns a failure if a lease of the instance is over.
+func (s *Session) under(lease *fence.Fence) error {
+	if lease == nil || lease.Open(s.clock.Now()) {
 		return nil
 	}
 	return fault.New(fault.Fenced, "at worker %s", s.worker)
--- a/internal/instance/incarnation.go
+++ b/internal/instance/incarnation.go
@@ -25,6 +25,7 @@
 	self    ident.Incarnation
 	process *Instance
 	fence   *fence.Fence
+	hold    *fence.Fence
 	node    *peer.Node
 	owner   *ownerAgent
 	runner  *start.Runner
@@ -36,8 +37,8 @@
 	group  sync.WaitGroup
 }
 
-func newIncarnation(process *Instance, self ident.Incarnation, bound *fence.Fence) *incarnation {
-	c := &incarnation{self: self, process: process, fence: bound}
+func newIncarnation(process *Instance, self ident.Incarnation, bound, hold *fence.Fence) *incarnation {
+	c := &incarnation{self: self, process: process, fence: bound, hold: hold}
 	options := &process.options
 	accounts := ledger.New()
 	judged := newHealthAgent(options.Clock)
@@ -45,6 +46,7 @@
 		Self:      self,
 		Clock:     options.Clock,
 		Fence:     bound,
+		Hold:      hold,
 		Ledger:    accounts,
 		Ownership: process.ownership,
 		Listing:   process.list.cell,
@@ -164,6 +166,7 @@
 // end stops everything of the incarnation.
 func (c *incarnation) end() {
 	c.fence.Revoke()
+	c.hold.Revoke()
 	c.cancel()
 	c.node.Close()
 	c.group.Wait()
--- a/internal/instance/member.go
+++ b/internal/instance/member.go
@@ -43,8 +43,10 @@
 	Clock     clock.Clock
 	Log       logstream.Log
 	Budget    *logstream.Budget
-	Fence     *fence.Fence
-	Promiser  Promiser
+	// Fence is the lease for starting work, Hold the one for keeping what runs.
+	Fence    *fence.Fence
+	Hold     *fence.Fence
+	Promiser Promiser
 	// Nonce draws the random number of a new incarnation.
 	Nonce func() uint64
 	// Jitter returns a number in [0, 1) for backoff.
@@ -54,6 +56,9 @@
 	// OnIncarnation is called when the agent has taken a new incarnation. It must
 	// neither block nor call the agent.
 	OnIncarnation func(self ident.Incarnation)
+	// OnMember is called when an incarnation becomes a member, before the end of
+	// the earlier ones is announced. It must neither block nor call the agent.
+	OnMember func(self ident.Incarnation)
 	// OnEpoch is called with each new set of members before it can be seen or
 	// acknowledged. It must neither block nor call the agent.
 	OnEpoch func(next *membership.State)
@@ -72,9 +77,12 @@
 	wake     chan struct{}
 
 	// mu is never held during a call to the log or a peer.
-	mu       sync.Mutex
-	self     ident.Incarnation
-	mine     map[ident.Incarnation]bool
+	mu   sync.Mutex
+	self ident.Incarnation
+	mine map[ident.Incarnation]bool
+	// lapsed holds the incarnations whose end is not announced yet; the last of
+	// them may still keep what runs.
+	lapsed   []ident.Incarnation
 	records  uint64
 	opened   bool
 	member   bool
@@ -127,6 +135,7 @@
 func (a *MemberAgent) Run(ctx context.Context) {
 	var group sync.WaitGroup
 	defer group.Wait()
+	defer a.config.Hold.Close()
 	defer a.config.Fence.Close()
 	group.Go(func() { a.appender.Run(ctx) })
 	group.Go(func() { a.follower.Run(ctx) })
@@ -154,6 +163,7 @@
 	a.mu.Lock()
 	a.leaving = true
 	a.config.Fence.Close()
+	a.config.Hold.Close()
 	id, err := a.add(record.Leave{})
 	a.mu.Unlock()
 	if err != nil {
@@ -180,15 +190,14 @@
 	}
 }
 
-// rejoin replaces an incarnation that lapsed or was removed. The Leave of the
-// old one proves to the others that it is over, which they couldn't know if all
-// instances lapsed in the same outage.
+// rejoin replaces an incarnation that lapsed or was removed. The old one may
+// keep what runs until the next one is a member.
 func (a *MemberAgent) rejoin() {
 	a.config.Fence.Close()
 	if a.leaving {
 		return
 	}
-	_, _ = a.add(record.Leave{})
+	a.lapsed = append(a.lapsed, a.self)
 	a.takeIncarnation()
 	a.join()
 }
@@ -203,9 +212,13 @@
 
 // add queues a record of the current incarnation.
 func (a *MemberAgent) add(body record.Record) (ident.RecordID, error) {
+	return a.addAs(a.self, body)
+}
+
+func (a *MemberAgent) addAs(writer ident.Incarnation, body record.Record) (ident.RecordID, error) {
 	a.records++
-	id := ident.RecordID(fmt.Sprintf("%s/%d", a.self, a.records))
-	entry, err := codec.EncodeRecord(record.Envelope{ID: id, Writer: a.self, Record: body})
+	id := ident.RecordID(fmt.Sprintf("%s/%d", writer, a.records))
+	entry, err := codec.EncodeRecord(record.Envelope{ID: id, Writer: writer, Record: body})
 	if err != nil {
 		return "", err
 	}
@@ -230,7 +243,11 @@
 	defer a.mu.Unlock()
 	now := a.config.Clock.Now()
 	a.checkLapse(now)
-	if !a.member || a.leaving {
+	if a.leaving {
+		return
+	}
+	if !a.member {
+		a.keepRunning(ctx, group, now)
 		return
 	}
 	a.heartbeat(now)
@@ -240,12 +257,15 @@
 		return
 	}
 	if a.opened && !a.asking {
-		a.asking = true
-		request := a.promiseRequest(now)
-		group.Go(func() { a.askPromises(ctx, request) })
+		a.ask(ctx, group, a.promiseRequest(now))
 	}
 }
 
+func (a *MemberAgent) ask(ctx context.Context, group *sync.WaitGroup, request promiseRequest) {
+	a.asking = true
+	group.Go(func() { a.askPromises(ctx, request) })
+}
+
 func (a *MemberAgent) heartbeat(now time.Time) {
 	if len(a.pending) >= maxPendingHeartbeats {
 		return
@@ -334,6 +354,7 @@
 	a.cell.Publish(next)
 	if present && !a.member {
 		a.member = true
+		a.announceLapsed()
 		select {
 		case a.wake <- struct{}{}:
 		default:
@@ -360,6 +381,7 @@
 
 func (a *MemberAgent) renew(sent, now time.Time) {
 	a.config.Fence.Renew(sent, membership.Lease)
+	a.config.Hold.Renew(sent, membership.Lease)
 	a.opened = a.opened || a.config.Fence.Open(now)
 }
 
--- a/internal/instance/member_promise.go
+++ b/internal/instance/member_promise.go
@@ -67,19 +67,25 @@
 		group.Go(func() { granted[i] = a.askPromise(ctx, peer, request.epoch) })
 	}
 	group.Wait()
-	all := true
-	for _, one := range granted {
+	all, regional := true, true
+	for i, one := range granted {
 		all = all && one
+		regional = regional && (one || request.peers[i].Region != a.config.Region)
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.asking = false
 	now := a.config.Clock.Now()
 	a.checkLapse(now)
-	unchanged := request.self == a.self && request.epoch == a.cell.Load().Epoch
-	if all && unchanged && a.opened && !a.leaving {
+	if request.epoch != a.cell.Load().Epoch || a.leaving {
+		return
+	}
+	if all && request.self == a.self && a.opened {
 		a.renew(request.sent, now)
 	}
+	if regional && (request.self == a.self && a.opened || a.keeps(request.self)) {
+		a.config.Hold.Renew(request.sent, membership.Lease)
+	}
 }
 
 func (a *MemberAgent) askPromise(ctx context.Context, peer membership.Member, epoch ident.Epoch) bool {
--- a/internal/instance/system_test.go
+++ b/internal/instance/system_test.go
@@ -134,11 +134,16 @@
 
 // start runs an instance and returns its index.
 func (s *system) start(name string, zone ident.ZoneName) int {
+	return s.startAt(name, zone, "cascades", s.network)
+}
+
+// startAt is start in a region, with the links that dialer opens.
+func (s *system) startAt(name string, zone ident.ZoneName, region ident.RegionName, dialer peer.Dialer) int {
 	var mu sync.Mutex
 	random := rand.New(rand.NewPCG(s.random.Uint64(), 1))
 	node := instance.New(instance.Options{
 		Name:        ident.InstanceName(name),
-		Place:       workers.Place{Zone: zone, Region: "cascades"},
+		Place:       workers.Place{Zone: zone, Region: region},
 		PeerAddress: name,
 		RegionCut:   instance.RegionCutRefuse,
 		Shards:      4,
@@ -147,7 +152,7 @@
 		Clock:       clock.System{},
 		Log:         s.platform.Client(name),
 		List:        instances{s},
-		Dialer:      s.network,
+		Dialer:      dialer,
 		Dial:        func(w workers.Listed) worker.API { return s.workers[w.ID] },
 		Nonce:       func() uint64 { mu.Lock(); defer mu.Unlock(); return random.Uint64() },
 		Random:      func() float64 { mu.Lock(); defer mu.Unlock(); return random.Float64() },
