entry: larger instances lead; no claim over the next leader

On the rolling restart before, each change of the leader came twice: what an instance knew of the leader that had ended was held against the next one. What is known against a leader counts for its own term only.

--- a/internal/connection/cellcodec/cellcodec.go
+++ b/internal/connection/cellcodec/cellcodec.go
@@ -187,6 +187,8 @@
 	Cells int `cbor:"4,keyasint,omitempty"`
 	// Led are the cells that the sender leads.
 	Led []Led `cbor:"6,keyasint,omitempty"`
+	// Share is the part of a core that the sender may use.
+	Share float64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Led shows how a leader's term stands.
--- a/internal/connection/term/term.go
+++ b/internal/connection/term/term.go
@@ -41,15 +41,19 @@
 	Holder Holder
 	// Released says that the holder has given the term up.
 	Released bool
+	// Largest is the largest share of a core of an instance that the holder
+	// knew, or 0.
+	Largest float64
 	// End is the offset after the record.
 	End int64
 }
 
 // record is what is stored. Epoch is 0 in a claim.
 type record struct {
-	Epoch    int64  `cbor:"1,keyasint,omitempty"`
-	Holder   Holder `cbor:"2,keyasint"`
-	Released bool   `cbor:"3,keyasint,omitempty"`
+	Epoch    int64   `cbor:"1,keyasint,omitempty"`
+	Holder   Holder  `cbor:"2,keyasint"`
+	Released bool    `cbor:"3,keyasint,omitempty"`
+	Largest  float64 `cbor:"4,keyasint,omitempty"`
 }
 
 func partition(cell int) store.Partition { return store.Partition{Topic: Topic, Part: cell} }
@@ -69,7 +73,8 @@
 	if err := cbor.Unmarshal(newest.Value, &content); err != nil {
 		return Term{}, fault.Wrap(fault.Malformed, err, "the term record of cell %d", cell)
 	}
-	term := Term{Cell: cell, Epoch: content.Epoch, Holder: content.Holder, Released: content.Released, End: newest.Offset + 1}
+	term := Term{Cell: cell, Epoch: content.Epoch, Holder: content.Holder, Released: content.Released,
+		Largest: content.Largest, End: newest.Offset + 1}
 	if term.Epoch == 0 {
 		term.Epoch = newest.Offset + 1
 	}
@@ -79,23 +84,23 @@
 // Claim tries to begin a term after seen. A lost reply is settled by a later
 // Read, which shows whether the holder won.
 func Claim(ctx context.Context, log store.Log, seen Term, holder Holder) (Term, error) {
-	offset, err := appendRecord(ctx, log, seen.Cell, seen.End, record{Holder: holder})
+	offset, err := appendRecord(ctx, log, seen.Cell, seen.End, record{Holder: holder, Largest: seen.Largest})
 	if err != nil {
 		return Term{}, fmt.Errorf("claiming cell %d: %w", seen.Cell, err)
 	}
-	return Term{Cell: seen.Cell, Epoch: offset + 1, Holder: holder, End: offset + 1}, nil
+	return Term{Cell: seen.Cell, Epoch: offset + 1, Holder: holder, Largest: seen.Largest, End: offset + 1}, nil
 }
 
 // Renew shows that the holder still leads. A failure with reason Moved means
 // that another claim or an earlier renewal without a reply came between; Read
 // tells which.
 func Renew(ctx context.Context, log store.Log, held Term) (Term, error) {
-	return replace(ctx, log, held, record{Epoch: held.Epoch, Holder: held.Holder})
+	return replace(ctx, log, held, record{Epoch: held.Epoch, Holder: held.Holder, Largest: held.Largest})
 }
 
 // Release gives the term up, so that others claim at once.
 func Release(ctx context.Context, log store.Log, held Term) error {
-	_, err := replace(ctx, log, held, record{Epoch: held.Epoch, Holder: held.Holder, Released: true})
+	_, err := replace(ctx, log, held, record{Epoch: held.Epoch, Holder: held.Holder, Largest: held.Largest, Released: true})
 	return err
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -68,6 +68,9 @@
 	draining chan struct{}
 	// contending counts the claims that were begun a short time ago.
 	contending atomic.Int64
+	// handedOver is when a cell was last handed to a larger instance, in Unix
+	// nanoseconds.
+	handedOver atomic.Int64
 	stop       context.CancelFunc
 	running    sync.WaitGroup
 	drain      sync.Once
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -10,6 +10,7 @@
 
 	"poplarvalve/internal/connection/celllink"
 	"poplarvalve/internal/connection/term"
+	"poplarvalve/internal/version/election"
 )
 
 const (
@@ -30,14 +31,11 @@
 	callTimeout = 800 * time.Millisecond
 	// electionPause is the pause between two looks at a term.
 	electionPause = 150 * time.Millisecond
-	// claimSpread spreads the claims of several instances; an instance near
-	// the log claims first, since claimTrips round trips are added.
+	// claimSpread spreads the claims of several instances that are alike.
 	claimSpread = 40 * time.Millisecond
-	claimTrips  = 3
-	// ledPenalty delays the claims of an instance for each cell that it leads,
-	// and smallPenalty, divided by its share of a core, those of a small one.
-	ledPenalty   = 150 * time.Millisecond
-	smallPenalty = 25 * time.Millisecond
+	// contentionTime is how long a claim that was begun counts as a cell that is
+	// led.
+	contentionTime = 150 * time.Millisecond
 )
 
 func cellName(number int) string { return "cell-" + strconv.Itoa(number) }
@@ -78,7 +76,7 @@
 		if found && shown.end == current.End {
 			seen = observation{current.End, shown.at}
 		}
-		need = need.confirmed(current, shown, found)
+		need = need.confirmed(leader.Epoch, current, shown, found)
 		if seen.vacant(current, need != linkHeld, e.options.Self) {
 			e.contend(ctx, current, trip)
 			continue
@@ -129,10 +127,11 @@
 	leaderStalled
 )
 
-// confirmed takes back that a leader is stalled if it has renewed its term
-// since it last showed its state.
-func (s standing) confirmed(current term.Term, shown renewal, found bool) standing {
-	if s == leaderStalled && !(found && shown.end == current.End) {
+// confirmed takes back what is known against the leader of an epoch if a later
+// one has begun, and that a leader is stalled if it has renewed its term since it
+// last showed its state.
+func (s standing) confirmed(epoch int64, current term.Term, shown renewal, found bool) standing {
+	if current.Epoch != epoch || s == leaderStalled && !(found && shown.end == current.End) {
 		return linkHeld
 	}
 	return s
@@ -182,7 +181,7 @@
 	case <-e.draining:
 		sleep(ctx, electionPause)
 		return
-	case <-time.After(e.claimDelay(trip)):
+	case <-time.After(e.claimDelay(seen, trip)):
 	case <-ctx.Done():
 		return
 	}
@@ -202,14 +201,18 @@
 	e.lead(ctx, held)
 }
 
-// claimDelay lets instances claim first that are near the log, have processors
-// to spare and lead few cells.
-func (e *Entry) claimDelay(trip time.Duration) time.Duration {
-	e.contending.Add(1)
-	others := e.contending.Load() - 1 + int64(len(e.leaders.table.Load().led))
-	time.AfterFunc(ledPenalty, func() { e.contending.Add(-1) })
-	small := time.Duration(float64(smallPenalty) / e.options.CPUShare)
-	return claimTrips*trip + time.Duration(others)*ledPenalty + small + rand.N(claimSpread)
+// claimDelay lets instances claim first that are near the log, large and lead
+// few cells.
+func (e *Entry) claimDelay(seen term.Term, trip time.Duration) time.Duration {
+	others := e.contending.Add(1) - 1
+	time.AfterFunc(contentionTime, func() { e.contending.Add(-1) })
+	candidate := election.Candidate{
+		Trip:    trip,
+		Led:     int(others) + len(e.leaders.table.Load().led),
+		Share:   e.options.CPUShare,
+		Largest: seen.Largest,
+	}
+	return candidate.ClaimDelay() + rand.N(claimSpread)
 }
 
 // claimed finds out whether a claim that failed or got no reply has won. The
--- a/internal/entry/follow_test.go
+++ b/internal/entry/follow_test.go
@@ -13,9 +13,17 @@
 // leader has renewed its term at once.
 func TestStalledLeaderThatRenewedKeepsItsTerm(t *testing.T) {
 	shown := renewal{epoch: 3, end: 80, at: time.Now().Add(-5 * time.Second)}
-	assert.Equal(t, leaderStalled.confirmed(term.Term{Epoch: 3, End: 80}, shown, true), leaderStalled)
-	assert.Equal(t, leaderStalled.confirmed(term.Term{Epoch: 3, End: 81}, shown, true), linkHeld)
-	assert.Equal(t, leaderEnded.confirmed(term.Term{Epoch: 3, End: 81}, shown, true), leaderEnded)
+	assert.Equal(t, leaderStalled.confirmed(3, term.Term{Epoch: 3, End: 80}, shown, true), leaderStalled)
+	assert.Equal(t, leaderStalled.confirmed(3, term.Term{Epoch: 3, End: 81}, shown, true), linkHeld)
+	assert.Equal(t, leaderEnded.confirmed(3, term.Term{Epoch: 3, End: 81}, shown, true), leaderEnded)
+}
+
+// Guards against a claim over the next leader because the one before it has
+// ended: on a rolling restart each change of the leader came twice.
+func TestEndOfALeaderSaysNothingOfTheNext(t *testing.T) {
+	next := term.Term{Epoch: 22, End: 22}
+	assert.Equal(t, leaderEnded.confirmed(1, next, renewal{}, false), linkHeld)
+	assert.Equal(t, leaderEnded.confirmed(22, next, renewal{}, false), leaderEnded)
 }
 
 // Guards against a claim on a term that is renewed, and against a term without
--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -12,6 +12,7 @@
 	"poplarvalve/internal/connection/term"
 	"poplarvalve/internal/connection/workerlink"
 	"poplarvalve/internal/version/cell"
+	"poplarvalve/internal/version/election"
 )
 
 const (
@@ -214,12 +215,26 @@
 		l.lose(errTermOver)
 	case l.entry.leaders.isolated():
 		l.giveUp(errIsolated)
+	case l.outsized(now):
+		l.entry.handedOver.Store(now.UnixNano())
+		l.giveUp(errOutsized)
 	}
 }
 
+// outsized says whether a larger instance should lead the cell.
+func (l *leadership) outsized(now time.Time) bool {
+	return election.Leader{
+		Workers:       l.cell.WorkerCount(),
+		Share:         l.entry.options.CPUShare,
+		Largest:       l.entry.leaders.largest(),
+		SinceHandOver: now.Sub(time.Unix(0, l.entry.handedOver.Load())),
+	}.Outsized()
+}
+
 var (
 	errDraining = errors.New("the instance is draining")
 	errIsolated = errors.New("no other instance reaches this one")
+	errOutsized = errors.New("a larger instance should lead the cell")
 )
 
 // followRegistry tells the cell which workers are registered.
--- a/internal/entry/leaders.go
+++ b/internal/entry/leaders.go
@@ -36,6 +36,8 @@
 	links map[string]*celllink.Link
 	// renewals holds what leaders last showed of their terms.
 	renewals map[int]renewal
+	// shares holds the part of a core that each linked process may use.
+	shares map[uint64]share
 	// inbound counts the links that others keep to this instance, lastInbound
 	// is when there was one, and most the highest count so far.
 	inbound     int
@@ -57,9 +59,34 @@
 		wake:     publish.New[struct{}](nil),
 		links:    map[string]*celllink.Link{},
 		renewals: map[int]renewal{},
+		shares:   map[uint64]share{},
 	}
 }
 
+// share is what a linked process last showed of its size.
+type share struct {
+	cores float64
+	at    time.Time
+}
+
+// shareAge is how long a process that shows nothing counts as linked.
+const shareAge = 2 * time.Second
+
+// largest returns the largest share of a core of a linked process, or 0.
+func (l *leaders) largest() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	largest := 0.0
+	for nonce, shown := range l.shares {
+		if time.Since(shown.at) > shareAge {
+			delete(l.shares, nonce)
+			continue
+		}
+		largest = max(largest, shown.cores)
+	}
+	return largest
+}
+
 // renewed returns what the leader of a term last showed of it.
 func (l *leaders) renewed(cell int, epoch int64) (known renewal, found bool) {
 	l.mu.Lock()
@@ -268,7 +295,7 @@
 // hundreds of instances, telling them each time fills the link between regions.
 func (l *leaders) Pulse(theirs int64, shown uint64) (pulse cellcodec.Pulse, showing uint64) {
 	table := l.table.Load()
-	pulse = cellcodec.Pulse{Cells: table.cells, Nonce: l.entry.options.Self.Nonce}
+	pulse = cellcodec.Pulse{Cells: table.cells, Nonce: l.entry.options.Self.Nonce, Share: l.entry.options.CPUShare}
 	if table.version != shown {
 		for _, leader := range table.byCell {
 			pulse.Leaders = append(pulse.Leaders, leader)
@@ -298,6 +325,7 @@
 		l.learn(leader)
 	}
 	l.mu.Lock()
+	l.shares[pulse.Nonce] = share{pulse.Share, time.Now()}
 	for _, led := range pulse.Led {
 		if l.renewals[led.Cell].epoch <= led.Epoch {
 			l.renewals[led.Cell] = renewal{led.Epoch, led.End, time.Now().Add(-time.Duration(led.RenewedMillis) * time.Millisecond)}
--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -38,6 +38,7 @@
 			return
 		}
 		sent := time.Since(l.began)
+		held.Largest = max(l.entry.options.CPUShare, l.entry.leaders.largest())
 		next, err := l.renewOnce(ctx, held)
 		if err == nil {
 			held = next
@@ -60,7 +61,7 @@
 
 // release tells the log that the term was given up.
 func (l *leadership) release(held term.Term) {
-	if why := l.reason(); !errors.Is(why, errDraining) && !errors.Is(why, errIsolated) {
+	if why := l.reason(); !errors.Is(why, errDraining) && !errors.Is(why, errIsolated) && !errors.Is(why, errOutsized) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
--- a/internal/version/cell/cell.go
+++ b/internal/version/cell/cell.go
@@ -205,6 +205,9 @@
 	return infos
 }
 
+// WorkerCount returns the number of workers of the cell.
+func (c *Cell) WorkerCount() int { return len(c.workers) }
+
 // SubmitResult says what Submit did.
 type SubmitResult uint8
 
