test/virtualtime: run bubbles on one processor

Cause of the crashes of the race detector (SIGSEGV in SlotLock): timers of a testing/synctest bubble share one context of the detector, and a goroutine that receives from a due timer's channel runs it beside the root of the bubble, so two threads use the context at once. The trace shows synctest.Run in its timers. Ruled out: asynchronous preemption; with it off internal/instance still crashed in 2 of 3 runs. Mend: virtualtime.Test runs each bubble on one processor. make test no longer sets GODEBUG.

--- a/Makefile
+++ b/Makefile
@@ -9,10 +9,8 @@
 build:
 	$(GO) build -o bin/ ./cmd/... ./test/cmd/...
 
-# With asynchronous preemption, the race detector of Go 1.26.8 crashes now and
-# then (SIGSEGV) while the runtime runs a timer of a testing/synctest bubble.
 test:
-	GODEBUG=asyncpreemptoff=1 $(GO) test -race ./...
+	$(GO) test -race ./...
 
 lint:
 	test -z "$$(gofmt -l cmd internal test)"
--- a/internal/connection/caller/slow_test.go
+++ b/internal/connection/caller/slow_test.go
@@ -7,12 +7,12 @@
 	"net"
 	"net/http"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"poplarvalve/internal/connection/caller"
+	"poplarvalve/test/virtualtime"
 )
 
 // endless is a feed without end that notes when it is closed.
@@ -56,7 +56,7 @@
 
 // Guards against a client that stops reading and holds its feed open for ever.
 func TestSlowClientIsDisconnected(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		engine := endless{closed: make(chan time.Time, 1)}
 		server := &http.Server{Handler: caller.NewHandler(engine, nil)}
 		listener := single{conns: make(chan net.Conn, 1)}
--- a/internal/connection/peer/budget_test.go
+++ b/internal/connection/peer/budget_test.go
@@ -2,16 +2,17 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"poplarvalve/test/virtualtime"
 )
 
 // Guards against bulk messages that use up the budget between regions which
 // urgent answers need.
 func TestBulkLeavesBudgetToUrgentMessages(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		const rate = 100_000
 		shared := newBudget(rate)
 		for range 20 {
--- a/internal/connection/peer/peer_test.go
+++ b/internal/connection/peer/peer_test.go
@@ -26,6 +26,7 @@
 	"poplarvalve/internal/request/answer"
 	"poplarvalve/internal/version/membership"
 	"poplarvalve/internal/version/workers"
+	"poplarvalve/test/virtualtime"
 )
 
 const seed = 20261204
@@ -88,7 +89,7 @@
 
 // pair runs test with two connected nodes on a network inside a bubble.
 func pair(t *testing.T, test func(t *testing.T, network *peer.Memory, front *peer.Node, handler *echo)) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		network := peer.NewMemory(seed)
 		handler := &echo{runs: map[ident.RequestID]int{}}
 		front, owner := newNode(1, network, handler), newNode(2, network, handler)
--- a/internal/connection/worker/session_test.go
+++ b/internal/connection/worker/session_test.go
@@ -17,6 +17,7 @@
 	"poplarvalve/internal/process/fault"
 	"poplarvalve/internal/process/ident"
 	"poplarvalve/internal/process/work"
+	"poplarvalve/test/virtualtime"
 	"poplarvalve/test/workerstub"
 )
 
@@ -41,7 +42,7 @@
 // bubble runs a test with an open session in virtual time.
 func bubble(t *testing.T, run func(t *testing.T, session *worker.Session, stub *counted)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		stub := &counted{Worker: workerstub.New()}
 		session := worker.NewSession(stub, clock.System{}, "w", ident.Incarnation{Instance: "a", Nonce: 1})
 		table := worker.NewTable()
@@ -213,7 +214,7 @@
 // Guards against a start that continuity doesn't cover, whose loss in a restart
 // would be reported as a task that never started.
 func TestNoStartLeaseBeforeContinuity(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		session := worker.NewSession(noContinuity{workerstub.New()}, clock.System{}, "w", ident.Incarnation{Instance: "a", Nonce: 1})
 		table := worker.NewTable()
 		table.Open(t.Context(), session)
--- a/internal/connection/workerlink/session_test.go
+++ b/internal/connection/workerlink/session_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"poplarvalve/internal/version/cell"
+	"poplarvalve/test/virtualtime"
 )
 
 // fakeWorker answers holds after their wait, unless it is silent.
@@ -94,7 +95,7 @@
 // Guards against a worker that is never given up because holds without an
 // answer go on to prolong its lease.
 func TestSilentWorkerIsNotProlonged(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		worker, got := &fakeWorker{}, &sink{}
 		session := Open(ctx, "w", worker, got, 7)
@@ -125,7 +126,7 @@
 // Guards against a lease granted before the worker's clock is known, and
 // against one on the clock of an earlier life.
 func TestFirstHoldGrantsNoLease(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		worker := &fakeWorker{}
 		session := Open(ctx, "w", worker, &sink{}, 7)
@@ -141,7 +142,7 @@
 
 // Guards against ends that a worker forgets before they are stored.
 func TestSeenFollowsTheStore(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		worker := &fakeWorker{ended: []cell.End{{Number: 3, How: cell.EndDone}}}
 		session := Open(ctx, "w", worker, &sink{}, 7)
@@ -162,7 +163,7 @@
 // Guards against an order without an answer that is taken for refused, and
 // against settling it under the token that it carried.
 func TestOutcomesOfStarts(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		worker, got := &fakeWorker{}, &sink{}
 		session := Open(ctx, "w", worker, got, 7)
--- a/internal/instance/home/chaos_test.go
+++ b/internal/instance/home/chaos_test.go
@@ -12,7 +12,6 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -30,6 +29,7 @@
 	"poplarvalve/internal/version/ownership"
 	"poplarvalve/internal/version/rules"
 	"poplarvalve/test/platformstub"
+	"poplarvalve/test/virtualtime"
 )
 
 var (
@@ -386,7 +386,7 @@
 	for i := range *chaosSeeds {
 		seed := *chaosSeed + uint64(i)
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { runChaos(t, seed) })
+			virtualtime.Test(t, func(t *testing.T) { runChaos(t, seed) })
 		})
 	}
 }
--- a/internal/instance/home/home_test.go
+++ b/internal/instance/home/home_test.go
@@ -5,7 +5,6 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/google/uuid"
@@ -26,6 +25,7 @@
 	"poplarvalve/internal/version/rules"
 	"poplarvalve/internal/version/workers"
 	"poplarvalve/test/platformstub"
+	"poplarvalve/test/virtualtime"
 )
 
 var (
@@ -160,7 +160,7 @@
 // Guards against an accepted job that does not run to its end, and against a
 // repeat of a submission that runs it again.
 func TestJobRunsOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		stub := platformstub.New(nil)
 		machine := newMachine(1)
 		home := New(testConfig(t, incarnation("a", 1), stub.Client("a"), machine, &network{}))
@@ -192,7 +192,7 @@
 // Guards against a key that runs twice, and against one that is lost to a
 // request that did not run.
 func TestKeyIsGrantedOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		stub := platformstub.New(nil)
 		home := New(testConfig(t, incarnation("a", 1), stub.Client("a"), newMachine(1), &network{}))
 		defer running(t, home)()
@@ -232,7 +232,7 @@
 // Guards against a refusal that is not true while the log is down, and against
 // a job that is accepted without a record.
 func TestLogDownRefusesTruthfully(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		stub := platformstub.New(nil)
 		machine := newMachine(1)
 		home := New(testConfig(t, incarnation("a", 1), stub.Client("a"), machine, &network{}))
@@ -259,7 +259,7 @@
 
 // Guards against a cancellation that is answered while the job still runs.
 func TestCancelStopsTheAttemptFirst(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		stub := platformstub.New(nil)
 		machine := newMachine(1)
 		home := New(testConfig(t, incarnation("a", 1), stub.Client("a"), machine, &network{}))
@@ -281,7 +281,7 @@
 // Guards against a home that was paused between the read-back of a placement
 // and the start for longer than the owner remembers its refusal.
 func TestPausedHomeBeginsNothing(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		stub := platformstub.New(nil)
 		machine := newMachine(1)
 		machine.steps = 1000
@@ -318,7 +318,7 @@
 // Guards against a placement of a replaced home that counts, and with it more
 // running than the quota of the team.
 func TestLatePlacementOfReplacedHomeIsVoid(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		stub := platformstub.New(nil)
 		machine := newMachine(1)
 		machine.quota = map[string]int64{"t": 8000}
@@ -357,7 +357,7 @@
 
 // Guards against jobs that are lost when the log drops their records.
 func TestJobsOutliveTheRetention(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		stub := platformstub.New(nil)
 		stub.Set(func(c *platformstub.Control) { c.Retain = 100 })
 		machine := newMachine(1)
--- a/internal/instance/home/runner_test.go
+++ b/internal/instance/home/runner_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -18,6 +17,7 @@
 	"poplarvalve/internal/version/membership"
 	"poplarvalve/internal/version/ownership"
 	"poplarvalve/test/platformstub"
+	"poplarvalve/test/virtualtime"
 	"poplarvalve/test/workerstub"
 )
 
@@ -48,7 +48,7 @@
 // whose checkpoint is lost on the way from the owner through the log to the
 // next start.
 func TestEvictedJobResumesAtOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer time.Sleep(2 * time.Minute)
 		defer cancel()
--- a/internal/instance/member_test.go
+++ b/internal/instance/member_test.go
@@ -21,6 +21,7 @@
 	"poplarvalve/internal/version/membership"
 	"poplarvalve/internal/version/ownership"
 	"poplarvalve/test/platformstub"
+	"poplarvalve/test/virtualtime"
 )
 
 var memberSeed = flag.Uint64("member.seed", 1, "seed of the membership tests")
@@ -287,7 +288,7 @@
 func configuredMembers(t *testing.T, configure func(config *MemberConfig), test func(c *cluster)) {
 	t.Helper()
 	t.Logf("seed %d", *memberSeed)
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		c := &cluster{t: t, stub: platformstub.New(nil), random: rand.New(rand.NewPCG(*memberSeed, 0)), configure: configure}
 		defer func() {
 			for _, n := range c.nodes {
--- a/internal/instance/system_test.go
+++ b/internal/instance/system_test.go
@@ -8,7 +8,6 @@
 	"slices"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/google/uuid"
@@ -27,6 +26,7 @@
 	"poplarvalve/internal/version/config"
 	"poplarvalve/internal/version/workers"
 	"poplarvalve/test/platformstub"
+	"poplarvalve/test/virtualtime"
 	"poplarvalve/test/workerstub"
 )
 
@@ -64,7 +64,7 @@
 
 // runSystem runs test over instances in two zones with three workers each.
 func runSystem(t *testing.T, instances int, test func(t *testing.T, s *system)) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		t.Logf("seed %d", systemSeed)
 		s := &system{
 			t:       t,
--- a/internal/process/drain/drain_test.go
+++ b/internal/process/drain/drain_test.go
@@ -5,16 +5,17 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"poplarvalve/test/virtualtime"
 )
 
 // Guards against a shutdown that cuts off work in flight, and work that begins
 // after the shutdown.
 func TestDrainWaitsForWorkInFlight(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		gate := New()
 		first, _ := gate.Begin()
 		second, _ := gate.Begin()
--- a/internal/process/logstream/logstream_test.go
+++ b/internal/process/logstream/logstream_test.go
@@ -17,6 +17,7 @@
 	"poplarvalve/internal/process/logstream"
 	"poplarvalve/internal/process/record"
 	"poplarvalve/test/platformstub"
+	"poplarvalve/test/virtualtime"
 )
 
 const stream ident.StreamName = "work-00"
@@ -66,7 +67,7 @@
 // Guards against losing an entry in an outage, a burst on return from it, and a
 // call for each entry instead of a group.
 func TestAppenderGroupsAndPacesAfterOutage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		stub := platformstub.New(nil)
 		log := &countingLog{Log: stub.Client("a")}
 		options := logstream.AppenderOptions{MaxQueueCount: 100, MaxCallCount: 10, Jitter: half}
@@ -95,7 +96,7 @@
 // Guards against a follower that stops at an entry it can't decode, that folds
 // twice after a failed read, or whose waiters miss their record.
 func TestFollowerResumesSkipsAndWakesWaiters(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		stub := platformstub.New(nil)
 		log := stub.Client("a")
 		var folded []ident.Offset
@@ -130,7 +131,7 @@
 // state before it, or that drops the records between a snapshot's position and
 // the snapshot itself.
 func TestFollowerStartsFromSnapshotPastRetention(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		stub := platformstub.New(nil)
 		log := stub.Client("a")
 		var events []string
--- a/internal/process/token/token_test.go
+++ b/internal/process/token/token_test.go
@@ -5,7 +5,6 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -13,6 +12,7 @@
 	"poplarvalve/internal/process/fault"
 	"poplarvalve/internal/process/ident"
 	"poplarvalve/internal/process/work"
+	"poplarvalve/test/virtualtime"
 )
 
 // Guards against tokens that are valid after their window, that were changed on
@@ -33,7 +33,7 @@
 // Guards against a token that runs twice when its repeats come at the same
 // time, and against a repeat with another body that gets the first's answer.
 func TestTokenRunsOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		table := NewTable(time.Now())
 		token := Token{Number: 1, Expiry: Window.Milliseconds()}
 		var runs atomic.Int32
--- a/internal/request/intake/intake_test.go
+++ b/internal/request/intake/intake_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -12,6 +11,7 @@
 	"poplarvalve/internal/connection/jobapi"
 	"poplarvalve/internal/process/jobspec"
 	"poplarvalve/internal/version/manifest"
+	"poplarvalve/test/virtualtime"
 )
 
 // scripted answers calls to the leader with its replies in turn, and repeats
@@ -47,7 +47,7 @@
 // stored it: the caller would take the job for one that goes on.
 func TestOpenOutcomeIsNeverNotRun(t *testing.T) {
 	for _, operation := range []cellcodec.Operation{cellcodec.OpSubmit, cellcodec.OpCancel} {
-		synctest.Test(t, func(t *testing.T) {
+		virtualtime.Test(t, func(t *testing.T) {
 			leaders := &scripted{sent: true, replies: []cellcodec.Reply{{Result: cellcodec.Unproven}, {Result: cellcodec.Refused}}}
 			answer, took := serveScripted(t, operation, leaders)
 			assert.Equal(t, answer.Verdict, jobapi.Unknown, "operation %d", operation)
@@ -59,7 +59,7 @@
 // Guards against a question whose open outcome delays its answer: it changes
 // nothing, so that it may be refused at once.
 func TestQuestionWithoutAReplyIsRefusedAtOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		leaders := &scripted{sent: true, replies: []cellcodec.Reply{{Result: cellcodec.Unproven}}}
 		answer, took := serveScripted(t, cellcodec.OpStatus, leaders)
 		assert.Equal(t, answer.Verdict, jobapi.NotRun)
@@ -69,7 +69,7 @@
 
 // Guards against a cancel that is lost with its leader: the next one is asked.
 func TestCancelIsRepeatedAtTheNextLeader(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		leaders := &scripted{sent: true, replies: []cellcodec.Reply{{Result: cellcodec.Unproven}, {Result: cellcodec.OK}}}
 		answer, _ := serveScripted(t, cellcodec.OpCancel, leaders)
 		assert.Equal(t, answer.Verdict, jobapi.OK)
--- a/internal/request/serve/serve_test.go
+++ b/internal/request/serve/serve_test.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -30,6 +29,7 @@
 	"poplarvalve/internal/version/ownership"
 	"poplarvalve/internal/version/rules"
 	"poplarvalve/internal/version/workers"
+	"poplarvalve/test/virtualtime"
 )
 
 const seed = 20261204
@@ -182,7 +182,7 @@
 
 // run builds a cluster in a bubble of virtual time and ends it after test.
 func run(t *testing.T, test func(t *testing.T, c *cluster)) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		t.Logf("seed %d", seed)
 		c := &cluster{
 			network: peer.NewMemory(seed),
--- a/internal/request/start/start_test.go
+++ b/internal/request/start/start_test.go
@@ -20,6 +20,7 @@
 	"poplarvalve/internal/process/resource"
 	"poplarvalve/internal/process/work"
 	"poplarvalve/internal/request/start"
+	"poplarvalve/test/virtualtime"
 	"poplarvalve/test/workerstub"
 )
 
@@ -77,7 +78,7 @@
 // bubble runs a test in virtual time with a context that ends with the test.
 func bubble(t *testing.T, run func(t *testing.T, ctx context.Context, stub *workerstub.Worker)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer time.Sleep(2 * time.Minute)
 		defer cancel()
