entry: a draining leader keeps the lead until the log takes the hand-over down

Cause: on SIGTERM the leader gave its term up at once, also while the log was away and nobody could claim the cell. Mend: the release is appended first, and the daemon waits for it within its grace period. TestDrainingLeaderWaitsForTheLog fails without it. Ruled out: a slow claim; the next leader claimed 0.3 s after the log was back.

--- a/cmd/poplarvalved/entry.go
+++ b/cmd/poplarvalved/entry.go
@@ -45,6 +45,9 @@
 	// balancerNotice is the time in which the balancer learns that the
 	// instance takes no new connections.
 	balancerNotice = 2500 * time.Millisecond
+	// handOverReserve is left of the grace period when the instance no longer
+	// waits for the log to take its hand-over down.
+	handOverReserve = time.Second
 	// stopReserve is left of the grace period when the servers have to be done.
 	stopReserve = 500 * time.Millisecond
 )
@@ -186,6 +189,11 @@
 	d.journal.Stopping("signal")
 	d.entry.Drain()
 	time.Sleep(min(balancerNotice, d.settings.Grace-stopReserve))
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Grace-balancerNotice-handOverReserve)
+	defer cancel()
+	if err := d.entry.AwaitHandOver(ctx); err != nil {
+		d.journal.Retry("hand-over", err)
+	}
 	return nil
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -104,11 +104,27 @@
 	}()
 }
 
-// Drain hands the led cells over. The instance still passes requests on.
+// Drain hands the led cells over as soon as the log takes that down; until then
+// nobody else could lead them. The instance still passes requests on.
 func (e *Entry) Drain() {
 	e.drain.Do(func() { close(e.draining) })
 }
 
+// AwaitHandOver returns when the instance leads no cell, or the error of ctx.
+func (e *Entry) AwaitHandOver(ctx context.Context) error {
+	for {
+		changed := e.leaders.Changed()
+		if len(e.leaders.table.Load().led) == 0 {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // Stop ends everything that Start began.
 func (e *Entry) Stop() {
 	e.Drain()
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -246,6 +246,28 @@
 	}
 }
 
+// Guards against workers that nobody holds, because the leader gave its term up
+// on SIGTERM while the log was away and no other could claim it: running tasks
+// lapsed after 4.5 s.
+func TestDrainingLeaderWaitsForTheLog(t *testing.T) {
+	d := deploy(t, 2, 2*time.Second)
+	d.submit(jobID(1))
+	leader := d.leader()
+	d.log.SetDown(true)
+	leader.entry.Drain()
+	wait, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	assert.ErrorIs(t, leader.entry.AwaitHandOver(wait), context.DeadlineExceeded)
+	assert.Equal(t, d.leader(), leader, "it still leads")
+	d.log.SetDown(false)
+	wait, cancel = context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	assert.NilError(t, leader.entry.AwaitHandOver(wait))
+	assert.Assert(t, d.leader() != leader, "another leads")
+	d.await(jobID(1), "completed")
+	d.checkRanOnce(jobID(1))
+}
+
 // Guards against jobs that are lost when every instance ends at once.
 func TestJobsSurviveAllInstances(t *testing.T) {
 	d := deploy(t, 2, 600*time.Millisecond)
--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -174,7 +174,6 @@
 func (l *leadership) run(ctx context.Context) {
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
-	draining := l.entry.draining
 	for {
 		l.openSessions(ctx)
 		l.perform(ctx, l.cell.Take(time.Now()))
@@ -184,9 +183,6 @@
 			l.applyQueued()
 		case <-ticker.C:
 			l.tick()
-		case <-draining:
-			l.giveUp(errDraining)
-			return
 		case <-ctx.Done():
 			return
 		}
--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -33,6 +33,9 @@
 	for {
 		select {
 		case <-ticker.C:
+		case <-l.entry.draining:
+			l.handOver(ctx, held)
+			return
 		case <-ctx.Done():
 			l.release(held)
 			return
@@ -59,14 +62,64 @@
 	}
 }
 
-// release tells the log that the term was given up.
+// handOver gives the term up once the log has taken that down. While it doesn't,
+// nobody else could claim the cell, and what runs would lapse.
+func (l *leadership) handOver(ctx context.Context, held term.Term) {
+	for ctx.Err() == nil {
+		next, err := l.releaseOnce(ctx, held)
+		switch {
+		case err == nil:
+			l.giveUp(errDraining)
+			return
+		case errors.Is(err, errTermOver):
+			l.lose(err)
+			return
+		}
+		held = next
+		if ctx.Err() == nil {
+			l.entry.options.Journal.Retry("release of "+cellName(held.Cell), err)
+		}
+		sleep(ctx, electionPause)
+	}
+}
+
+// releaseOnce tries to release the term. With an error it returns the term as it
+// stands.
+func (l *leadership) releaseOnce(ctx context.Context, held term.Term) (term.Term, error) {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := term.Release(call, l.entry.options.Log, held)
+	if err == nil || store.ReasonOf(err) != store.Moved {
+		return held, err
+	}
+	current, failed := l.current(ctx, held)
+	if failed == nil && current.Released {
+		return current, nil // An earlier release without a reply.
+	}
+	return current, errors.Join(err, failed)
+}
+
+// current returns the held term as the log has it, or errTermOver.
+func (l *leadership) current(ctx context.Context, held term.Term) (term.Term, error) {
+	current, _, err := l.entry.readTerm(ctx, held.Cell)
+	if err != nil {
+		return held, err
+	}
+	if current.Epoch != held.Epoch {
+		return held, errTermOver
+	}
+	return current, nil
+}
+
+// release tells the log that a term was given up that another instance should
+// lead.
 func (l *leadership) release(held term.Term) {
-	if why := l.reason(); !errors.Is(why, errDraining) && !errors.Is(why, errIsolated) && !errors.Is(why, errOutsized) {
+	if why := l.reason(); !errors.Is(why, errIsolated) && !errors.Is(why, errOutsized) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	if err := term.Release(ctx, l.entry.options.Log, held); err != nil {
+	if _, err := l.releaseOnce(ctx, held); err != nil {
 		l.entry.options.Journal.Retry("release of "+cellName(held.Cell), err)
 	}
 }
@@ -78,13 +131,5 @@
 	if err == nil || store.ReasonOf(err) != store.Moved {
 		return next, err
 	}
-	current, _, err := l.entry.readTerm(ctx, held.Cell)
-	if err != nil {
-		return held, err
-	}
-	if current.Epoch != held.Epoch {
-		return held, errTermOver
-	}
-	held.End = current.End
-	return held, nil
+	return l.current(ctx, held)
 }
