cell, platform: start tasks of queues with a policy under tickets of the advice service

Cause: jobs of a queue with an advice service were refused (503), so such a deployment served nothing. Without an address of the service the jobs are still refused.

--- a/cmd/poplarvalved/entry.go
+++ b/cmd/poplarvalved/entry.go
@@ -15,6 +15,7 @@
 	klog "github.com/go-kratos/kratos/v2/log"
 	"github.com/go-kratos/kratos/v2/transport"
 
+	"poplarvalve/internal/connection/advice"
 	"poplarvalve/internal/connection/jobapi"
 	"poplarvalve/internal/connection/operator"
 	"poplarvalve/internal/connection/peer"
@@ -95,6 +96,10 @@
 func (d *entryDaemon) options(counters *metrics.Entry) entry.Options {
 	s := d.settings
 	client := &http.Client{Transport: newTransport()}
+	var adviser advice.Service
+	if s.AdviceAddress.IsValid() {
+		adviser = platform.NewAdvice(s.AdviceAddress.String(), client)
+	}
 	return entry.Options{
 		Self:          d.self,
 		CPUShare:      s.CPUShare,
@@ -105,6 +110,7 @@
 		DialWorker: func(info cell.WorkerInfo) workerlink.API {
 			return platform.NewWorker(info.Address, client)
 		},
+		Advice: adviser,
 		Bounds: entry.Bounds{
 			MaxLease:     s.MaxLease,
 			KeepEnded:    s.KeepEnded,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"poplarvalve/internal/connection/advice"
 	"poplarvalve/internal/connection/cellcodec"
 	"poplarvalve/internal/connection/celllink"
 	"poplarvalve/internal/connection/jobapi"
@@ -32,7 +33,7 @@
 	Worker(record store.Record) (cell.WorkerInfo, error)
 }
 
-// Options holds the parts of an Entry. All fields are required.
+// Options holds the parts of an Entry. All fields but Advice are required.
 type Options struct {
 	Self term.Holder
 	// CPUShare is the part of a core that the instance may use.
@@ -43,9 +44,11 @@
 	Registry      store.Partition
 	Decoder       Decoder
 	DialWorker    func(info cell.WorkerInfo) workerlink.API
-	Bounds        Bounds
-	Journal       *logging.Journal
-	Metrics       *metrics.Entry
+	// Advice is the advice service, or nil if the deployment has none.
+	Advice  advice.Service
+	Bounds  Bounds
+	Journal *logging.Journal
+	Metrics *metrics.Entry
 }
 
 // Bounds are the figures of the deployment.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"poplarvalve/internal/connection/advice"
 	"poplarvalve/internal/connection/peer"
 	"poplarvalve/internal/connection/term"
 	"poplarvalve/internal/connection/workerlink"
@@ -40,6 +41,8 @@
 	shared  *fleet.Shared
 	workers []*fleet.Worker
 	entries []*instance
+	// adviser is nil for a deployment without an advice service.
+	adviser *fleet.Adviser
 }
 
 // instance is one entry instance with its servers.
@@ -73,6 +76,10 @@
 	counters := metrics.NewEntry()
 	client := &http.Client{Transport: &http.Transport{}}
 	number := uint64(len(d.entries) + 1)
+	var adviser advice.Service
+	if d.adviser != nil {
+		adviser = platform.NewAdvice(d.adviser.Address(), client)
+	}
 	i.entry = entry.New(entry.Options{
 		Self:          term.Holder{Name: fmt.Sprint("e", number), Address: i.link.Listener.Addr().String(), Nonce: number},
 		CPUShare:      1,
@@ -83,6 +90,7 @@
 		DialWorker: func(info cell.WorkerInfo) workerlink.API {
 			return platform.NewWorker(info.Address, client)
 		},
+		Advice:  adviser,
 		Bounds:  entry.Bounds{MaxLease: 6 * time.Second, KeepEnded: time.Minute, RemoteFactor: 2},
 		Journal: logging.NewJournal(io.Discard, "info", "test", counters.LineDropped),
 		Metrics: counters,
@@ -230,6 +238,46 @@
 	assert.Equal(t, status, http.StatusNotFound)
 }
 
+const advisedManifest = `{"version":9,"routes":[{"name":"q1","host":"h.example","path_prefix":"/jobs/","service":"pool",
+ "target_latency_ms":600,"priority":0,"attempts":3,"stretch":2.0,"timeout_ms":3000,
+ "advice":{"decision_ms":5,"per_worker_ms":1,"valid_ms":2000}}],
+ "services":[{"name":"pool","enforces_capacity":false}],"limits":{"max_body_bytes":262144}}`
+
+// Guards against a job of a queue with a policy that is refused, or whose tasks
+// start on a worker that the policy doesn't allow.
+func TestJobsOfAQueueWithAPolicy(t *testing.T) {
+	d := deploy(t, 0, 50*time.Millisecond)
+	d.adviser = fleet.NewAdviser(2*time.Second, "i-1")
+	t.Cleanup(d.adviser.Close)
+	for _, w := range d.workers {
+		w.CheckTickets(d.adviser)
+	}
+	d.log.Put("keyed.op", "config", []byte(advisedManifest))
+	d.start()
+	d.start()
+	for n := range 3 {
+		d.submit(jobID(n))
+	}
+	for n := range 3 {
+		d.await(jobID(n), "completed")
+		d.checkRanOnce(jobID(n))
+		assert.Equal(t, d.workers[1].TasksOf(jobID(n)), 6)
+	}
+	assert.Assert(t, d.adviser.Calls() <= 12, "%d calls for 6 steps", d.adviser.Calls())
+}
+
+// Guards against jobs that are accepted and can never start, because the
+// deployment has no service that its policy could be asked of.
+func TestQueueWithAPolicyButNoService(t *testing.T) {
+	d := deploy(t, 0, 50*time.Millisecond)
+	d.log.Put("keyed.op", "config", []byte(advisedManifest))
+	i := d.start()
+	d.leader()
+	status, _, err := i.call(http.MethodPost, "/jobs/"+jobID(1), `{"spec":"x","steps":[{"count":1,"cpu":1000}]}`)
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+}
+
 // Guards against jobs that are lost or run twice when the leader ends while
 // they run, and against answers that forget them.
 func TestJobsSurviveTheirLeader(t *testing.T) {
--- a/internal/entry/leaders.go
+++ b/internal/entry/leaders.go
@@ -219,6 +219,9 @@
 	return table.cells > 0
 }
 
+// Advised implements intake.Leaders.
+func (l *leaders) Advised() bool { return l.entry.options.Advice != nil }
+
 // Changed implements intake.Leaders.
 func (l *leaders) Changed() <-chan struct{} { return l.table.Changed() }
 
--- a/internal/entry/perform.go
+++ b/internal/entry/perform.go
@@ -30,6 +30,9 @@
 			session.Seen(ack.Born, ack.Number)
 		}
 	}
+	for _, order := range effects.Advice {
+		go l.advise(ctx, order)
+	}
 	for _, worker := range effects.Settle {
 		if session := l.sessions[worker]; session != nil {
 			session.Settle()
@@ -41,6 +44,34 @@
 	l.log(effects)
 }
 
+// advise asks the advice service and hands its answer to the cell.
+func (l *leadership) advise(ctx context.Context, order cell.AdviceOrder) {
+	result := cell.AdviceResult{Step: order.Step, Asked: order.Workers, Sent: time.Now()}
+	if l.entry.options.Advice == nil {
+		result.Failed = true
+		l.post(func(now time.Time, c *cell.Cell) { c.Advised(now, result) })
+		return
+	}
+	limit := order.Terms.CallTime(len(order.Workers)) + adviceMargin
+	call, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	answer, err := l.entry.options.Advice.Ask(call, order.Step, order.Workers)
+	if err != nil {
+		result.Failed = true
+		if ctx.Err() == nil {
+			l.entry.options.Journal.Retry("advice on "+stepName(order.Step), err)
+		}
+	}
+	result.Tickets = answer.Tickets
+	// Counted from before the tickets were given, so that none is used too long.
+	result.ValidUntil = result.Sent.Add(answer.Valid)
+	l.post(func(now time.Time, c *cell.Cell) { c.Advised(now, result) })
+}
+
+// adviceMargin is what a call to the advice service may take beyond its own
+// time: the call before it, and two round trips between regions.
+const adviceMargin = 2 * time.Second
+
 func (l *leadership) stop(ctx context.Context, order cell.StopOrder) {
 	session := l.sessions[order.Worker]
 	if session == nil {
@@ -84,6 +115,10 @@
 	return taskName(note.Task)
 }
 
+func stepName(id cell.StepID) string {
+	return fmt.Sprintf("%s.%d.%d", id.Job, id.Occurrence, id.Step)
+}
+
 func taskName(id cell.TaskID) string {
 	return fmt.Sprintf("%s.%d.%d.%d", id.Job, id.Occurrence, id.Step, id.Index)
 }
--- a/internal/process/settings/entry.go
+++ b/internal/process/settings/entry.go
@@ -23,6 +23,9 @@
 	OperatorAddress netip.AddrPort
 	// LogAddress is that of the platform's log.
 	LogAddress netip.AddrPort
+	// AdviceAddress is that of the service that knows which workers the policy of
+	// a queue allows; it is invalid if the deployment has none.
+	AdviceAddress netip.AddrPort
 	// Memory is in megabytes, for the whole process.
 	Memory int
 	// CPUShare is the part of a core that the process may use.
@@ -64,6 +67,7 @@
 		LinkAddress:     r.address("instance", "link_address"),
 		OperatorAddress: r.address("instance", "operator_address"),
 		LogAddress:      r.address("log", "address"),
+		AdviceAddress:   r.optionalAddress("advice", "address"),
 		Memory:          int(r.number("limits", "memory_mb", 16, 1<<20)),
 		CPUShare:        r.number("limits", "cpu_share", 0.01, 1024),
 		Grace:           r.seconds("limits", "grace_s"),
@@ -102,6 +106,14 @@
 	return address
 }
 
+// optionalAddress returns the zero value if nothing is set.
+func (r *entryReader) optionalAddress(section, key string) netip.AddrPort {
+	if r.parsed.Section(section).Key(key).String() == "" {
+		return netip.AddrPort{}
+	}
+	return r.address(section, key)
+}
+
 func (r *entryReader) number(section, key string, least, most float64) float64 {
 	value, err := r.parsed.Section(section).Key(key).Float64()
 	if err != nil || value < least || value > most {
--- a/internal/request/intake/intake.go
+++ b/internal/request/intake/intake.go
@@ -26,6 +26,8 @@
 	// Do asks the leader of a cell. sent is false if the call can't have
 	// reached one.
 	Do(ctx context.Context, call cellcodec.Call) (reply cellcodec.Reply, sent bool)
+	// Advised says whether the deployment has an advice service.
+	Advised() bool
 	// Changed returns a channel that is closed when a leader changes.
 	Changed() <-chan struct{}
 }
@@ -96,7 +98,7 @@
 	}
 	call := cellcodec.Call{Operation: request.Operation, Cell: leaders.CellOf(id, cells), ID: id, Queue: queue.Name}
 	if request.Operation == cellcodec.OpSubmit {
-		if answer, bad := describe(&call, queue, request); bad {
+		if answer, bad := describe(&call, queue, leaders, request); bad {
 			return answer
 		}
 	}
@@ -107,7 +109,7 @@
 }
 
 // describe adds the job to a submission.
-func describe(call *cellcodec.Call, queue *manifest.Queue, request jobapi.Request) (refused jobapi.Answer, bad bool) {
+func describe(call *cellcodec.Call, queue *manifest.Queue, leaders Leaders, request jobapi.Request) (refused jobapi.Answer, bad bool) {
 	job, err := request.Job()
 	if err == nil {
 		err = job.Check()
@@ -115,8 +117,7 @@
 	if err != nil {
 		return jobapi.Answer{Verdict: jobapi.Bad, Cause: fault.KindOf(err)}, true
 	}
-	if queue.Advice {
-		// Starts need tickets, which no part asks for yet.
+	if queue.Advice != nil && !leaders.Advised() {
 		return refusal(fault.NoWorker), true
 	}
 	call.Job = job
@@ -128,6 +129,12 @@
 		Stretch:         queue.Stretch,
 		ObjectiveMillis: queue.Objective.Milliseconds(),
 	}
+	if a := queue.Advice; a != nil {
+		call.Terms.Advice = &cell.AdviceTerms{
+			DecisionMillis:  a.Decision.Milliseconds(),
+			PerWorkerMillis: a.PerWorker.Milliseconds(),
+		}
+	}
 	return jobapi.Answer{}, false
 }
 
--- a/internal/request/intake/intake_test.go
+++ b/internal/request/intake/intake_test.go
@@ -24,6 +24,7 @@
 
 func (s *scripted) Cells() int                     { return 1 }
 func (s *scripted) CellOf(jobspec.ID, int) int     { return 0 }
+func (s *scripted) Advised() bool                  { return false }
 func (s *scripted) Changed() <-chan struct{}       { return nil }
 func (s *scripted) reply(call int) cellcodec.Reply { return s.replies[min(call, len(s.replies)-1)] }
 func (s *scripted) Do(context.Context, cellcodec.Call) (cellcodec.Reply, bool) {
--- a/internal/version/cell/cell.go
+++ b/internal/version/cell/cell.go
@@ -50,6 +50,9 @@
 	reserve reserve
 	room    room
 
+	// adviceCalls counts the calls to the advice service that are on their way.
+	adviceCalls int
+
 	workersChanged bool
 	// paused says that no task may be started.
 	paused bool
--- a/internal/version/cell/job.go
+++ b/internal/version/cell/job.go
@@ -49,6 +49,8 @@
 	open       bool
 	// retryAt ends the pause after a task of the step found no place.
 	retryAt time.Time
+	// advice is nil before the advice service was asked.
+	advice *advice
 	// perWorker counts the runs on each worker, for steps with a spread.
 	perWorker map[WorkerID]int
 }
--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -330,9 +330,14 @@
 	w := r.worker
 	c.note(Note{Event: "start refused", Task: t.id(), Run: r.number, Worker: w.info.ID, Outcome: string(why), Age: now.Sub(r.ordered)})
 	w.detach(r)
-	w.blockedUntil = now.Add(refusalPause)
-	if why == RefusedHealth {
+	switch why {
+	case RefusedTicket:
+		t.step.ticketRefused(w.info.ID)
+	case RefusedHealth:
 		w.health.bad(now)
+		w.blockedUntil = now.Add(refusalPause)
+	default:
+		w.blockedUntil = now.Add(refusalPause)
 	}
 	c.requeue(now, t)
 }
--- a/internal/version/cell/schedule.go
+++ b/internal/version/cell/schedule.go
@@ -215,6 +215,7 @@
 	}
 	w := c.place(now, t)
 	if w == nil {
+		c.seekAdvice(now, t)
 		return false
 	}
 	c.order(now, t, w, c.nextRun(t))
@@ -243,12 +244,14 @@
 	if t.spec().LongRunning {
 		c.room.free -= r.size.CPU
 	}
+	ticket, _ := t.step.ticketFor(now, w) // Empty where the policy needs none.
 	c.effects.Starts = append(c.effects.Starts, StartOrder{
 		Worker:     w.info.ID,
 		Task:       t.id(),
 		Run:        number,
 		Spec:       t.job().spec.Spec,
 		Checkpoint: t.checkpoint,
+		Ticket:     ticket,
 	})
 }
 
@@ -265,6 +268,7 @@
 	}
 	placed := c.placeGang(now, s)
 	if placed == nil {
+		c.seekAdvice(now, s.tasks[0])
 		return false
 	}
 	for i, t := range s.tasks {
--- a/internal/version/cell/types.go
+++ b/internal/version/cell/types.go
@@ -34,6 +34,13 @@
 	Index      int
 }
 
+// StepID names one step of one occurrence of a job.
+type StepID struct {
+	Job        jobspec.ID
+	Occurrence int
+	Step       int
+}
+
 // State is what callers see of a job.
 type State uint32
 
@@ -213,6 +220,27 @@
 	Percent int
 }
 
+// AdviceOrder asks the advice service which workers may run a step.
+type AdviceOrder struct {
+	Step    StepID
+	Workers []WorkerID
+	Terms   AdviceTerms
+}
+
+// AdviceResult is the outcome of an AdviceOrder.
+type AdviceResult struct {
+	Step  StepID
+	Asked []WorkerID
+	// Failed says that there was no answer; the other fields but Sent are empty.
+	Failed bool
+	// Tickets holds the workers that may run the step.
+	Tickets map[WorkerID]string
+	// Sent is when the call left, ValidUntil when its tickets are over at the
+	// earliest.
+	Sent       time.Time
+	ValidUntil time.Time
+}
+
 // Acknowledgement lets a worker forget its ends up to Number.
 type Acknowledgement struct {
 	Worker WorkerID
@@ -256,6 +284,7 @@
 	Stops  []StopOrder
 	Paces  []PaceOrder
 	Acks   []Acknowledgement
+	Advice []AdviceOrder
 	Write  *Write
 	// Settle lists the workers that need a hold with a higher token.
 	Settle []WorkerID
@@ -285,7 +314,20 @@
 	Attempts        int     `cbor:"4,keyasint,omitempty"`
 	Stretch         float64 `cbor:"5,keyasint,omitempty"`
 	ObjectiveMillis int64   `cbor:"6,keyasint,omitempty"`
-	Advice          bool    `cbor:"7,keyasint,omitempty"`
+	// Advice is nil if any worker of the pool may run the tasks.
+	Advice *AdviceTerms `cbor:"7,keyasint,omitempty"`
+}
+
+// AdviceTerms say how long the advice service takes for a call.
+type AdviceTerms struct {
+	_               struct{} `cbor:",toarray"`
+	DecisionMillis  int64
+	PerWorkerMillis int64
+}
+
+// CallTime returns how long a call about a number of workers takes the service.
+func (a AdviceTerms) CallTime(workers int) time.Duration {
+	return time.Duration(a.DecisionMillis+a.PerWorkerMillis*int64(workers)) * time.Millisecond
 }
 
 // JobRecord is an accepted job as it is stored, once.
--- a/internal/version/manifest/manifest.go
+++ b/internal/version/manifest/manifest.go
@@ -34,8 +34,17 @@
 	// times its longest chain of work, and Objective more.
 	Stretch   float64
 	Objective time.Duration
-	// Advice is set for queues whose policy allows only some workers.
-	Advice bool
+	// Advice is set for queues whose policy allows only some workers, which the
+	// advice service knows.
+	Advice *Advice
+}
+
+// Advice says how the advice service answers for a queue.
+type Advice struct {
+	// Decision is the time that each call takes, PerWorker the time for each
+	// worker that it names.
+	Decision  time.Duration
+	PerWorker time.Duration
 }
 
 // New returns an indexed manifest. It takes ownership of the slice.
--- a/test/fleet/worker.go
+++ b/test/fleet/worker.go
@@ -32,6 +32,15 @@
 	// loseAnswers is the number of starts that are carried out without an
 	// answer.
 	loseAnswers int
+	// adviser checks the tickets of starts; nil checks none.
+	adviser *Adviser
+}
+
+// CheckTickets makes the worker reject starts without a ticket of the service.
+func (w *Worker) CheckTickets(a *Adviser) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.adviser = a
 }
 
 // Shared notices what the workers of a test do together.
@@ -110,12 +119,13 @@
 }
 
 type workerOrder struct {
-	Task  string `json:"task"`
-	Run   int64  `json:"run_id"`
-	Until int64  `json:"deadline_ms"`
-	Token int64  `json:"fencing_token"`
-	Seen  int64  `json:"last_seen"`
-	Wait  int64  `json:"wait_ms"`
+	Task   string `json:"task"`
+	Run    int64  `json:"run_id"`
+	Until  int64  `json:"deadline_ms"`
+	Token  int64  `json:"fencing_token"`
+	Seen   int64  `json:"last_seen"`
+	Wait   int64  `json:"wait_ms"`
+	Ticket string `json:"ticket"`
 }
 
 func (w *Worker) clock() int64 { return time.Since(w.began).Milliseconds() + 1000 }
@@ -149,6 +159,11 @@
 		return
 	}
 	w.mu.Lock()
+	if w.adviser != nil && !w.adviser.takes(order.Task, w.ID, order.Ticket) {
+		w.mu.Unlock()
+		answer(rw, http.StatusConflict, map[string]any{"clock_ms": w.clock(), "reason": "ticket"})
+		return
+	}
 	known := w.runs[order.Task]
 	refuse := known != nil && known.run != order.Run || known == nil && order.Run <= w.highest[order.Task]
 	if !refuse && known == nil {
