cell: cancel a job that is being stored

Cause: a cancel that reached the leader between a submission and the end of its append was answered with "no such job", and the job ran afterwards.

--- a/internal/version/cell/cell.go
+++ b/internal/version/cell/cell.go
@@ -251,9 +251,11 @@
 // request will be in Effects.Done.
 func (c *Cell) Cancel(now time.Time, request uint64, id jobspec.ID) bool {
 	j := c.jobs[id]
-	if j == nil || State(j.visible.Load()) == Hidden {
+	if j == nil {
 		return false
 	}
+	// A job that is not stored yet is canceled too: it will be, whatever its
+	// caller was told.
 	if !j.state.Over() {
 		c.end(now, j, Canceled)
 	}
--- a/internal/version/cell/cell_test.go
+++ b/internal/version/cell/cell_test.go
@@ -203,3 +203,22 @@
 	state, _ := c.Lookup(testJob)
 	assert.Equal(t, state, Running)
 }
+
+// Guards against a cancel that is answered with "no such job" while the job is
+// being stored: the job ran afterwards.
+func TestCancelOfAJobThatIsBeingStored(t *testing.T) {
+	c := New(Config{Epoch: 1, KeepEnded: time.Minute})
+	spec := testSpec()
+	c.Submit(testStart, 1, testJob, &spec, testRecord(3).Terms)
+	write := c.Take(testStart).Write
+	assert.Assert(t, c.Cancel(testStart, 2, testJob))
+	canceled := c.Take(testStart).Write
+	c.Stored(write.Number)
+	state, _ := c.Lookup(testJob)
+	assert.Equal(t, state, Queued, "its cancel is not stored yet")
+	assert.Equal(t, len(c.ready), 0, "no task may start")
+	c.Stored(canceled.Number)
+	state, _ = c.Lookup(testJob)
+	assert.Equal(t, state, Canceled)
+	assert.DeepEqual(t, c.Take(testStart).Done, []uint64{1, 2})
+}
