entry: count suspensions in the term; don't claim after one over a sound leader

Cause 1: the age of a term was taken from the monotonic clock, which stands still while the machine is suspended. A leader that woke could send starts and leases for up to 4 s more, and a worker that its successor had not reached would obey. Mend: boottime counts suspensions; a leader that was suspended since its last renewal sends nothing before the next one. Cause 2: an instance that was suspended for a second took the leader for stalled by the last pulse before, read the fresh pulses after that, and claimed over the sound leader 0.4 s after it woke. Mend: the state is looked at again before the claim (TestStalledLeaderThatRenewedKeepsItsTerm fails without it). Each claim is logged with its reason.

--- a/cmd/poplarvalved/entry.go
+++ b/cmd/poplarvalved/entry.go
@@ -22,6 +22,7 @@
 	"poplarvalve/internal/connection/term"
 	"poplarvalve/internal/connection/workerlink"
 	"poplarvalve/internal/entry"
+	"poplarvalve/internal/process/boottime"
 	"poplarvalve/internal/process/fault"
 	"poplarvalve/internal/process/logging"
 	"poplarvalve/internal/process/metrics"
@@ -68,6 +69,9 @@
 	if err != nil {
 		return err
 	}
+	if err := boottime.Check(); err != nil {
+		return fault.Startup(fault.Internal, err, "the clocks of the machine")
+	}
 	debug.SetMemoryLimit(int64(float64(loaded.Memory) * memoryShare * (1 << 20)))
 	return newEntryDaemon(path, loaded).run()
 }
--- a/internal/connection/workerlink/session.go
+++ b/internal/connection/workerlink/session.go
@@ -69,6 +69,9 @@
 	// has lapsed at leaseUntil.
 	Silent(worker cell.WorkerID, leaseUntil time.Time, err error)
 	StartResult(result cell.StartResult)
+	// Authorized says whether starts and leases may be sent. It is false while
+	// the sender may have been replaced without knowing.
+	Authorized() bool
 }
 
 const (
@@ -90,6 +93,9 @@
 	callTimeout = 700 * time.Millisecond
 	// retryPause is the pause after a call that failed.
 	retryPause = 200 * time.Millisecond
+	// authorityPause is the pause while the sender isn't authorized: about a
+	// renewal at the log.
+	authorityPause = 50 * time.Millisecond
 	// storePause bounds the wait until ends are stored. A hold sent before
 	// would list them again at once.
 	storePause = 400 * time.Millisecond
@@ -180,6 +186,10 @@
 	wait := time.Duration(0)
 	prolong := true
 	for ctx.Err() == nil {
+		if !s.sink.Authorized() {
+			s.pause(ctx, authorityPause)
+			continue
+		}
 		report, err := s.hold(ctx, wait, prolong)
 		// A hold without an answer may have arrived. Those that follow must
 		// not prolong the lease again, or a worker whose answers are lost
@@ -343,6 +353,11 @@
 func (s *Session) Start(ctx context.Context, order cell.StartOrder) {
 	grant := s.grant()
 	sent := time.Now()
+	if !s.sink.Authorized() {
+		s.sink.StartResult(cell.StartResult{Worker: order.Worker, Task: order.Task, Run: order.Run,
+			Token: grant.Token, Outcome: cell.StartRefused, Refusal: cell.RefusedUnsent})
+		return
+	}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	_, err := s.api.Start(call, grant, order)
--- a/internal/connection/workerlink/session_test.go
+++ b/internal/connection/workerlink/session_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -72,8 +73,12 @@
 	silent  []time.Time
 	reports []cell.Report
 	results []cell.StartResult
+	// unauthorized is what Authorized denies.
+	unauthorized atomic.Bool
 }
 
+func (s *sink) Authorized() bool { return !s.unauthorized.Load() }
+
 func (s *sink) Report(report cell.Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -186,3 +191,21 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a leader that was suspended while another took over: what it
+// sent on waking reached workers that had not heard of its successor.
+func TestNothingIsSentWithoutAuthority(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		worker, results := &fakeWorker{}, &sink{}
+		results.unauthorized.Store(true)
+		session := Open(t.Context(), "w1", worker, results, 10)
+		defer session.Close()
+		session.Start(t.Context(), cell.StartOrder{Worker: "w1", Run: 1})
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, len(worker.seen()), 0)
+		assert.Equal(t, results.results[0].Refusal, cell.RefusedUnsent)
+		results.unauthorized.Store(false)
+		time.Sleep(time.Second)
+		assert.Assert(t, len(worker.seen()) > 0)
+	})
+}
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -10,6 +10,7 @@
 
 	"poplarvalve/internal/connection/celllink"
 	"poplarvalve/internal/connection/term"
+	"poplarvalve/internal/process/boottime"
 	"poplarvalve/internal/version/election"
 )
 
@@ -77,7 +78,8 @@
 			seen = observation{current.End, shown.at}
 		}
 		need = need.confirmed(leader.Epoch, current, shown, found)
-		if seen.vacant(current, need != linkHeld, e.options.Self) {
+		if why := seen.vacant(current, need, e.options.Self); why != occupied {
+			e.options.Journal.Claiming(number, current.Epoch, string(why), time.Since(seen.first))
 			e.contend(ctx, current, trip)
 			continue
 		}
@@ -99,20 +101,40 @@
 	first time.Time
 }
 
-// vacant says whether a claim is due: the term was given up, its holder is an
-// earlier process at a live address, or it was not renewed in time.
-func (o *observation) vacant(current term.Term, gone bool, self term.Holder) bool {
+// vacancy says why a claim is due.
+type vacancy string
+
+const (
+	occupied       vacancy = ""
+	neverLed       vacancy = "never led"
+	releasedTerm   vacancy = "released"
+	endedHolder    vacancy = "its holder has ended"
+	stalledHolder  vacancy = "its holder can't renew"
+	earlierProcess vacancy = "held by an earlier process of this instance"
+	notRenewed     vacancy = "not renewed"
+)
+
+// vacant says whether a claim is due, given what is known against the holder.
+func (o *observation) vacant(current term.Term, holder standing, self term.Holder) vacancy {
 	if current.End != o.end || o.first.IsZero() {
 		o.end = current.End
 		o.first = time.Now()
 	}
-	if current.Epoch == 0 || current.Released || gone {
-		return true
-	}
-	if current.Holder.Address == self.Address {
-		return true // An earlier process of this instance.
+	switch {
+	case current.Epoch == 0:
+		return neverLed
+	case current.Released:
+		return releasedTerm
+	case holder == leaderEnded:
+		return endedHolder
+	case holder == leaderStalled:
+		return stalledHolder
+	case current.Holder.Address == self.Address:
+		return earlierProcess
+	case time.Since(o.first) > termLease:
+		return notRenewed
 	}
-	return time.Since(o.first) > termLease
+	return occupied
 }
 
 // standing says why another instance may have to lead.
@@ -129,9 +151,13 @@
 
 // confirmed takes back what is known against the leader of an epoch if a later
 // one has begun, and that a leader is stalled if it has renewed its term since it
-// last showed its state.
+// last showed its state, or has shown a fresh one meanwhile.
 func (s standing) confirmed(epoch int64, current term.Term, shown renewal, found bool) standing {
-	if current.Epoch != epoch || s == leaderStalled && !(found && shown.end == current.End) {
+	if current.Epoch != epoch {
+		return linkHeld
+	}
+	stalled := found && shown.end == current.End && time.Since(shown.at) > stalledAfter
+	if s == leaderStalled && !stalled {
 		return linkHeld
 	}
 	return s
@@ -185,6 +211,7 @@
 	case <-ctx.Done():
 		return
 	}
+	claimed := boottime.Now()
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	held, err := term.Claim(call, e.options.Log, seen, e.options.Self)
 	cancel()
@@ -198,7 +225,7 @@
 	if held.Epoch == 0 {
 		return // Another instance won.
 	}
-	e.lead(ctx, held)
+	e.lead(ctx, held, claimed)
 }
 
 // claimDelay lets instances claim first that are near the log, large and lead
--- a/internal/entry/follow_test.go
+++ b/internal/entry/follow_test.go
@@ -16,6 +16,10 @@
 	assert.Equal(t, leaderStalled.confirmed(3, term.Term{Epoch: 3, End: 80}, shown, true), leaderStalled)
 	assert.Equal(t, leaderStalled.confirmed(3, term.Term{Epoch: 3, End: 81}, shown, true), linkHeld)
 	assert.Equal(t, leaderEnded.confirmed(3, term.Term{Epoch: 3, End: 81}, shown, true), leaderEnded)
+	// An instance that was suspended claimed over a sound leader: its pulses were
+	// read only after the leader was taken for stalled.
+	fresh := renewal{epoch: 3, end: 80, at: time.Now()}
+	assert.Equal(t, leaderStalled.confirmed(3, term.Term{Epoch: 3, End: 80}, fresh, true), linkHeld)
 }
 
 // Guards against a claim over the next leader because the one before it has
@@ -33,15 +37,17 @@
 	other := term.Holder{Name: "b", Address: "10.0.0.2:1", Nonce: 2}
 	held := term.Term{Epoch: 3, End: 80, Holder: other}
 	var seen observation
-	assert.Assert(t, !seen.vacant(held, false, self))
+	assert.Equal(t, seen.vacant(held, linkHeld, self), occupied)
 	seen.first = time.Now().Add(-2 * termLease)
-	assert.Assert(t, seen.vacant(held, false, self), "not renewed for its lease")
+	assert.Equal(t, seen.vacant(held, linkHeld, self), notRenewed)
 	held.End = 81
-	assert.Assert(t, !seen.vacant(held, false, self), "renewed")
-	assert.Assert(t, seen.vacant(held, true, self), "its process has ended")
-	assert.Assert(t, seen.vacant(term.Term{}, false, self), "no term yet")
+	assert.Equal(t, seen.vacant(held, linkHeld, self), occupied, "renewed")
+	assert.Equal(t, seen.vacant(held, leaderEnded, self), endedHolder)
+	assert.Equal(t, seen.vacant(held, leaderStalled, self), stalledHolder)
+	assert.Equal(t, seen.vacant(term.Term{}, linkHeld, self), neverLed)
+	assert.Equal(t, seen.vacant(term.Term{Epoch: 3, End: 81, Holder: other, Released: true}, linkHeld, self), releasedTerm)
 	earlier := term.Term{Epoch: 3, End: 81, Holder: term.Holder{Address: self.Address, Nonce: 9}}
-	assert.Assert(t, seen.vacant(earlier, false, self), "an earlier process of this instance")
+	assert.Equal(t, seen.vacant(earlier, linkHeld, self), earlierProcess)
 }
 
 // Guards against a number of cells that is settled while workers register.
--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -11,6 +11,7 @@
 	"poplarvalve/internal/connection/cellcodec"
 	"poplarvalve/internal/connection/term"
 	"poplarvalve/internal/connection/workerlink"
+	"poplarvalve/internal/process/boottime"
 	"poplarvalve/internal/version/cell"
 	"poplarvalve/internal/version/election"
 )
@@ -44,10 +45,10 @@
 	why  atomic.Pointer[error]
 	end  context.CancelFunc
 
-	// renewed is when the last renewal was sent that the log has taken, in
-	// nanoseconds since began.
-	renewed atomic.Int64
-	began   time.Time
+	// renewed is when the last claim or renewal was sent that the log has taken.
+	renewed atomic.Pointer[boottime.Moment]
+	// renewSoon asks for a renewal before the next is due.
+	renewSoon chan struct{}
 	// recordEnd is the offset after the newest renewal.
 	recordEnd atomic.Int64
 
@@ -64,8 +65,9 @@
 	address string
 }
 
-// lead leads a cell until the term is lost, given up or ctx ends.
-func (e *Entry) lead(parent context.Context, held term.Term) {
+// lead leads a cell until the term is lost, given up or ctx ends. claimed is
+// when the claim was sent.
+func (e *Entry) lead(parent context.Context, held term.Term, claimed boottime.Moment) {
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	l := &leadership{
@@ -75,9 +77,11 @@
 		events:   make(chan event, eventQueue),
 		over:     make(chan struct{}),
 		end:      cancel,
-		began:    time.Now(),
 		sessions: map[cell.WorkerID]*openSession{},
+
+		renewSoon: make(chan struct{}, 1),
 	}
+	l.renewed.Store(&claimed)
 	l.recordEnd.Store(held.End)
 	l.spawn(func() { l.renew(ctx) })
 	if err := l.recover(ctx); err != nil {
@@ -205,6 +209,9 @@
 func (l *leadership) tick() {
 	now := time.Now()
 	l.cell.SetStarting(l.sinceRenewal() < startAuthority)
+	if !l.Authorized() {
+		l.askToRenew()
+	}
 	l.cell.Tick(now)
 	switch {
 	case l.entry.leaders.epoch(l.term.Cell) > l.term.Epoch:
--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -7,14 +7,32 @@
 
 	"poplarvalve/internal/connection/cellcodec"
 	"poplarvalve/internal/connection/term"
+	"poplarvalve/internal/process/boottime"
 	"poplarvalve/internal/process/store"
 )
 
 // errTermOver ends a leadership whose term another instance has replaced.
 var errTermOver = errors.New("a later term has begun")
 
-func (l *leadership) sinceRenewal() time.Duration {
-	return time.Since(l.began) - time.Duration(l.renewed.Load())
+// sinceRenewal returns how long ago the newest claim or renewal was sent,
+// suspensions of the machine included.
+func (l *leadership) sinceRenewal() time.Duration { return l.renewed.Load().Since() }
+
+// suspensionTolerance covers the difference between two readings of the clocks.
+const suspensionTolerance = 100 * time.Millisecond
+
+// Authorized implements workerlink.Sink. A leader that was suspended may have
+// been replaced, and workers that the next leader didn't reach would still obey
+// it: it sends nothing before a renewal has shown that its term goes on.
+func (l *leadership) Authorized() bool {
+	return l.renewed.Load().Suspended() < suspensionTolerance
+}
+
+func (l *leadership) askToRenew() {
+	select {
+	case l.renewSoon <- struct{}{}:
+	default:
+	}
 }
 
 // giveUp releases the term, so that another instance leads at once. Requests
@@ -33,6 +51,7 @@
 	for {
 		select {
 		case <-ticker.C:
+		case <-l.renewSoon:
 		case <-l.entry.draining:
 			l.handOver(ctx, held)
 			return
@@ -40,13 +59,13 @@
 			l.release(held)
 			return
 		}
-		sent := time.Since(l.began)
+		sent := boottime.Now()
 		held.Largest = max(l.entry.options.CPUShare, l.entry.leaders.largest())
 		next, err := l.renewOnce(ctx, held)
 		if err == nil {
 			held = next
 			l.recordEnd.Store(held.End)
-			l.renewed.Store(int64(sent))
+			l.renewed.Store(&sent)
 			// Others tell a leader that has ended from one that renews by
 			// whether they know its newest record.
 			l.entry.leaders.tell()
--- a/internal/process/logging/journal.go
+++ b/internal/process/logging/journal.go
@@ -156,6 +156,12 @@
 	j.log.Info().Int("cell", cell).Int64("epoch", epoch).Str("address", address).Msg("leader changed")
 }
 
+// Claiming says why the instance tries to lead a cell: the epoch that it takes
+// for over, and how long ago it first saw that term's newest record.
+func (j *Journal) Claiming(cell int, epoch int64, why string, age time.Duration) {
+	j.log.Info().Int("cell", cell).Int64("epoch", epoch).Str("why", why).Int64("age_ms", age.Milliseconds()).Msg("claiming")
+}
+
 // Leading says that the instance began or ceased to lead a cell.
 func (j *Journal) Leading(cell int, epoch int64, leading bool, why error) {
 	j.log.Info().Int("cell", cell).Int64("epoch", epoch).Bool("leading", leading).Err(why).Msg("leadership changed")
--- a/internal/version/cell/types.go
+++ b/internal/version/cell/types.go
@@ -179,6 +179,8 @@
 	RefusedHealth  Refusal = "unhealthy"
 	RefusedReborn  Refusal = "other_incarnation"
 	RefusedInvalid Refusal = "invalid"
+	// RefusedUnsent is that of an order that was not sent.
+	RefusedUnsent Refusal = "unsent"
 )
 
 // StartResult is the outcome of one start order.
