version/election: the decisions about leaders apart from the loop that carries them out

Terms, what is known against a leader, when a claim is due and the census move from entry and connection/term; they take the time as an argument and do no I/O, which the layering test now checks for version/cell, election and manifest too.

--- a/cmd/poplarvalved/entry.go
+++ b/cmd/poplarvalved/entry.go
@@ -19,7 +19,6 @@
 	"poplarvalve/internal/connection/jobapi"
 	"poplarvalve/internal/connection/operator"
 	"poplarvalve/internal/connection/peer"
-	"poplarvalve/internal/connection/term"
 	"poplarvalve/internal/connection/workerlink"
 	"poplarvalve/internal/entry"
 	"poplarvalve/internal/process/boottime"
@@ -28,6 +27,7 @@
 	"poplarvalve/internal/process/metrics"
 	"poplarvalve/internal/process/settings"
 	"poplarvalve/internal/version/cell"
+	"poplarvalve/internal/version/election"
 	"poplarvalve/platform"
 )
 
@@ -60,7 +60,7 @@
 	path     string
 	journal  *logging.Journal
 	entry    *entry.Entry
-	self     term.Holder
+	self     election.Holder
 	app      *kratos.App
 }
 
@@ -82,7 +82,7 @@
 		settings: s,
 		path:     path,
 		journal:  logging.NewJournal(os.Stdout, s.LogLevel, s.Name, counters.LineDropped),
-		self:     term.Holder{Name: s.Name, Address: s.LinkAddress.String(), Nonce: nonce()},
+		self:     election.Holder{Name: s.Name, Address: s.LinkAddress.String(), Nonce: nonce()},
 	}
 	d.entry = entry.New(d.options(counters))
 	d.app = kratos.New(
--- a/internal/connection/term/term.go
+++ b/internal/connection/term/term.go
@@ -17,6 +17,7 @@
 
 	"poplarvalve/internal/process/fault"
 	"poplarvalve/internal/process/store"
+	"poplarvalve/internal/version/election"
 )
 
 // Topic is where terms are kept, one partition for each cell.
@@ -25,55 +26,32 @@
 // key is the only one in a partition.
 const key = "leader"
 
-// Holder is one process that may lead.
-type Holder struct {
-	Name string `cbor:"1,keyasint"`
-	// Address is where the holder accepts links.
-	Address string `cbor:"2,keyasint"`
-	// Nonce differs between two processes at the same address.
-	Nonce uint64 `cbor:"3,keyasint"`
-}
-
-// Term is the newest record of a cell.
-type Term struct {
-	Cell   int
-	Epoch  int64
-	Holder Holder
-	// Released says that the holder has given the term up.
-	Released bool
-	// Largest is the largest share of a core of an instance that the holder
-	// knew, or 0.
-	Largest float64
-	// End is the offset after the record.
-	End int64
-}
-
 // record is what is stored. Epoch is 0 in a claim.
 type record struct {
-	Epoch    int64   `cbor:"1,keyasint,omitempty"`
-	Holder   Holder  `cbor:"2,keyasint"`
-	Released bool    `cbor:"3,keyasint,omitempty"`
-	Largest  float64 `cbor:"4,keyasint,omitempty"`
+	Epoch    int64           `cbor:"1,keyasint,omitempty"`
+	Holder   election.Holder `cbor:"2,keyasint"`
+	Released bool            `cbor:"3,keyasint,omitempty"`
+	Largest  float64         `cbor:"4,keyasint,omitempty"`
 }
 
 func partition(cell int) store.Partition { return store.Partition{Topic: Topic, Part: cell} }
 
 // Read returns the newest term of a cell. The zero Epoch means that there is
 // none yet.
-func Read(ctx context.Context, log store.Log, cell int) (Term, error) {
+func Read(ctx context.Context, log store.Log, cell int) (election.Term, error) {
 	records, end, err := log.Newest(ctx, partition(cell))
 	if err != nil {
-		return Term{}, fmt.Errorf("reading the term of cell %d: %w", cell, err)
+		return election.Term{}, fmt.Errorf("reading the term of cell %d: %w", cell, err)
 	}
 	if len(records) == 0 {
-		return Term{Cell: cell, End: end}, nil
+		return election.Term{Cell: cell, End: end}, nil
 	}
 	newest := records[len(records)-1]
 	var content record
 	if err := cbor.Unmarshal(newest.Value, &content); err != nil {
-		return Term{}, fault.Wrap(fault.Malformed, err, "the term record of cell %d", cell)
+		return election.Term{}, fault.Wrap(fault.Malformed, err, "the term record of cell %d", cell)
 	}
-	term := Term{Cell: cell, Epoch: content.Epoch, Holder: content.Holder, Released: content.Released,
+	term := election.Term{Cell: cell, Epoch: content.Epoch, Holder: content.Holder, Released: content.Released,
 		Largest: content.Largest, End: newest.Offset + 1}
 	if term.Epoch == 0 {
 		term.Epoch = newest.Offset + 1
@@ -83,28 +61,28 @@
 
 // Claim tries to begin a term after seen. A lost reply is settled by a later
 // Read, which shows whether the holder won.
-func Claim(ctx context.Context, log store.Log, seen Term, holder Holder) (Term, error) {
+func Claim(ctx context.Context, log store.Log, seen election.Term, holder election.Holder) (election.Term, error) {
 	offset, err := appendRecord(ctx, log, seen.Cell, seen.End, record{Holder: holder, Largest: seen.Largest})
 	if err != nil {
-		return Term{}, fmt.Errorf("claiming cell %d: %w", seen.Cell, err)
+		return election.Term{}, fmt.Errorf("claiming cell %d: %w", seen.Cell, err)
 	}
-	return Term{Cell: seen.Cell, Epoch: offset + 1, Holder: holder, Largest: seen.Largest, End: offset + 1}, nil
+	return election.Term{Cell: seen.Cell, Epoch: offset + 1, Holder: holder, Largest: seen.Largest, End: offset + 1}, nil
 }
 
 // Renew shows that the holder still leads. A failure with reason Moved means
 // that another claim or an earlier renewal without a reply came between; Read
 // tells which.
-func Renew(ctx context.Context, log store.Log, held Term) (Term, error) {
+func Renew(ctx context.Context, log store.Log, held election.Term) (election.Term, error) {
 	return replace(ctx, log, held, record{Epoch: held.Epoch, Holder: held.Holder, Largest: held.Largest})
 }
 
 // Release gives the term up, so that others claim at once.
-func Release(ctx context.Context, log store.Log, held Term) error {
+func Release(ctx context.Context, log store.Log, held election.Term) error {
 	_, err := replace(ctx, log, held, record{Epoch: held.Epoch, Holder: held.Holder, Largest: held.Largest, Released: true})
 	return err
 }
 
-func replace(ctx context.Context, log store.Log, held Term, content record) (Term, error) {
+func replace(ctx context.Context, log store.Log, held election.Term, content record) (election.Term, error) {
 	offset, err := appendRecord(ctx, log, held.Cell, held.End, content)
 	if err != nil {
 		return held, fmt.Errorf("renewing the term of cell %d: %w", held.Cell, err)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,7 +14,6 @@
 	"poplarvalve/internal/connection/cellcodec"
 	"poplarvalve/internal/connection/celllink"
 	"poplarvalve/internal/connection/jobapi"
-	"poplarvalve/internal/connection/term"
 	"poplarvalve/internal/connection/workerlink"
 	"poplarvalve/internal/process/logging"
 	"poplarvalve/internal/process/metrics"
@@ -22,6 +21,7 @@
 	"poplarvalve/internal/process/store"
 	"poplarvalve/internal/request/intake"
 	"poplarvalve/internal/version/cell"
+	"poplarvalve/internal/version/election"
 	"poplarvalve/internal/version/manifest"
 )
 
@@ -35,7 +35,7 @@
 
 // Options holds the parts of an Entry. All fields but Advice are required.
 type Options struct {
-	Self term.Holder
+	Self election.Holder
 	// CPUShare is the part of a core that the instance may use.
 	CPUShare float64
 	Log      store.Log
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -16,12 +16,12 @@
 
 	"poplarvalve/internal/connection/advice"
 	"poplarvalve/internal/connection/peer"
-	"poplarvalve/internal/connection/term"
 	"poplarvalve/internal/connection/workerlink"
 	"poplarvalve/internal/entry"
 	"poplarvalve/internal/process/logging"
 	"poplarvalve/internal/process/metrics"
 	"poplarvalve/internal/version/cell"
+	"poplarvalve/internal/version/election"
 	"poplarvalve/platform"
 	"poplarvalve/test/fleet"
 )
@@ -81,7 +81,7 @@
 		adviser = platform.NewAdvice(d.adviser.Address(), client)
 	}
 	i.entry = entry.New(entry.Options{
-		Self:          term.Holder{Name: fmt.Sprint("e", number), Address: i.link.Listener.Addr().String(), Nonce: number},
+		Self:          election.Holder{Name: fmt.Sprint("e", number), Address: i.link.Listener.Addr().String(), Nonce: number},
 		CPUShare:      1,
 		Log:           platform.NewLog(d.log.Address(), client),
 		Configuration: platform.Configuration,
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -15,11 +15,6 @@
 )
 
 const (
-	// termLease is how long a term lasts without a renewal.
-	termLease = 1500 * time.Millisecond
-	// stalledAfter is the age of the newest renewal at which others try to
-	// take over, if they reach the log.
-	stalledAfter = 1100 * time.Millisecond
 	// isolationPause is how long an instance that no other reaches leaves the
 	// lead to others.
 	isolationPause = 2 * time.Second
@@ -44,7 +39,7 @@
 // followCell keeps a link to the leader of a cell, and leads it when there is
 // none.
 func (e *Entry) followCell(ctx context.Context, number int) {
-	var seen observation
+	var seen election.Observation
 	for ctx.Err() == nil {
 		if e.leaders.isolated() {
 			// Another instance that the others reach has to lead.
@@ -52,11 +47,11 @@
 			e.leaders.rejoin()
 		}
 		leader, known := e.leaders.table.Load().byCell[number]
-		need := linkHeld
+		need := election.Sound
 		if known && leader.Address == "" {
-			need = leaderEnded // It gave its term up.
+			need = election.Ended // It gave its term up.
 		}
-		if known && need == linkHeld && leader.Nonce != e.options.Self.Nonce {
+		if known && need == election.Sound && leader.Nonce != e.options.Self.Nonce {
 			need = e.keepLink(ctx, leader.Address, leader.Nonce, leader.Epoch, number)
 		}
 		if ctx.Err() != nil {
@@ -70,16 +65,16 @@
 		}
 		if current.Epoch > 0 && !current.Released && current.Epoch > e.leaders.epoch(number) {
 			e.leaders.learnTerm(current)
-			seen = observation{}
+			seen = election.Observation{}
 			continue
 		}
 		shown, found := e.leaders.renewed(number, current.Epoch)
-		if found && shown.end == current.End {
-			seen = observation{current.End, shown.at}
+		if found && shown.End == current.End {
+			seen = election.Observation{End: current.End, First: shown.At}
 		}
-		need = need.confirmed(leader.Epoch, current, shown, found)
-		if why := seen.vacant(current, need, e.options.Self); why != occupied {
-			e.options.Journal.Claiming(number, current.Epoch, string(why), time.Since(seen.first))
+		need = need.Confirmed(time.Now(), leader.Epoch, current, shown, found)
+		if why := seen.Vacant(time.Now(), current, need, e.options.Self); why != election.Occupied {
+			e.options.Journal.Claiming(number, current.Epoch, string(why), time.Since(seen.First))
 			e.contend(ctx, current, trip)
 			continue
 		}
@@ -87,7 +82,7 @@
 	}
 }
 
-func (e *Entry) readTerm(ctx context.Context, number int) (term.Term, time.Duration, error) {
+func (e *Entry) readTerm(ctx context.Context, number int) (election.Term, time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	began := time.Now()
@@ -95,83 +90,15 @@
 	return current, time.Since(began), err
 }
 
-// observation is when a record of a term was first seen, or was written.
-type observation struct {
-	end   int64
-	first time.Time
-}
-
-// vacancy says why a claim is due.
-type vacancy string
-
-const (
-	occupied       vacancy = ""
-	neverLed       vacancy = "never led"
-	releasedTerm   vacancy = "released"
-	endedHolder    vacancy = "its holder has ended"
-	stalledHolder  vacancy = "its holder can't renew"
-	earlierProcess vacancy = "held by an earlier process of this instance"
-	notRenewed     vacancy = "not renewed"
-)
-
-// vacant says whether a claim is due, given what is known against the holder.
-func (o *observation) vacant(current term.Term, holder standing, self term.Holder) vacancy {
-	if current.End != o.end || o.first.IsZero() {
-		o.end = current.End
-		o.first = time.Now()
-	}
-	switch {
-	case current.Epoch == 0:
-		return neverLed
-	case current.Released:
-		return releasedTerm
-	case holder == leaderEnded:
-		return endedHolder
-	case holder == leaderStalled:
-		return stalledHolder
-	case current.Holder.Address == self.Address:
-		return earlierProcess
-	case time.Since(o.first) > termLease:
-		return notRenewed
-	}
-	return occupied
-}
-
-// standing says why another instance may have to lead.
-type standing uint8
-
-const (
-	// linkHeld means that nothing is known against the leader.
-	linkHeld standing = iota
-	// leaderEnded means that its process has ended or gave the term up.
-	leaderEnded
-	// leaderStalled means that it could not renew its term for some time.
-	leaderStalled
-)
-
-// confirmed takes back what is known against the leader of an epoch if a later
-// one has begun, and that a leader is stalled if it has renewed its term since it
-// last showed its state, or has shown a fresh one meanwhile.
-func (s standing) confirmed(epoch int64, current term.Term, shown renewal, found bool) standing {
-	if current.Epoch != epoch {
-		return linkHeld
-	}
-	stalled := found && shown.end == current.End && time.Since(shown.at) > stalledAfter
-	if s == leaderStalled && !stalled {
-		return linkHeld
-	}
-	return s
-}
-
 // keepLink keeps a link to a leader until it is lost, a later term is known or
 // the leader can't renew its term.
-func (e *Entry) keepLink(ctx context.Context, address string, nonce uint64, epoch int64, number int) standing {
+func (e *Entry) keepLink(ctx context.Context, address string, nonce uint64, epoch int64, number int) election.Standing {
 	link, err := e.leaders.dial(ctx, address)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
-		return leaderEnded
+		return election.Ended
 	case err != nil:
-		return linkHeld
+		return election.Sound
 	}
 	ticker := time.NewTicker(celllink.PulsePeriod)
 	defer ticker.Stop()
@@ -179,30 +106,30 @@
 		changed := e.leaders.Changed()
 		leader := e.leaders.table.Load().byCell[number]
 		if leader.Epoch != epoch {
-			return linkHeld
+			return election.Sound
 		}
 		if leader.Address == "" {
-			return leaderEnded
+			return election.Ended
 		}
 		if other := link.Nonce(); other != 0 && other != nonce {
-			return leaderEnded
+			return election.Ended
 		}
-		if shown, found := e.leaders.renewed(number, epoch); found && time.Since(shown.at) > stalledAfter {
-			return leaderStalled
+		if shown, found := e.leaders.renewed(number, epoch); found && shown.Stalled(time.Now()) {
+			return election.Stalled
 		}
 		select {
 		case <-link.Done():
-			return linkHeld
+			return election.Sound
 		case <-changed:
 		case <-ticker.C:
 		case <-ctx.Done():
-			return linkHeld
+			return election.Sound
 		}
 	}
 }
 
 // contend claims a cell and leads it until the term is lost.
-func (e *Entry) contend(ctx context.Context, seen term.Term, trip time.Duration) {
+func (e *Entry) contend(ctx context.Context, seen election.Term, trip time.Duration) {
 	select {
 	case <-e.draining:
 		sleep(ctx, electionPause)
@@ -230,7 +157,7 @@
 
 // claimDelay lets instances claim first that are near the log, large and lead
 // few cells.
-func (e *Entry) claimDelay(seen term.Term, trip time.Duration) time.Duration {
+func (e *Entry) claimDelay(seen election.Term, trip time.Duration) time.Duration {
 	others := e.contending.Add(1) - 1
 	time.AfterFunc(contentionTime, func() { e.contending.Add(-1) })
 	candidate := election.Candidate{
@@ -244,13 +171,13 @@
 
 // claimed finds out whether a claim that failed or got no reply has won. The
 // zero term means that it hasn't.
-func (e *Entry) claimed(ctx context.Context, seen term.Term) (term.Term, error) {
+func (e *Entry) claimed(ctx context.Context, seen election.Term) (election.Term, error) {
 	current, _, err := e.readTerm(ctx, seen.Cell)
 	if err != nil {
-		return term.Term{}, err
+		return election.Term{}, err
 	}
 	if current.Holder != e.options.Self || current.Epoch <= seen.Epoch || current.Released {
-		return term.Term{}, nil
+		return election.Term{}, nil
 	}
 	return current, nil
 }
--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"poplarvalve/internal/connection/cellcodec"
-	"poplarvalve/internal/connection/term"
 	"poplarvalve/internal/connection/workerlink"
 	"poplarvalve/internal/process/boottime"
 	"poplarvalve/internal/version/cell"
@@ -36,7 +35,7 @@
 // cell; all others send it events.
 type leadership struct {
 	entry  *Entry
-	term   term.Term
+	term   election.Term
 	cell   *cell.Cell
 	writer *writer
 	events chan event
@@ -67,7 +66,7 @@
 
 // lead leads a cell until the term is lost, given up or ctx ends. claimed is
 // when the claim was sent.
-func (e *Entry) lead(parent context.Context, held term.Term, claimed boottime.Moment) {
+func (e *Entry) lead(parent context.Context, held election.Term, claimed boottime.Moment) {
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	l := &leadership{
@@ -150,7 +149,7 @@
 	leaseEnd := min(o.Bounds.MaxLease, workerlink.Lease)
 	l.cell = cell.New(cell.Config{
 		Epoch:        l.term.Epoch,
-		RecoveryWait: startAuthority - termLease + leaseEnd + recoveryMargin,
+		RecoveryWait: startAuthority - election.TermLease + leaseEnd + recoveryMargin,
 		Lease:        leaseEnd + recoveryMargin,
 		KeepEnded:    o.Bounds.KeepEnded,
 		RemoteFactor: o.Bounds.RemoteFactor,
--- a/internal/entry/leaders.go
+++ b/internal/entry/leaders.go
@@ -10,9 +10,9 @@
 
 	"poplarvalve/internal/connection/cellcodec"
 	"poplarvalve/internal/connection/celllink"
-	"poplarvalve/internal/connection/term"
 	"poplarvalve/internal/process/jobspec"
 	"poplarvalve/internal/process/publish"
+	"poplarvalve/internal/version/election"
 )
 
 // leaderTable is one version of what is known about leaders.
@@ -35,7 +35,7 @@
 	mu    sync.Mutex
 	links map[string]*celllink.Link
 	// renewals holds what leaders last showed of their terms.
-	renewals map[int]renewal
+	renewals map[int]election.Renewal
 	// shares holds the part of a core that each linked process may use.
 	shares map[uint64]share
 	// inbound counts the links that others keep to this instance, lastInbound
@@ -45,20 +45,13 @@
 	lastInbound time.Time
 }
 
-// renewal is what is known of the newest renewal of a term.
-type renewal struct {
-	epoch int64
-	end   int64
-	at    time.Time
-}
-
 func newLeaders(e *Entry) *leaders {
 	return &leaders{
 		entry:    e,
 		table:    publish.New(&leaderTable{byCell: map[int]cellcodec.Leader{}, led: map[int]*leadership{}}),
 		wake:     publish.New[struct{}](nil),
 		links:    map[string]*celllink.Link{},
-		renewals: map[int]renewal{},
+		renewals: map[int]election.Renewal{},
 		shares:   map[uint64]share{},
 	}
 }
@@ -88,11 +81,11 @@
 }
 
 // renewed returns what the leader of a term last showed of it.
-func (l *leaders) renewed(cell int, epoch int64) (known renewal, found bool) {
+func (l *leaders) renewed(cell int, epoch int64) (known election.Renewal, found bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known, found = l.renewals[cell]
-	return known, found && known.epoch == epoch
+	return known, found && known.Epoch == epoch
 }
 
 // Opened implements celllink.Server.
@@ -165,7 +158,7 @@
 	}
 }
 
-func (l *leaders) learnTerm(t term.Term) {
+func (l *leaders) learnTerm(t election.Term) {
 	l.learn(cellcodec.Leader{Cell: t.Cell, Epoch: t.Epoch, Address: t.Holder.Address, Nonce: t.Holder.Nonce})
 }
 
@@ -330,8 +323,9 @@
 	l.mu.Lock()
 	l.shares[pulse.Nonce] = share{pulse.Share, time.Now()}
 	for _, led := range pulse.Led {
-		if l.renewals[led.Cell].epoch <= led.Epoch {
-			l.renewals[led.Cell] = renewal{led.Epoch, led.End, time.Now().Add(-time.Duration(led.RenewedMillis) * time.Millisecond)}
+		if l.renewals[led.Cell].Epoch <= led.Epoch {
+			age := time.Duration(led.RenewedMillis) * time.Millisecond
+			l.renewals[led.Cell] = election.Renewal{Epoch: led.Epoch, End: led.End, At: time.Now().Add(-age)}
 		}
 	}
 	l.mu.Unlock()
--- a/internal/entry/leaders_test.go
+++ b/internal/entry/leaders_test.go
@@ -6,9 +6,9 @@
 	"gotest.tools/v3/assert"
 
 	"poplarvalve/internal/connection/cellcodec"
-	"poplarvalve/internal/connection/term"
 	"poplarvalve/internal/process/logging"
 	"poplarvalve/internal/process/metrics"
+	"poplarvalve/internal/version/election"
 )
 
 type discard struct{}
@@ -19,7 +19,7 @@
 	counters := metrics.NewEntry()
 	journal := logging.NewJournal(discard{}, "info", "test", counters.LineDropped)
 	t.Cleanup(journal.Close)
-	return New(Options{Self: term.Holder{Name: "a", Address: "10.0.0.1:1", Nonce: 1}, Journal: journal, Metrics: counters})
+	return New(Options{Self: election.Holder{Name: "a", Address: "10.0.0.1:1", Nonce: 1}, Journal: journal, Metrics: counters})
 }
 
 // Guards against pulses that repeat all leaders to every instance, and against
--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -9,6 +9,7 @@
 	"poplarvalve/internal/connection/term"
 	"poplarvalve/internal/process/boottime"
 	"poplarvalve/internal/process/store"
+	"poplarvalve/internal/version/election"
 )
 
 // errTermOver ends a leadership whose term another instance has replaced.
@@ -83,7 +84,7 @@
 
 // handOver gives the term up once the log has taken that down. While it doesn't,
 // nobody else could claim the cell, and what runs would lapse.
-func (l *leadership) handOver(ctx context.Context, held term.Term) {
+func (l *leadership) handOver(ctx context.Context, held election.Term) {
 	for ctx.Err() == nil {
 		next, err := l.releaseOnce(ctx, held)
 		switch {
@@ -104,7 +105,7 @@
 
 // releaseOnce tries to release the term. With an error it returns the term as it
 // stands.
-func (l *leadership) releaseOnce(ctx context.Context, held term.Term) (term.Term, error) {
+func (l *leadership) releaseOnce(ctx context.Context, held election.Term) (election.Term, error) {
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	err := term.Release(call, l.entry.options.Log, held)
@@ -119,7 +120,7 @@
 }
 
 // current returns the held term as the log has it, or errTermOver.
-func (l *leadership) current(ctx context.Context, held term.Term) (term.Term, error) {
+func (l *leadership) current(ctx context.Context, held election.Term) (election.Term, error) {
 	current, _, err := l.entry.readTerm(ctx, held.Cell)
 	if err != nil {
 		return held, err
@@ -132,7 +133,7 @@
 
 // release tells the log that a term was given up that another instance should
 // lead.
-func (l *leadership) release(held term.Term) {
+func (l *leadership) release(held election.Term) {
 	if why := l.reason(); !errors.Is(why, errIsolated) && !errors.Is(why, errOutsized) {
 		return
 	}
@@ -143,7 +144,7 @@
 	}
 }
 
-func (l *leadership) renewOnce(ctx context.Context, held term.Term) (term.Term, error) {
+func (l *leadership) renewOnce(ctx context.Context, held election.Term) (election.Term, error) {
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	next, err := term.Renew(call, l.entry.options.Log, held)
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -6,6 +6,7 @@
 
 	"poplarvalve/internal/connection/cellcodec"
 	"poplarvalve/internal/version/cell"
+	"poplarvalve/internal/version/election"
 )
 
 // serve answers a call to the leader. Questions about a state are answered
@@ -41,7 +42,7 @@
 	if found {
 		return cellcodec.Reply{Result: cellcodec.OK, State: state}
 	}
-	if l.sinceRenewal() > termLease {
+	if l.sinceRenewal() > election.TermLease {
 		return cellcodec.Reply{Result: cellcodec.NotLeader}
 	}
 	return cellcodec.Reply{Result: cellcodec.Absent}
@@ -70,7 +71,7 @@
 	case <-stored:
 		return cellcodec.Reply{Result: cellcodec.OK}
 	case <-absent:
-		if l.sinceRenewal() > termLease {
+		if l.sinceRenewal() > election.TermLease {
 			return cellcodec.Reply{Result: cellcodec.NotLeader}
 		}
 		return cellcodec.Reply{Result: cellcodec.Absent}
--- a/internal/layering_test.go
+++ b/internal/layering_test.go
@@ -29,9 +29,10 @@
 
 // Guards against decisions that do I/O or read a clock of their own.
 func TestDecisionsDoNoIO(t *testing.T) {
-	pure := []string{"placement", "admission", "fairness", "eviction", "retry", "answer", "job"}
+	pure := []string{"request/placement", "request/admission", "request/fairness", "request/eviction", "request/retry",
+		"request/answer", "request/job", "version/cell", "version/election", "version/manifest"}
 	for _, name := range pure {
-		output, err := exec.Command("go", "list", "-f", "{{join .Imports \" \"}}", module+"request/"+name).Output()
+		output, err := exec.Command("go", "list", "-f", "{{join .Imports \" \"}}", module+name).Output()
 		if err != nil {
 			continue // Not every decision is a package of its own yet.
 		}
--- a/internal/version/election/election.go
+++ b/internal/version/election/election.go
@@ -1,7 +1,8 @@
-// Package election decides which instance should lead a cell: how long a
-// candidate holds its claim back, and when a leader is too small for its cell.
+// Package election decides how the leaders of cells change: when a claim is due,
+// how long a candidate holds it back, when a leader is too small for its cell, and
+// how many cells a deployment has.
 //
-// Both are preferences. Safety rests on the log alone, which lets one of several
+// These are preferences. Safety rests on the log alone, which lets one of several
 // claims win.
 package election
 
