--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"poplarvalve/internal/connection/cellcodec"
 	"poplarvalve/internal/connection/celllink"
 	"poplarvalve/internal/connection/term"
 	"poplarvalve/internal/process/boottime"
@@ -46,42 +47,55 @@
 			sleep(ctx, isolationPause)
 			e.leaders.rejoin()
 		}
-		leader, known := e.leaders.table.Load().byCell[number]
-		need := election.Sound
-		if known && leader.Address == "" {
-			need = election.Ended // It gave its term up.
-		}
-		if known && need == election.Sound && leader.Nonce != e.options.Self.Nonce {
-			need = e.keepLink(ctx, leader.Address, leader.Nonce, leader.Epoch, number)
-		}
-		if ctx.Err() != nil {
-			return
-		}
-		current, trip, err := e.readTerm(ctx, number)
-		if err != nil {
-			e.options.Journal.Retry("term of "+cellName(number), err)
+		leader := e.leaders.table.Load().byCell[number]
+		holder := e.watch(ctx, leader, number)
+		if ctx.Err() == nil && !e.stand(ctx, number, leader.Epoch, holder, &seen) {
 			sleep(ctx, electionPause)
-			continue
-		}
-		if current.Epoch > 0 && !current.Released && current.Epoch > e.leaders.epoch(number) {
-			e.leaders.learnTerm(current)
-			seen = election.Observation{}
-			continue
-		}
-		shown, found := e.leaders.renewed(number, current.Epoch)
-		if found && shown.End == current.End {
-			seen = election.Observation{End: current.End, First: shown.At}
 		}
-		need = need.Confirmed(time.Now(), leader.Epoch, current, shown, found)
-		if why := seen.Vacant(time.Now(), current, need, e.options.Self); why != election.Occupied {
-			e.options.Journal.Claiming(number, current.Epoch, string(why), time.Since(seen.First))
-			e.contend(ctx, current, trip)
-			continue
-		}
-		sleep(ctx, electionPause)
 	}
 }
 
+// watch returns what is known against a leader, once there is something or its
+// link is lost. The zero Leader is not known.
+func (e *Entry) watch(ctx context.Context, leader cellcodec.Leader, number int) election.Standing {
+	switch {
+	case leader.Epoch == 0 || leader.Nonce == e.options.Self.Nonce && leader.Address != "":
+		return election.Sound
+	case leader.Address == "":
+		return election.Ended // It gave its term up.
+	}
+	return e.keepLink(ctx, leader, number)
+}
+
+// stand claims the cell if the term in the log is vacant, and leads it. holder is
+// what is known against the leader of epoch. It returns whether something was
+// learned or tried.
+func (e *Entry) stand(ctx context.Context, number int, epoch int64, holder election.Standing, seen *election.Observation) bool {
+	current, trip, err := e.readTerm(ctx, number)
+	if err != nil {
+		e.options.Journal.Retry("term of "+cellName(number), err)
+		return false
+	}
+	if current.Epoch > 0 && !current.Released && current.Epoch > e.leaders.epoch(number) {
+		e.leaders.learnTerm(current)
+		*seen = election.Observation{}
+		return true
+	}
+	shown, found := e.leaders.renewed(number, current.Epoch)
+	if found && shown.End == current.End {
+		*seen = election.Observation{End: current.End, First: shown.At}
+	}
+	now := time.Now()
+	holder = holder.Confirmed(now, epoch, current, shown, found)
+	why := seen.Vacant(now, current, holder, e.options.Self)
+	if why == election.Occupied {
+		return false
+	}
+	e.options.Journal.Claiming(number, current.Epoch, string(why), now.Sub(seen.First))
+	e.contend(ctx, current, trip)
+	return true
+}
+
 func (e *Entry) readTerm(ctx context.Context, number int) (election.Term, time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -92,8 +106,8 @@
 
 // keepLink keeps a link to a leader until it is lost, a later term is known or
 // the leader can't renew its term.
-func (e *Entry) keepLink(ctx context.Context, address string, nonce uint64, epoch int64, number int) election.Standing {
-	link, err := e.leaders.dial(ctx, address)
+func (e *Entry) keepLink(ctx context.Context, leader cellcodec.Leader, number int) election.Standing {
+	link, err := e.leaders.dial(ctx, leader.Address)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return election.Ended
@@ -104,17 +118,17 @@
 	defer ticker.Stop()
 	for {
 		changed := e.leaders.Changed()
-		leader := e.leaders.table.Load().byCell[number]
-		if leader.Epoch != epoch {
+		known := e.leaders.table.Load().byCell[number]
+		if known.Epoch != leader.Epoch {
 			return election.Sound
 		}
-		if leader.Address == "" {
+		if known.Address == "" {
 			return election.Ended
 		}
-		if other := link.Nonce(); other != 0 && other != nonce {
+		if other := link.Nonce(); other != 0 && other != leader.Nonce {
 			return election.Ended
 		}
-		if shown, found := e.leaders.renewed(number, epoch); found && shown.Stalled(time.Now()) {
+		if shown, found := e.leaders.renewed(number, leader.Epoch); found && shown.Stalled(time.Now()) {
 			return election.Stalled
 		}
 		select {
