entry: rarer looks where the log limits their rate; keep the term while reading

Cause: after a kill of all, 300 instances look at six terms each 0.15 s, six times what the log serves, and a leader whose reading is refused gave its term up. TestLooksGetRarerWhereTheLogLimitsThem.

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -12,6 +12,7 @@
 	"poplarvalve/internal/connection/celllink"
 	"poplarvalve/internal/connection/term"
 	"poplarvalve/internal/process/boottime"
+	"poplarvalve/internal/process/store"
 	"poplarvalve/internal/version/election"
 )
 
@@ -26,7 +27,7 @@
 	startAuthority = 4 * time.Second
 	// callTimeout bounds one call to the log.
 	callTimeout = 800 * time.Millisecond
-	// electionPause is the pause between two looks at a term.
+	// electionPause is the pause before a claim or a release is tried again.
 	electionPause = 150 * time.Millisecond
 	// claimSpread spreads the claims of several instances that are alike.
 	claimSpread = 40 * time.Millisecond
@@ -41,6 +42,7 @@
 // none.
 func (e *Entry) followCell(ctx context.Context, number int) {
 	var seen election.Observation
+	var looks looks
 	for ctx.Err() == nil {
 		if e.leaders.isolated() {
 			// Another instance that the others reach has to lead.
@@ -49,10 +51,30 @@
 		}
 		leader := e.leaders.table.Load().byCell[number]
 		holder := e.watch(ctx, leader, number)
-		if ctx.Err() == nil && !e.stand(ctx, number, leader.Epoch, holder, &seen) {
-			sleep(ctx, electionPause)
+		if ctx.Err() != nil {
+			return
 		}
+		acted, err := e.stand(ctx, number, leader.Epoch, holder, &seen)
+		if err != nil {
+			e.options.Journal.Retry("term of "+cellName(number), err)
+		}
+		if !acted {
+			looks.pause(ctx, err)
+		}
+	}
+}
+
+// looks counts the looks in a row that the log refused to limit their rate.
+type looks struct{ limited int }
+
+// pause waits until the next look is due.
+func (l *looks) pause(ctx context.Context, err error) {
+	if err != nil && store.ReasonOf(err) == store.RateLimited {
+		l.limited++
+	} else {
+		l.limited = 0
 	}
+	sleep(ctx, election.LookPause(l.limited, rand.Float64()))
 }
 
 // watch returns what is known against a leader, once there is something or its
@@ -70,16 +92,15 @@
 // stand claims the cell if the term in the log is vacant, and leads it. holder is
 // what is known against the leader of epoch. It returns whether something was
 // learned or tried.
-func (e *Entry) stand(ctx context.Context, number int, epoch int64, holder election.Standing, seen *election.Observation) bool {
+func (e *Entry) stand(ctx context.Context, number int, epoch int64, holder election.Standing, seen *election.Observation) (acted bool, err error) {
 	current, trip, err := e.readTerm(ctx, number)
 	if err != nil {
-		e.options.Journal.Retry("term of "+cellName(number), err)
-		return false
+		return false, err
 	}
 	if current.Epoch > 0 && !current.Released && current.Epoch > e.leaders.epoch(number) {
 		e.leaders.learnTerm(current)
 		*seen = election.Observation{}
-		return true
+		return true, nil
 	}
 	shown, found := e.leaders.renewed(number, current.Epoch)
 	if found && shown.End == current.End {
@@ -89,11 +110,11 @@
 	holder = holder.Confirmed(now, epoch, current, shown, found)
 	why := seen.Vacant(now, current, holder, e.options.Self)
 	if why == election.Occupied {
-		return false
+		return false, nil
 	}
 	e.options.Journal.Claiming(number, current.Epoch, string(why), now.Sub(seen.First))
 	e.contend(ctx, current, trip)
-	return true
+	return true, nil
 }
 
 func (e *Entry) readTerm(ctx context.Context, number int) (election.Term, time.Duration, error) {
--- a/internal/entry/layout.go
+++ b/internal/entry/layout.go
@@ -15,14 +15,13 @@
 	layoutTopic = "layout"
 	layoutKey   = "cells"
 	counterKey  = "counter"
-	// layoutPause is the pause between two looks at the number of cells.
-	layoutPause = 250 * time.Millisecond
 )
 
 // followCells settles the number of cells and takes part in the election of
 // each.
 func (e *Entry) followCells(ctx context.Context) {
 	count := election.Census{Began: time.Now()}
+	var looks looks
 	for e.leaders.Cells() == 0 && ctx.Err() == nil {
 		cells, err := e.readLayout(ctx, &count)
 		if err != nil {
@@ -32,7 +31,7 @@
 			e.leaders.setCells(cells)
 			break
 		}
-		sleep(ctx, layoutPause)
+		looks.pause(ctx, err)
 	}
 	for number := range e.leaders.Cells() {
 		e.spawn(func() { e.followCell(ctx, number) })
--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -11,6 +11,7 @@
 	"poplarvalve/internal/connection/cellcodec"
 	"poplarvalve/internal/connection/workerlink"
 	"poplarvalve/internal/process/boottime"
+	"poplarvalve/internal/process/store"
 	"poplarvalve/internal/version/cell"
 	"poplarvalve/internal/version/election"
 )
@@ -136,11 +137,9 @@
 	if err := l.writer.fence(ctx); err != nil {
 		return err
 	}
-	call, cancel := context.WithTimeout(ctx, 4*callTimeout)
-	defer cancel()
-	records, _, err := o.Log.Newest(call, l.writer.partition)
+	records, err := l.readRecords(ctx)
 	if err != nil {
-		return fmt.Errorf("reading the records of the cell: %w", err)
+		return err
 	}
 	state, err := cellcodec.DecodeCell(records)
 	if err != nil {
@@ -165,6 +164,28 @@
 	return nil
 }
 
+// readTime bounds one reading of all records of a cell, which takes several
+// calls to the log.
+const readTime = 4 * callTimeout
+
+// readRecords reads what earlier terms stored. It tries again while the term
+// lasts: giving the term up would cost another election.
+func (l *leadership) readRecords(ctx context.Context) ([]store.Record, error) {
+	for {
+		call, cancel := context.WithTimeout(ctx, readTime)
+		records, _, err := l.entry.options.Log.Newest(call, l.writer.partition)
+		cancel()
+		if err == nil {
+			return records, nil
+		}
+		if ctx.Err() != nil {
+			return nil, fmt.Errorf("reading the records of the cell: %w", err)
+		}
+		l.writer.failed(err)
+		sleep(ctx, writePause)
+	}
+}
+
 // post hands an event to the cell's goroutine.
 func (l *leadership) post(e event) {
 	select {
--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -72,6 +72,9 @@
 	Unanswered Reason = "unanswered"
 	// Unavailable means that nothing was done.
 	Unavailable Reason = "unavailable"
+	// RateLimited means that nothing was done because all clients together call
+	// too often.
+	RateLimited Reason = "rate_limited"
 	// Fenced means that a writer with a higher epoch has taken over.
 	Fenced Reason = "fenced"
 	// OutOfSequence means that the sequence isn't the next one.
--- a/internal/version/election/vacancy.go
+++ b/internal/version/election/vacancy.go
@@ -11,6 +11,29 @@
 	StalledAfter = 1100 * time.Millisecond
 )
 
+const (
+	// lookPause is the pause between two looks at a term or at the number of
+	// cells.
+	lookPause = 150 * time.Millisecond
+	// maxLookPause bounds it where the log limits the rate of calls: with it 300
+	// instances look at six cells 900 times a second.
+	maxLookPause = 2 * time.Second
+)
+
+// LookPause returns the pause before the next look after a number of looks in a
+// row that the log refused because all instances together look too often. random
+// is in [0, 1) and spreads the looks of instances that began together.
+func LookPause(limited int, random float64) time.Duration {
+	pause := lookPause
+	for range min(limited, 8) {
+		pause = min(2*pause, maxLookPause)
+	}
+	if limited == 0 {
+		return pause
+	}
+	return pause/2 + time.Duration(random*float64(pause))
+}
+
 // Renewal is what a leader showed of its newest renewal.
 type Renewal struct {
 	Epoch int64
--- a/internal/version/election/vacancy_test.go
+++ b/internal/version/election/vacancy_test.go
@@ -50,3 +50,17 @@
 	earlier := Term{Epoch: 3, End: 81, Holder: Holder{Address: self.Address, Nonce: 9}}
 	assert.Equal(t, seen.Vacant(now, earlier, Sound, self), EarlierProcess)
 }
+
+// Guards against hundreds of instances that keep the log busy with their looks
+// after all of them were killed: serving took 11.5 s at 300 instances.
+func TestLooksGetRarerWhereTheLogLimitsThem(t *testing.T) {
+	assert.Equal(t, LookPause(0, 0.9), lookPause)
+	last := lookPause
+	for limited := 1; limited < 6; limited++ {
+		pause := LookPause(limited, 0.5)
+		assert.Assert(t, pause >= last, "%d: %v", limited, pause)
+		last = pause
+	}
+	assert.Equal(t, LookPause(100, 0.5), maxLookPause)
+	assert.Equal(t, LookPause(100, 0), maxLookPause/2)
+}
