election: instances divide the cells; refused claims and renewals are tried again

Cause: at 300 instances and six cells every instance claimed every cell, 0.15 s apart, so one of 0.16 of a core came to lead two cells of 500 workers and could not renew in time; a claim that the log refused to limit the rate was repeated at once, with two more calls each time. Mend: each instance has a cell of its own choice and holds claims of others back, by 0.4 s more for each cell that it leads; refused claims pause like looks; a renewal that failed is tried again after 0.1 s instead of 0.5 s.

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"strconv"
 	"syscall"
@@ -20,8 +21,10 @@
 	// isolationPause is how long an instance that no other reaches leaves the
 	// lead to others.
 	isolationPause = 2 * time.Second
-	// renewPeriod allows two renewals to fail.
+	// renewPeriod allows two renewals to fail, renewRetry is the pause after one
+	// that did.
 	renewPeriod = 500 * time.Millisecond
+	renewRetry  = 100 * time.Millisecond
 	// startAuthority is how long after its last renewal a leader that can't
 	// reach the log goes on to start tasks.
 	startAuthority = 4 * time.Second
@@ -58,7 +61,7 @@
 		if err != nil {
 			e.options.Journal.Retry("term of "+cellName(number), err)
 		}
-		if !acted {
+		if !acted || err != nil {
 			looks.pause(ctx, err)
 		}
 	}
@@ -113,8 +116,7 @@
 		return false, nil
 	}
 	e.options.Journal.Claiming(number, current.Epoch, string(why), now.Sub(seen.First))
-	e.contend(ctx, current, trip)
-	return true, nil
+	return true, e.contend(ctx, current, trip)
 }
 
 func (e *Entry) readTerm(ctx context.Context, number int) (election.Term, time.Duration, error) {
@@ -163,41 +165,48 @@
 	}
 }
 
-// contend claims a cell and leads it until the term is lost.
-func (e *Entry) contend(ctx context.Context, seen election.Term, trip time.Duration) {
+// contend claims a cell and leads it until the term is lost. The error is that
+// of the claim.
+func (e *Entry) contend(ctx context.Context, seen election.Term, trip time.Duration) error {
 	select {
 	case <-e.draining:
 		sleep(ctx, electionPause)
-		return
+		return nil
 	case <-time.After(e.claimDelay(seen, trip)):
 	case <-ctx.Done():
-		return
+		return nil
 	}
 	claimed := boottime.Now()
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	held, err := term.Claim(call, e.options.Log, seen, e.options.Self)
 	cancel()
-	if err != nil {
+	if err != nil && store.ReasonOf(err) != store.RateLimited {
 		held, err = e.claimed(ctx, seen)
 	}
 	if err != nil {
-		e.options.Journal.Retry("claim of "+cellName(seen.Cell), err)
-		return
+		return fmt.Errorf("claiming the cell: %w", err)
 	}
-	if held.Epoch == 0 {
-		return // Another instance won.
+	if held.Epoch > 0 { // Else another instance won.
+		e.lead(ctx, held, claimed)
 	}
-	e.lead(ctx, held, claimed)
+	return nil
 }
 
 // claimDelay lets instances claim first that are near the log, large and lead
 // few cells.
 func (e *Entry) claimDelay(seen election.Term, trip time.Duration) time.Duration {
-	others := e.contending.Add(1) - 1
+	table := e.leaders.table.Load()
+	chosen := int(e.options.Self.Nonce%uint64(max(1, table.cells))) == seen.Cell
+	led := len(table.led)
+	if !chosen {
+		led += int(e.contending.Load())
+	}
+	e.contending.Add(1)
 	time.AfterFunc(contentionTime, func() { e.contending.Add(-1) })
 	candidate := election.Candidate{
 		Trip:    trip,
-		Led:     int(others) + len(e.leaders.table.Load().led),
+		Led:     led,
+		Chosen:  chosen,
 		Share:   e.options.CPUShare,
 		Largest: seen.Largest,
 	}
--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -78,6 +78,7 @@
 		}
 		if ctx.Err() == nil {
 			l.entry.options.Journal.Retry("renewal of "+cellName(held.Cell), err)
+			time.AfterFunc(renewRetry, l.askToRenew)
 		}
 	}
 }
--- a/internal/version/election/election.go
+++ b/internal/version/election/election.go
@@ -14,8 +14,12 @@
 	// log for most of its decisions.
 	tripWeight = 3
 	// ledPenalty delays the claims of an instance for each cell that it leads
-	// or is about to claim.
-	ledPenalty = 150 * time.Millisecond
+	// or is about to claim: with two cells of 500 workers a small instance is
+	// late with its decisions and its renewals.
+	ledPenalty = 400 * time.Millisecond
+	// otherCell delays the claim of a cell that is not the instance's own choice,
+	// so that the instances divide the cells between them.
+	otherCell = 100 * time.Millisecond
 	// deference is how long the smallest instance waits for a larger one. After
 	// a loss of power instances come back within 0.3 s of each other.
 	deference = 400 * time.Millisecond
@@ -39,6 +43,8 @@
 	Trip time.Duration
 	// Led counts the cells that the instance leads or is about to claim.
 	Led int
+	// Chosen says that the cell is the instance's own choice among all cells.
+	Chosen bool
 	// Share is the part of a core that the instance may use, Largest that of the
 	// largest instance that the last leader knew; 0 stands for a whole core.
 	Share   float64
@@ -52,7 +58,11 @@
 		largest = 1
 	}
 	missing := max(0, 1-c.Share/largest)
-	return tripWeight*c.Trip + time.Duration(c.Led)*ledPenalty + time.Duration(missing*float64(deference))
+	choice := otherCell
+	if c.Chosen {
+		choice = 0
+	}
+	return choice + tripWeight*c.Trip + time.Duration(c.Led)*ledPenalty + time.Duration(missing*float64(deference))
 }
 
 // Leader is what a leader knows of itself and of the instances linked to it.
