--- a/internal/connection/worker/session.go
+++ b/internal/connection/worker/session.go
@@ -42,7 +42,7 @@
 	worker  ident.WorkerID
 	holder  ident.Incarnation
 	fence   *fence.Fence
-	hold    *fence.Fence
+	keeping *fence.Fence
 	account *ledger.Account
 	random  func() float64
 	// only is whether the worker never had another owner.
@@ -75,9 +75,9 @@
 	// Fence is the instance's own lease; no lease for starts is asked for or
 	// renewed while it is closed.
 	Fence *fence.Fence
-	// Hold is the lease under which run leases are renewed; nil stands for
+	// Keep is the lease under which run leases are renewed; nil stands for
 	// Fence.
-	Hold *fence.Fence
+	Keep *fence.Fence
 	// Account receives the tasks that the takeover finds.
 	Account *ledger.Account
 	// Random spreads retries; it returns values in [0, 1) and is safe for use
@@ -104,8 +104,8 @@
 	if options.Random == nil {
 		options.Random = rand.Float64
 	}
-	if options.Hold == nil {
-		options.Hold = options.Fence
+	if options.Keep == nil {
+		options.Keep = options.Fence
 	}
 	return &Session{
 		API:     options.API,
@@ -113,7 +113,7 @@
 		worker:  options.Worker,
 		holder:  options.Holder,
 		fence:   options.Fence,
-		hold:    options.Hold,
+		keeping: options.Keep,
 		account: options.Account,
 		random:  options.Random,
 		cleared: make(chan struct{}),
--- a/internal/connection/worker/tasks.go
+++ b/internal/connection/worker/tasks.go
@@ -153,7 +153,7 @@
 // renewTasks renews the run leases of all tasks that should go on.
 func (s *Session) renewTasks(ctx context.Context) error {
 	s.expire()
-	if err := s.under(s.hold); err != nil {
+	if err := s.under(s.keeping); err != nil {
 		return err
 	}
 	batch := s.collect(func(entry *runTask) bool {
--- a/internal/instance/incarnation.go
+++ b/internal/instance/incarnation.go
@@ -25,7 +25,7 @@
 	self    ident.Incarnation
 	process *Instance
 	fence   *fence.Fence
-	hold    *fence.Fence
+	keep    *fence.Fence
 	node    *peer.Node
 	owner   *ownerAgent
 	runner  *start.Runner
@@ -37,8 +37,8 @@
 	group  sync.WaitGroup
 }
 
-func newIncarnation(process *Instance, self ident.Incarnation, bound, hold *fence.Fence) *incarnation {
-	c := &incarnation{self: self, process: process, fence: bound, hold: hold}
+func newIncarnation(process *Instance, self ident.Incarnation, bound, keep *fence.Fence) *incarnation {
+	c := &incarnation{self: self, process: process, fence: bound, keep: keep}
 	options := &process.options
 	accounts := ledger.New()
 	judged := newHealthAgent(options.Clock)
@@ -46,7 +46,7 @@
 		Self:      self,
 		Clock:     options.Clock,
 		Fence:     bound,
-		Hold:      hold,
+		Keep:      keep,
 		Ledger:    accounts,
 		Ownership: process.ownership,
 		Listing:   process.list.cell,
@@ -166,7 +166,7 @@
 // end stops everything of the incarnation.
 func (c *incarnation) end() {
 	c.fence.Revoke()
-	c.hold.Revoke()
+	c.keep.Revoke()
 	c.cancel()
 	c.node.Close()
 	c.group.Wait()
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -75,7 +75,7 @@
 type Instance struct {
 	options   Options
 	fence     *fence.Fence
-	hold      *fence.Fence
+	keep      *fence.Fence
 	budget    *logstream.Budget
 	gate      *drain.Gate
 	dump      *dump.Registry
@@ -108,7 +108,7 @@
 	i := &Instance{
 		options:   options,
 		fence:     fence.New(options.Clock.Now()),
-		hold:      fence.New(options.Clock.Now()),
+		keep:      fence.New(options.Clock.Now()),
 		budget:    logstream.NewBudget(float64(options.Appends)),
 		gate:      drain.New(),
 		dump:      dump.New(),
@@ -138,13 +138,13 @@
 		Log:           options.Log,
 		Budget:        i.budget,
 		Fence:         i.fence,
-		Hold:          i.hold,
+		Keep:          i.keep,
 		Promiser:      promiser{i},
 		Nonce:         options.Nonce,
 		Jitter:        options.Random,
 		ConfigVersion: i.config.Version,
 		OnIncarnation: i.revoke,
-		OnMember:      i.revokeHold,
+		OnMember:      i.revokeKeep,
 		OnEpoch:       i.epoch,
 	})
 	i.limits = newLimits(options.Clock.Now(), i.config.Rules(), i.memberCount, options.Random)
@@ -241,10 +241,10 @@
 	}
 }
 
-// revokeHold ends what the incarnation before self kept.
-func (i *Instance) revokeHold(self ident.Incarnation) {
+// revokeKeep ends what the incarnation before self kept.
+func (i *Instance) revokeKeep(self ident.Incarnation) {
 	if current := i.current.Load(); current != nil && current.self != self {
-		current.hold.Revoke()
+		current.keep.Revoke()
 	}
 }
 
@@ -281,7 +281,7 @@
 // replace installs an incarnation. The fence is bound before the check that the
 // incarnation is still the newest, so that a later one revokes it.
 func (i *Instance) replace(ctx context.Context, old *incarnation, self ident.Incarnation) {
-	next := newIncarnation(i, self, i.fence.Bind(), i.hold.Bind())
+	next := newIncarnation(i, self, i.fence.Bind(), i.keep.Bind())
 	i.current.Store(next)
 	next.owner.epoch(i.ownership.Load())
 	if i.members.Self() != self {
--- a/internal/instance/member.go
+++ b/internal/instance/member.go
@@ -43,9 +43,9 @@
 	Clock     clock.Clock
 	Log       logstream.Log
 	Budget    *logstream.Budget
-	// Fence is the lease for starting work, Hold the one for keeping what runs.
+	// Fence is the lease for starting work, Keep the one for what runs.
 	Fence    *fence.Fence
-	Hold     *fence.Fence
+	Keep     *fence.Fence
 	Promiser Promiser
 	// Nonce draws the random number of a new incarnation.
 	Nonce func() uint64
@@ -135,7 +135,7 @@
 func (a *MemberAgent) Run(ctx context.Context) {
 	var group sync.WaitGroup
 	defer group.Wait()
-	defer a.config.Hold.Close()
+	defer a.config.Keep.Close()
 	defer a.config.Fence.Close()
 	group.Go(func() { a.appender.Run(ctx) })
 	group.Go(func() { a.follower.Run(ctx) })
@@ -163,7 +163,7 @@
 	a.mu.Lock()
 	a.leaving = true
 	a.config.Fence.Close()
-	a.config.Hold.Close()
+	a.config.Keep.Close()
 	id, err := a.add(record.Leave{})
 	a.mu.Unlock()
 	if err != nil {
@@ -381,7 +381,7 @@
 
 func (a *MemberAgent) renew(sent, now time.Time) {
 	a.config.Fence.Renew(sent, membership.Lease)
-	a.config.Hold.Renew(sent, membership.Lease)
+	a.config.Keep.Renew(sent, membership.Lease)
 	a.opened = a.opened || a.config.Fence.Open(now)
 }
 
--- a/internal/instance/member_hold.go
+++ b/internal/instance/member_keep.go
@@ -11,7 +11,7 @@
 
 // A region that lost the log and the other regions starts nothing new, but what
 // runs there goes on: only members of the region ever own its workers, so their
-// promises alone exclude another owner. The hold is the lease that says so. It
+// promises alone exclude another owner. The keep lease says so. It
 // outlives the lease for starts, and the incarnation that lapsed keeps its
 // sessions with the workers until the next one is a member.
 
@@ -47,7 +47,7 @@
 
 // announceLapsed appends the Leave of each earlier incarnation. It proves to the
 // others that the incarnation is over, which they couldn't know if all instances
-// lapsed in the same outage. Its hold has to be over before.
+// lapsed in the same outage. Its keep lease has to be over before.
 func (a *MemberAgent) announceLapsed() {
 	if a.config.OnMember != nil {
 		a.config.OnMember(a.self)
--- a/internal/instance/member_promise.go
+++ b/internal/instance/member_promise.go
@@ -84,7 +84,7 @@
 		a.renew(request.sent, now)
 	}
 	if regional && (request.self == a.self && a.opened || a.keeps(request.self)) {
-		a.config.Hold.Renew(request.sent, membership.Lease)
+		a.config.Keep.Renew(request.sent, membership.Lease)
 	}
 }
 
--- a/internal/instance/member_test.go
+++ b/internal/instance/member_test.go
@@ -180,7 +180,7 @@
 	config := MemberConfig{
 		Name: ident.InstanceName(name), PeerAddress: name, Zone: "z", Region: sampleRegion, Retention: time.Hour,
 		Clock: gatedClock{ctx: ctx, gate: &n.gate}, Log: gatedLog{c.stub.Client(client), &n.gate},
-		Budget: logstream.NewBudget(25), Fence: n.fence, Hold: fence.New(time.Now()), Promiser: peers{c, n}, Nonce: nonces.Uint64,
+		Budget: logstream.NewBudget(25), Fence: n.fence, Keep: fence.New(time.Now()), Promiser: peers{c, n}, Nonce: nonces.Uint64,
 		Jitter: func() float64 { mu.Lock(); defer mu.Unlock(); return random.Float64() },
 	}
 	if c.configure != nil {
--- a/internal/instance/owner.go
+++ b/internal/instance/owner.go
@@ -29,7 +29,7 @@
 	Self      ident.Incarnation
 	Clock     clock.Clock
 	Fence     *fence.Fence
-	Hold      *fence.Fence
+	Keep      *fence.Fence
 	Ledger    *ledger.Ledger
 	Ownership *publish.Cell[ownership.Table]
 	Listing   *publish.Cell[Listing]
@@ -198,7 +198,7 @@
 		Worker:  listed.ID,
 		Holder:  a.options.Self,
 		Fence:   a.options.Fence,
-		Hold:    a.options.Hold,
+		Keep:    a.options.Keep,
 		Account: account,
 		Random:  a.options.Random,
 	})
