--- a/internal/version/election/vacancy.go
+++ b/internal/version/election/vacancy.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// TermLease is how long a term lasts without a renewal: three of them may
-	// fail.
+	// TermLease is how long a term lasts without a renewal. With one each 0.5 s,
+	// two may fail.
 	TermLease = 1500 * time.Millisecond
 	// StalledAfter is the age of the newest renewal, as the holder itself shows
 	// it, at which others that reach the log try to take over.
