cell: one own load for each serving step; pairs of images learned with their variances

The rest of the error was put down to pairs of images, which are in truth either harmless (under 0.012 a core) or bad (0.03 to 0.11).

Now a step has one estimate with a trend, corrected by the reports of all workers, and a report divides its error between load and pairs by their variances. Of a pair of which little is known one task is tried at a time; the filler that presses most is slowed first; a tail counts as over its target by the mean of a step's tasks, since single tails are too high at times.

--- a/internal/version/cell/job.go
+++ b/internal/version/cell/job.go
@@ -53,6 +53,8 @@
 	advice *advice
 	// perWorker counts the runs on each worker, for steps with a spread.
 	perWorker map[WorkerID]int
+	// load is that of the users of a serving step.
+	load ownLoad
 }
 
 // task is one unit of work.
--- a/internal/version/cell/learned.go
+++ b/internal/version/cell/learned.go
@@ -12,7 +12,7 @@
 // RestoreLearned takes over what an earlier leader learned about images.
 func (c *Cell) RestoreLearned(record LearnedRecord) {
 	for _, known := range record.Pairs {
-		c.pressures.coefficients[pair{known.Serving, known.Filling}] = known.Coefficient
+		c.pressures.coefficients[pair{known.Serving, known.Filling}] = &coefficient{mean: known.Coefficient, variance: learnedVariance}
 	}
 	maps.Copy(c.pressures.unloaded, record.Unloaded)
 	maps.Copy(c.images.ratio, record.Ratios)
@@ -27,8 +27,11 @@
 	}
 	c.saved = now
 	record := &LearnedRecord{Unloaded: maps.Clone(c.pressures.unloaded), Ratios: maps.Clone(c.images.ratio)}
-	for images, coefficient := range c.pressures.coefficients {
-		record.Pairs = append(record.Pairs, PairRecord{Serving: images.serving, Filling: images.filling, Coefficient: coefficient})
+	for images, known := range c.pressures.coefficients {
+		if known.variance >= trialVariance {
+			continue
+		}
+		record.Pairs = append(record.Pairs, PairRecord{Serving: images.serving, Filling: images.filling, Coefficient: known.mean})
 	}
 	c.write.Learned = record
 }
--- a/internal/version/cell/pace.go
+++ b/internal/version/cell/pace.go
@@ -1,6 +1,8 @@
 package cell
 
 import (
+	"cmp"
+	"slices"
 	"time"
 )
 
@@ -17,8 +19,13 @@
 	minPace = 3
 	// paceStep is the least change of a pace that is worth an order.
 	paceStep = 8
-	// harmless is the pressure of a task that is never slowed for.
-	harmless = 0.03
+	// harmless is the pressure of a task that is placed whatever room is left
+	// and never slowed but for a tail over its target.
+	harmless = 0.06
+	// placeAhead is how far ahead a new task must find room, paceAhead how far
+	// until the next report can slow it.
+	placeAhead = 1500 * time.Millisecond
+	paceAhead  = 800 * time.Millisecond
 	// emergency multiplies the budget of a worker whose tail is over its
 	// target, at each report, and recovery lets it grow back.
 	emergency = 0.5
@@ -41,8 +48,6 @@
 
 // fillState is what is known about the room for work that fills on a worker.
 type fillState struct {
-	// base is the pressure of the own load of each serving image.
-	base map[string]float64
 	// budget is the part of the allowed pressure that may be used; 0 stands
 	// for 1.
 	budget float64
@@ -50,13 +55,6 @@
 	over time.Time
 }
 
-func (f *fillState) baseOf(image string) float64 {
-	if known, found := f.base[image]; found {
-		return known
-	}
-	return initialBase
-}
-
 func (f *fillState) share() float64 {
 	if f.budget == 0 {
 		return 1
@@ -68,14 +66,14 @@
 type load struct {
 	// demand is the thousandths of a core that the runs are assumed to use.
 	demand float64
-	// serving holds the serving images, with the pressure that is left beside
-	// their own load and all that fills, at full speed.
+	// serving holds the serving steps, filling the pressure on each of all that
+	// fills, at full speed.
 	serving []serving
-	left    []float64
+	filling []float64
 }
 
-// loadOf returns the sums for a worker, computed anew if its runs or its
-// pressures changed.
+// loadOf returns the sums for a worker, computed anew if its runs changed or it
+// reported.
 func (c *Cell) loadOf(w *worker) *load {
 	if w.load != nil {
 		return w.load
@@ -84,13 +82,11 @@
 	for r := range w.runs {
 		l.demand += r.demand()
 		if r.task.serves() {
-			l.serving = addServing(l.serving, r.task.spec().Image, r.task.spec().TargetMillis)
+			l.serving, _ = servingOf(l.serving, r.task.step)
 		}
 	}
-	for i := range l.serving {
-		s := &l.serving[i]
-		s.allowed = targetShare * c.pressures.of(s.image, s.target, s.target)
-		l.left = append(l.left, s.allowed*w.fill.share()-w.fill.baseOf(s.image)-c.filling(s.image, w))
+	for _, s := range l.serving {
+		l.filling = append(l.filling, c.filling(s.image, w))
 	}
 	w.load = l
 	return l
@@ -98,22 +94,37 @@
 
 // fillRoom returns the spare cores beside the task, less what its pressure on
 // the serving tasks costs, and whether it could work at full speed.
-func (c *Cell) fillRoom(t *task, w *worker) (cores float64, enough bool) {
+func (c *Cell) fillRoom(now time.Time, t *task, w *worker) (cores float64, enough bool) {
 	l := c.loadOf(w)
 	need := float64(t.spec().CPU)
-	left := float64(w.info.Capacity.CPU) - l.demand - need
-	if left < 0 {
+	spare := float64(w.info.Capacity.CPU) - l.demand - need
+	if spare < 0 {
 		return 0, false
 	}
 	worst := 0.0
 	for i, s := range l.serving {
-		added := c.pressures.coefficient(s.image, t.spec().Image) * need / 1000
-		if added > harmless && added > l.left[i] {
+		if !c.pressures.mayTry(now, s.image, t.spec().Image) {
+			return 0, false
+		}
+		added := c.pressures.pair(s.image, t.spec().Image).cautious() * need / 1000
+		left := c.pressures.allowed(s.image, s.target)*w.fill.share() - s.step.load.highest(now, placeAhead) - l.filling[i]
+		if added > harmless && added > left {
 			return 0, false
 		}
 		worst = max(worst, added)
 	}
-	return left/1000 - pressureWeight*worst, true
+	return spare/1000 - pressureWeight*worst, true
+}
+
+// tried notes that a task is placed beside serving images of which little may be
+// known.
+func (c *Cell) tried(now time.Time, t *task, w *worker) {
+	if !t.spec().Fills {
+		return
+	}
+	for _, s := range c.loadOf(w).serving {
+		c.pressures.entry(s.image, t.spec().Image).tried = now
+	}
 }
 
 // filling returns the pressure on a serving image of all that fills on a
@@ -130,7 +141,7 @@
 
 // pressureOf returns the pressure of one run at full speed.
 func (c *Cell) pressureOf(image string, r *run) float64 {
-	return c.pressures.coefficient(image, r.task.spec().Image) * float64(r.task.spec().CPU) / 1000
+	return c.pressures.pair(image, r.task.spec().Image).cautious() * float64(r.task.spec().CPU) / 1000
 }
 
 // demand returns the thousandths of a core that a run is assumed to use.
@@ -149,26 +160,25 @@
 // pace learns from a report and adapts the speed of what fills on the worker.
 func (c *Cell) pace(now time.Time, w *worker) {
 	w.load = nil
-	images := c.observe(now, w)
-	if w.fill.base == nil {
-		w.fill.base = map[string]float64{}
-	}
+	steps := c.observe(now, w)
+	fillers := w.uses()
 	over := false
-	for _, s := range images {
-		w.fill.base[s.image] = c.pressures.learn(s, w.fill.baseOf(s.image), w)
-		over = over || s.worst > 1
+	for _, s := range steps {
+		c.pressures.learn(now, s, fillers)
+		over = over || s.tail > 1
 	}
 	w.fill.adapt(now, over)
+	paces := c.paces(now, steps, w)
 	for r := range w.runs {
 		if r.fills() {
-			c.setPace(now, r, c.limit(now, images, r, w))
+			c.setPace(now, r, c.limit(now, paces[r], r, w))
 		}
 	}
 }
 
 // limit returns the pace of a run. What is learned decides until a tail stays
 // over its target: then all that fills is held, whatever is believed of it.
-func (c *Cell) limit(now time.Time, images []serving, r *run, w *worker) int {
+func (c *Cell) limit(now time.Time, pace int, r *run, w *worker) int {
 	over := w.fill.overFor(now)
 	if over >= stopAfter && r.percent <= stopBelow {
 		c.note(Note{Event: "run displaced", Task: r.task.id(), Run: r.number, Worker: w.info.ID, Age: over})
@@ -178,7 +188,7 @@
 	if over >= holdAfter {
 		return minPace
 	}
-	return c.paceFor(images, r, w)
+	return pace
 }
 
 // adapt shrinks the budget while a tail is over its target.
@@ -202,24 +212,56 @@
 	return now.Sub(f.over)
 }
 
-// paceFor returns the share of full speed, in percent, at which all serving
-// images beside the run keep their targets.
-func (c *Cell) paceFor(images []serving, r *run, w *worker) int {
-	pace := 100.0
-	for _, s := range images {
-		if c.pressureOf(s.image, r) <= harmless {
-			continue
+// paces returns the share of full speed, in percent, of each run that fills, at
+// which all serving steps on the worker keep their targets. Those that press
+// most are slowed first: that costs the least work.
+func (c *Cell) paces(now time.Time, steps []serving, w *worker) map[*run]int {
+	paces := map[*run]int{}
+	for r := range w.runs {
+		if r.fills() {
+			paces[r] = 100
+		}
+	}
+	for _, s := range steps {
+		room := c.pressures.allowed(s.image, s.target)*w.fill.share() - s.step.load.highest(now, paceAhead)
+		c.slowFor(s.image, room, paces)
+	}
+	return paces
+}
+
+// slowFor lowers paces until their pressure on an image is within the room,
+// without those of harmless tasks.
+func (c *Cell) slowFor(image string, room float64, paces map[*run]int) {
+	total := 0.0
+	pressing := make([]*run, 0, len(paces))
+	for r, pace := range paces {
+		total += c.pressureOf(image, r) * float64(pace) / 100
+		pressing = append(pressing, r)
+	}
+	if total <= room {
+		return
+	}
+	slices.SortFunc(pressing, func(a, b *run) int {
+		return cmp.Compare(c.perCore(image, b), c.perCore(image, a))
+	})
+	for _, r := range pressing {
+		full := c.pressureOf(image, r)
+		if full <= harmless {
+			return
 		}
-		total := 0.0
-		for other := range w.runs {
-			if p := c.pressureOf(s.image, other); other.fills() && p > harmless {
-				total += p
-			}
+		others := total - full*float64(paces[r])/100
+		pace := max(minPace, min(paces[r], int(100*(room-others)/full)))
+		total = others + full*float64(pace)/100
+		paces[r] = pace
+		if total <= room {
+			return
 		}
-		room := max(0, s.allowed-w.fill.baseOf(s.image)) * w.fill.share()
-		pace = min(pace, 100*room/total)
 	}
-	return int(max(minPace, pace))
+}
+
+// perCore returns the pressure of a core of a run on an image.
+func (c *Cell) perCore(image string, r *run) float64 {
+	return c.pressures.pair(image, r.task.spec().Image).cautious()
 }
 
 func (c *Cell) setPace(now time.Time, r *run, percent int) {
--- a/internal/version/cell/place.go
+++ b/internal/version/cell/place.go
@@ -105,7 +105,7 @@
 		score -= offDataRack * (c.config.RemoteFactor - 1)
 	}
 	if spec.Fills {
-		room, enough := c.fillRoom(t, w)
+		room, enough := c.fillRoom(now, t, w)
 		return score + room, enough
 	}
 	// The fullest worker that has room, so that large tasks find a place too.
--- a/internal/version/cell/pressure.go
+++ b/internal/version/cell/pressure.go
@@ -10,39 +10,43 @@
 // answers in b/(1-p), so that the pressures of several causes add up where
 // their tails don't.
 //
-// The pressure on a serving image is that of its own load, and for each task
-// that fills beside it a coefficient of the pair of images times the cores that
-// the task uses. Coefficients are scaled by what each report misses, since the
-// pairs differ by orders of magnitude and only a few are bad.
+// The pressure on a serving task is that of its step's own load, and for each
+// task that fills beside it a coefficient of the pair of images times the cores
+// that the task uses. A report corrects both in proportion to what is not known
+// of each: the variances are those of a Kalman filter without covariances.
 
 const (
 	// unknownCoefficient is assumed for a pair without reports, in pressure per
-	// core: the filler is let in, on few cores.
+	// core, with unknownVariance. Most pairs don't disturb each other and some
+	// do by a tenth of the whole per core.
 	unknownCoefficient = 0.012
-	// learningRate is the part of an error that one report corrects upwards,
-	// maxGrowth the most that a coefficient grows by, as a multiple, and decay
-	// the most that it shrinks by.
-	learningRate = 0.6
-	maxGrowth    = 3.0
-	decay        = 0.25
-	// halfKnown is the number of cores at which a report counts half.
-	halfKnown = 1.5
-	// leastExpected keeps a small expectation from growing without bound.
-	leastExpected = 0.05
-	// minCoefficient lets a harmless pair become a bad one again.
-	minCoefficient = 0.002
+	unknownVariance    = 0.05 * 0.05
+	// learnedVariance is that of a pair that an earlier leader learned.
+	learnedVariance = 0.015 * 0.015
+	// leastVariance lets a pair that is well known change.
+	leastVariance = 0.004 * 0.004
+	// trialVariance is that of a pair of which one task at a time is tried.
+	trialVariance = 0.03 * 0.03
+	// trialPeriod is the time between two such tasks: until the first is
+	// reported at work.
+	trialPeriod = 400 * time.Millisecond
+	// caution is the number of standard deviations by which a pair is taken to
+	// be worse than believed.
+	caution = 0.25
 	// maxCoefficient is that of a filler of which one core is too much.
 	maxCoefficient = 0.6
-	// swing is what the own load alone adds at times. Only what exceeds it is
-	// put down to a filler, since most pairs don't disturb each other.
-	swing = 0.1
-	// baseRate is the weight of one report in the pressure of the own load.
-	baseRate = 0.3
-	// initialBase is assumed for the own load until the first report.
-	initialBase = 0.35
+	// reportNoise is the standard deviation of a pressure that a report shows,
+	// tailRounding that of a tail in milliseconds.
+	reportNoise  = 0.03
+	tailRounding = 0.3
+	// outlier is the number of standard deviations beyond which a report
+	// counts no more: single tails are far too high at times.
+	outlier = 3
+	// reportAge is how old the middle of the span is that a report covers.
+	reportAge = 250 * time.Millisecond
 	// targetShare is the part of the pressure at the target that is used; the
 	// rest is for the swing of the own load within one report's age.
-	targetShare = 0.72
+	targetShare = 0.9
 	// unloadedShare is the part of its target that an unloaded tail is taken
 	// for until the lowest tail seen replaces it.
 	unloadedShare = 0.25
@@ -51,22 +55,51 @@
 // pair is a serving image and an image that fills beside it.
 type pair struct{ serving, filling string }
 
+// coefficient is what is known of a pair.
+type coefficient struct {
+	// mean is in pressure per core.
+	mean, variance float64
+	// tried is when a task was last placed while little was known.
+	tried time.Time
+}
+
+// cautious returns a coefficient that is higher the less is known.
+func (k coefficient) cautious() float64 { return k.mean + caution*math.Sqrt(k.variance) }
+
 // pressures holds what was learned about serving images.
 type pressures struct {
-	coefficients map[pair]float64
+	coefficients map[pair]*coefficient
 	// unloaded is the lowest tail of each serving image, in milliseconds.
 	unloaded map[string]float64
 }
 
 func newPressures() pressures {
-	return pressures{coefficients: map[pair]float64{}, unloaded: map[string]float64{}}
+	return pressures{coefficients: map[pair]*coefficient{}, unloaded: map[string]float64{}}
 }
 
-func (p *pressures) coefficient(serving, filling string) float64 {
-	if known, found := p.coefficients[pair{serving, filling}]; found {
-		return known
+// pair returns what is known of a pair.
+func (p *pressures) pair(serving, filling string) coefficient {
+	if known := p.coefficients[pair{serving, filling}]; known != nil {
+		return *known
 	}
-	return unknownCoefficient
+	return coefficient{mean: unknownCoefficient, variance: unknownVariance}
+}
+
+// entry returns the kept state of a pair.
+func (p *pressures) entry(serving, filling string) *coefficient {
+	known := p.coefficients[pair{serving, filling}]
+	if known == nil {
+		known = &coefficient{mean: unknownCoefficient, variance: unknownVariance}
+		p.coefficients[pair{serving, filling}] = known
+	}
+	return known
+}
+
+// mayTry says whether a task may be placed beside a serving image: of a pair of
+// which little is known, one at a time.
+func (p *pressures) mayTry(now time.Time, serving, filling string) bool {
+	known := p.pair(serving, filling)
+	return known.variance < trialVariance || now.Sub(known.tried) >= trialPeriod
 }
 
 // floor returns the unloaded tail of a serving image.
@@ -86,51 +119,70 @@
 	return 1 - floor/tail
 }
 
-// serving is what a worker's report says about one serving image.
+// allowed returns the pressure up to which serving tasks of an image may be
+// disturbed.
+func (p *pressures) allowed(image string, target float64) float64 {
+	return targetShare * p.of(image, target, target)
+}
+
+// noise returns the variance of the pressure that a tail shows.
+func (p *pressures) noise(image string, tail, target float64) float64 {
+	rounding := tailRounding * p.floor(image, target) / (tail * tail)
+	return reportNoise*reportNoise + rounding*rounding
+}
+
+func (p *pressures) seeTail(image string, tail float64) {
+	if known, found := p.unloaded[image]; !found || tail < known {
+		p.unloaded[image] = tail
+	}
+}
+
+// serving is what a worker's report says about one serving step.
 type serving struct {
+	step   *step
 	image  string
 	target float64
-	// pressure is the mean over the tasks of the image, allowed the most that
-	// keeps the tail within the target.
-	pressure float64
-	allowed  float64
-	worst    float64
-	count    int
+	// pressure is the mean over the tasks of the step, noise its variance.
+	pressure, noise float64
+	// tail is the mean tail, as a multiple of the target. Single tails are too
+	// high at times.
+	tail  float64
+	count float64
 }
 
-// observe returns the serving images on a worker with their pressures.
+// observe returns the serving steps on a worker with their pressures.
 func (c *Cell) observe(now time.Time, w *worker) []serving {
 	var seen []serving
 	for r := range w.runs {
 		if !r.atWork(now) {
 			continue
 		}
-		image, target, tail := r.task.spec().Image, r.task.spec().TargetMillis, float64(r.gauge)
-		c.pressures.seeTail(image, tail)
-		seen = addServing(seen, image, target)
-		for i := range seen {
-			if seen[i].image == image {
-				seen[i].pressure += c.pressures.of(image, tail, target)
-				seen[i].worst = max(seen[i].worst, tail/target)
-				seen[i].count++
-			}
-		}
+		spec, tail := r.task.spec(), float64(r.gauge)
+		c.pressures.seeTail(spec.Image, tail)
+		var s *serving
+		seen, s = servingOf(seen, r.task.step)
+		s.pressure += c.pressures.of(spec.Image, tail, spec.TargetMillis)
+		s.noise += c.pressures.noise(spec.Image, tail, spec.TargetMillis)
+		s.tail += tail / spec.TargetMillis
+		s.count++
 	}
 	for i := range seen {
-		seen[i].pressure /= float64(seen[i].count)
-		seen[i].allowed = targetShare * c.pressures.of(seen[i].image, seen[i].target, seen[i].target)
+		seen[i].pressure /= seen[i].count
+		seen[i].noise /= seen[i].count
+		seen[i].tail /= seen[i].count
 	}
 	return seen
 }
 
-func addServing(seen []serving, image string, target float64) []serving {
-	for i := range seen {
-		if seen[i].image == image {
-			seen[i].target = min(seen[i].target, target)
-			return seen
+// servingOf finds or adds the entry of a step.
+func servingOf(list []serving, st *step) ([]serving, *serving) {
+	for i := range list {
+		if list[i].step == st {
+			return list, &list[i]
 		}
 	}
-	return append(seen, serving{image: image, target: target})
+	list = append(list, serving{step: st, image: st.spec.Image, target: st.spec.TargetMillis})
+	return list, &list[len(list)-1]
 }
 
 // startup is how long after its start the tail of a serving task says nothing.
@@ -141,51 +193,52 @@
 	return r.task.serves() && r.phase == running && r.gauge > 0 && now.Sub(r.answered) > startup
 }
 
-func (p *pressures) seeTail(image string, tail float64) {
-	if known, found := p.unloaded[image]; !found || tail < known {
-		p.unloaded[image] = tail
-	}
+// use is the number of cores that an image that fills uses on a worker.
+type use struct {
+	image string
+	cores float64
 }
 
-// learn corrects the coefficients of one serving image by a report, and
-// returns the pressure of its own load.
-func (p *pressures) learn(s serving, base float64, w *worker) float64 {
-	expected := 0.0
-	cores := map[string]float64{}
+// uses sums up what fills on a worker by image.
+func (w *worker) uses() []use {
+	var sums []use
+next:
 	for r := range w.runs {
-		if r.fills() && r.gauge > 0 {
-			cores[r.task.spec().Image] += float64(r.gauge) / 1000
+		if !r.fills() || r.gauge <= 0 {
+			continue
 		}
+		image, cores := r.task.spec().Image, float64(r.gauge)/1000
+		for i := range sums {
+			if sums[i].image == image {
+				sums[i].cores += cores
+				continue next
+			}
+		}
+		sums = append(sums, use{image, cores})
 	}
-	for image, used := range cores {
-		expected += p.coefficient(s.image, image) * used
-	}
-	p.correct(s.image, cores, expected, s.pressure-base-expected)
-	return base + baseRate*(math.Max(0, s.pressure-expected)-base)
+	return sums
 }
 
-// correct scales the coefficients of the images that were at work by what a
-// report missed. Those that are believed to do most of the harm are scaled most,
-// so that an image that was harmless elsewhere isn't blamed for its neighbour.
-func (p *pressures) correct(image string, cores map[string]float64, expected, miss float64) {
-	if len(cores) == 0 {
-		return
+// learn corrects the own load of a serving step and the coefficients of what
+// fills beside it by what a report of one worker shows.
+func (p *pressures) learn(now time.Time, s serving, fillers []use) {
+	at := now.Add(-reportAge)
+	load := &s.step.load
+	loadVariance := load.varianceAt(at)
+	total := loadVariance + s.noise
+	miss := s.pressure - load.expect(at)
+	for _, f := range fillers {
+		known := p.pair(s.image, f.image)
+		miss -= known.mean * f.cores
+		total += known.variance * f.cores * f.cores
 	}
-	largest := 0.0
-	for filling, used := range cores {
-		largest = math.Max(largest, p.coefficient(image, filling)*used)
-	}
-	for filling, used := range cores {
-		known := p.coefficient(image, filling)
-		share := known * used / largest
-		certainty := used / (used + halfKnown)
-		switch {
-		case miss > swing:
-			growth := math.Min(maxGrowth, learningRate*(miss-swing)/math.Max(expected, leastExpected))
-			known *= 1 + growth*share*certainty
-		case miss < 0:
-			known *= 1 - decay*math.Min(1, -miss/math.Max(expected, leastExpected))*certainty
-		}
-		p.coefficients[pair{image, filling}] = math.Min(maxCoefficient, math.Max(minCoefficient, known))
+	limit := outlier * math.Sqrt(total)
+	miss = math.Min(limit, math.Max(-limit, miss))
+	for _, f := range fillers {
+		known := p.entry(s.image, f.image)
+		gain := known.variance * f.cores / total
+		known.mean = math.Min(maxCoefficient, math.Max(0, known.mean+gain*miss))
+		known.variance = math.Max(leastVariance, known.variance*(1-gain*f.cores))
 	}
+	load.correct(at, miss, loadVariance/total)
 }
--- a/internal/version/cell/schedule.go
+++ b/internal/version/cell/schedule.go
@@ -240,6 +240,7 @@
 
 func (c *Cell) order(now time.Time, t *task, w *worker, number int64) {
 	r := &run{task: t, number: number, phase: starting, size: t.size(), ordered: now, pace: 100}
+	c.tried(now, t, w)
 	t.queued = false
 	t.lastRun = number
 	t.runs = append(t.runs, r)
