entry: send an append again while its answer is missing

Cause: an append whose answer the log lost, or that a silent log held, blocked its writer for 0.8 s, and after 0.5 s all new jobs were refused, though the log answered other calls. Now a copy under the same sequence goes out every 0.25 s; the log gives a repeat its first answer.

TestLostAnswerOfAnAppendIsAskedForAgainSoon fails without it (900 ms).

--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -159,16 +159,12 @@
 	w.began.Store(time.Now().UnixNano())
 	defer w.began.Store(0)
 	for {
-		call, cancel := context.WithTimeout(ctx, callTimeout)
-		producer := w.producer
-		_, err := w.log.Append(call, w.partition, records, store.Condition{Writer: &producer})
-		cancel()
+		err := w.attempt(ctx, records)
 		if err == nil {
 			w.producer.Sequence++
 			return nil
 		}
-		switch store.ReasonOf(err) {
-		case store.Fenced, store.Rejected, store.OutOfSequence:
+		if settled(err) {
 			return fault.Wrap(fault.Fenced, err, "append %d of epoch %d", w.producer.Sequence, w.producer.Epoch)
 		}
 		w.failed(err)
@@ -178,3 +174,53 @@
 		sleep(ctx, writePause)
 	}
 }
+
+// attempt sends an append, and again under the same sequence on another
+// connection while no answer comes: a lost answer is given again to any copy,
+// and a log that was silent answers the first copy sent after its return. The
+// error is that of the last copy.
+func (w *writer) attempt(ctx context.Context, records []store.Record) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	results := make(chan error, 1+int(callTimeout/copyPause))
+	pending := 0
+	send := func() {
+		pending++
+		producer := w.producer
+		go func() {
+			_, err := w.log.Append(ctx, w.partition, records, store.Condition{Writer: &producer})
+			results <- err
+		}()
+	}
+	send()
+	copies := time.NewTicker(copyPause)
+	defer copies.Stop()
+	for {
+		select {
+		case err := <-results:
+			pending--
+			if err == nil || settled(err) || pending == 0 {
+				return err
+			}
+		case <-copies.C:
+			if ctx.Err() == nil {
+				send()
+			}
+		}
+	}
+}
+
+// copyPause is the time without an answer after which an append is sent again.
+// The log answers within 4 ms, and within 65 ms from another region.
+const copyPause = 250 * time.Millisecond
+
+// settled says whether an error shows that the append has not been and never
+// will be done.
+func settled(err error) bool {
+	switch store.ReasonOf(err) {
+	case store.Fenced, store.Rejected, store.OutOfSequence:
+		return true
+	default:
+		return false
+	}
+}
