--- a/internal/version/cell/pace.go
+++ b/internal/version/cell/pace.go
@@ -165,7 +165,8 @@
 	over := false
 	for _, s := range steps {
 		c.pressures.learn(now, s, fillers)
-		over = over || s.tail > 1
+		// Tails are rounded, so one at the target may be over it.
+		over = over || s.tail >= 1
 	}
 	w.fill.adapt(now, over)
 	paces := c.paces(now, steps, w)
