cell: one filter for workers that may get a task; a pair of images is looked up once for a place

The filter "usable, has room, allowed" stood in best and toAsk, and fillRoom looked a pair up twice for each worker and serving step. No change of behaviour.

--- a/internal/version/cell/advice.go
+++ b/internal/version/cell/advice.go
@@ -96,9 +96,8 @@
 // are known to be allowed, then the best that were not judged yet.
 func (c *Cell) toAsk(now time.Time, t *task) []WorkerID {
 	var again, fresh []WorkerID
-	size := t.size()
 	for _, w := range c.list() {
-		if !w.usable(now) || !w.free().fits(size) || !w.allowed(t) {
+		if !w.takes(now, t) {
 			continue
 		}
 		_, ticketed := t.step.advice.tickets[w.info.ID]
--- a/internal/version/cell/fill.go
+++ b/internal/version/cell/fill.go
@@ -53,10 +53,11 @@
 	}
 	worst := 0.0
 	for i, s := range l.serving {
-		if !c.pressures.mayTry(now, s.image, t.spec().Image) {
+		known := c.pressures.pair(s.image, t.spec().Image)
+		if !known.mayTry(now) {
 			return 0, false
 		}
-		added := c.pressures.pair(s.image, t.spec().Image).cautious() * need / 1000
+		added := known.cautious() * need / 1000
 		left := c.pressures.allowed(s.image, s.target)*w.fill.share() - s.step.load.highest(now, placeAhead) - l.filling[i]
 		if added > harmless && added > left {
 			return 0, false
@@ -91,7 +92,7 @@
 
 // pressureOf returns the pressure of one run at full speed.
 func (c *Cell) pressureOf(image string, r *run) float64 {
-	return c.pressures.pair(image, r.task.spec().Image).cautious() * float64(r.task.spec().CPU) / 1000
+	return c.perCore(image, r) * float64(r.task.spec().CPU) / 1000
 }
 
 // demand returns the thousandths of a core that a run is assumed to use.
--- a/internal/version/cell/load_test.go
+++ b/internal/version/cell/load_test.go
@@ -90,12 +90,12 @@
 	c, _, _ := twoServing(t)
 	now := testStart.Add(2 * startup)
 	known := c.pressures.entry("serve", "other")
-	assert.Assert(t, c.pressures.mayTry(now, "serve", "other"))
+	assert.Assert(t, c.pressures.pair("serve", "other").mayTry(now))
 	known.tried = now
-	assert.Assert(t, !c.pressures.mayTry(now.Add(trialPeriod/2), "serve", "other"))
-	assert.Assert(t, c.pressures.mayTry(now.Add(trialPeriod), "serve", "other"))
+	assert.Assert(t, !c.pressures.pair("serve", "other").mayTry(now.Add(trialPeriod/2)))
+	assert.Assert(t, c.pressures.pair("serve", "other").mayTry(now.Add(trialPeriod)))
 	known.tried, known.variance = now, trialVariance/2
-	assert.Assert(t, c.pressures.mayTry(now, "serve", "other"))
+	assert.Assert(t, c.pressures.pair("serve", "other").mayTry(now))
 }
 
 // Guards against slowing a harmless filler for what another one does.
--- a/internal/version/cell/place.go
+++ b/internal/version/cell/place.go
@@ -37,9 +37,8 @@
 func (c *Cell) best(now time.Time, t *task, suitable func(*worker) bool) *worker {
 	var best *worker
 	var bestScore float64
-	size := t.size()
 	for _, w := range c.list() {
-		if !suitable(w) || !w.usable(now) || !w.free().fits(size) || !w.allowed(t) || !t.permitted(now, w) {
+		if !suitable(w) || !w.takes(now, t) || !t.permitted(now, w) {
 			continue
 		}
 		score, possible := c.score(now, t, w)
--- a/internal/version/cell/pressure.go
+++ b/internal/version/cell/pressure.go
@@ -27,8 +27,8 @@
 	leastVariance = 0.004 * 0.004
 	// trialVariance is that of a pair of which one task at a time is tried.
 	trialVariance = 0.03 * 0.03
-	// trialPeriod is the time between two such tasks: until the first is
-	// reported at work.
+	// trialPeriod is the time between two such tasks. A busy worker reports
+	// about as often.
 	trialPeriod = 400 * time.Millisecond
 	// caution is the number of standard deviations by which a pair is taken to
 	// be worse than believed.
@@ -66,6 +66,12 @@
 // cautious returns a coefficient that is higher the less is known.
 func (k coefficient) cautious() float64 { return k.mean + caution*math.Sqrt(k.variance) }
 
+// mayTry says whether a task may be placed: of a pair of which little is known,
+// one at a time.
+func (k coefficient) mayTry(now time.Time) bool {
+	return k.variance < trialVariance || now.Sub(k.tried) >= trialPeriod
+}
+
 // pressures holds what was learned about serving images.
 type pressures struct {
 	coefficients map[pair]*coefficient
@@ -95,13 +101,6 @@
 	return known
 }
 
-// mayTry says whether a task may be placed beside a serving image: of a pair of
-// which little is known, one at a time.
-func (p *pressures) mayTry(now time.Time, serving, filling string) bool {
-	known := p.pair(serving, filling)
-	return known.variance < trialVariance || now.Sub(known.tried) >= trialPeriod
-}
-
 // floor returns the unloaded tail of a serving image.
 func (p *pressures) floor(image string, target float64) float64 {
 	if known, found := p.unloaded[image]; found {
--- a/internal/version/cell/worker.go
+++ b/internal/version/cell/worker.go
@@ -58,6 +58,11 @@
 	return spec.Spread == 0 || t.step.perWorker[w.info.ID] < spec.Spread
 }
 
+// takes says whether the worker may get the task now and has room for it.
+func (w *worker) takes(now time.Time, t *task) bool {
+	return w.usable(now) && w.free().fits(t.size()) && w.allowed(t)
+}
+
 // attach counts a run on the worker.
 func (w *worker) attach(r *run) {
 	r.worker = w
