--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -307,6 +307,7 @@
 
 // Silent implements workerlink.Sink.
 func (l *leadership) Silent(worker cell.WorkerID, leaseUntil time.Time, err error) {
+	l.entry.options.Journal.Retry("hold of "+string(worker), err)
 	l.post(func(now time.Time, c *cell.Cell) { c.Silent(now, worker, leaseUntil) })
 }
 
