cell: log why a ready task has no run

The log did not tell whether the workers were fenced off, distrusted or full, or whether the task counted as running.

After 3 s, and at most once a second, the task that has been ready for the longest time is logged with the number of workers for each obstacle.

--- a/internal/version/cell/cell.go
+++ b/internal/version/cell/cell.go
@@ -35,8 +35,10 @@
 	// ranked.
 	needsRanking bool
 	rankedAt     time.Time
-	periodicJobs []*job
-	changedJobs  []*job
+	// waitReportedAt is when a waiting task was last logged.
+	waitReportedAt time.Time
+	periodicJobs   []*job
+	changedJobs    []*job
 
 	effects Effects
 	write   WriteBatch
--- a/internal/version/cell/place.go
+++ b/internal/version/cell/place.go
@@ -10,16 +10,21 @@
 	return c.findWorkerExcept(now, t, nil)
 }
 
-// findWorkerExcept is like findWorker but never returns the worker avoid. For a
-// long-running task, it returns nil if the capacity reserved for short tasks
-// would be used, unless the task is overdue or there are enoughPlaces.
+// findWorkerExcept is like findWorker but never returns the worker avoid.
 func (c *Cell) findWorkerExcept(now time.Time, t *task, avoid *worker) *worker {
-	if t.spec().LongRunning && !t.overdue(now) && !c.reserve.allows(c.totals.free, t.size().CPU) && c.countPlaces(now, t) < enoughPlaces {
+	if c.blockedByReserve(now, t) {
 		return nil
 	}
 	return c.bestWorker(now, t, func(w *worker) bool { return w != avoid })
 }
 
+// blockedByReserve reports whether a long-running task would use the capacity
+// reserved for short tasks. That doesn't keep a task waiting that is overdue or
+// for which there are enoughPlaces.
+func (c *Cell) blockedByReserve(now time.Time, t *task) bool {
+	return t.spec().LongRunning && !t.overdue(now) && !c.reserve.allows(c.totals.free, t.size().CPU) && c.countPlaces(now, t) < enoughPlaces
+}
+
 // longRunningMaxWait is how long a ready long-running task waits behind short
 // tasks. After that it is overdue if it has run before or if its job has not
 // started any task. If there is capacity for such a task, it must run again
--- a/internal/version/cell/tick.go
+++ b/internal/version/cell/tick.go
@@ -4,7 +4,7 @@
 
 // Tick does the work that depends on time alone: it opens due occurrences,
 // expires leases, repeats stop orders that had no effect, forgets ended jobs,
-// stores the learned estimates and handles slow runs.
+// stores the learned estimates, handles slow runs and reports tasks that wait.
 func (c *Cell) Tick(now time.Time) {
 	c.openDueJobs(now)
 	c.saveLearned(now)
@@ -14,6 +14,7 @@
 	c.repeatStops(now)
 	c.forgetEndedJobs(now)
 	c.handleSlowRuns(now)
+	c.reportWaiting(now)
 }
 
 // expireLeases gives up the runs on an unresponsive worker once their leases
--- /dev/null
+++ b/internal/version/cell/waiting.go
@@ -0,0 +1,109 @@
+package cell
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// waitReportAge is how long a ready task waits before the reason is logged.
+	waitReportAge = 3 * time.Second
+	// waitReportPeriod limits the log to one line about a waiting task per period.
+	waitReportPeriod = time.Second
+)
+
+// obstacle is the first reason for which a worker does not get a task.
+type obstacle uint8
+
+const (
+	noObstacle obstacle = iota
+	obstacleUnlisted
+	obstacleNotRenewed
+	obstacleUnresponsive
+	obstacleDraining
+	obstacleUnknownRuns
+	obstacleRefused
+	obstaclePolicy
+	obstacleFull
+	obstacleNoTicket
+	obstacleExcluded
+	obstacleUnsuitable
+	obstacleReserve
+	obstacleCount
+)
+
+var obstacleNames = [obstacleCount]string{"available", "unlisted", "not renewed", "unresponsive", "draining",
+	"unknown runs", "refused a start", "other pool or label", "full", "no ticket", "excluded", "unsuitable", "reserved for short tasks"}
+
+func (o obstacle) String() string { return obstacleNames[o] }
+
+// obstacleTo returns the first reason for which the worker does not get the task
+// now.
+func (c *Cell) obstacleTo(now time.Time, t *task, w *worker) obstacle {
+	switch {
+	case !w.registered:
+		return obstacleUnlisted
+	case !w.renewed:
+		return obstacleNotRenewed
+	case w.unresponsive:
+		return obstacleUnresponsive
+	case w.info.Draining:
+		return obstacleDraining
+	case w.hasUnknownRuns:
+		return obstacleUnknownRuns
+	case now.Before(w.startsBlockedUntil):
+		return obstacleRefused
+	case !w.policyAllows(t):
+		return obstaclePolicy
+	case !w.free().canHold(t.size()):
+		return obstacleFull
+	case !t.adviceAllows(now, w):
+		return obstacleNoTicket
+	case w.trust(now) == excluded:
+		return obstacleExcluded
+	}
+	if _, possible := c.score(now, t, w); !possible {
+		return obstacleUnsuitable
+	}
+	if c.blockedByReserve(now, t) {
+		return obstacleReserve
+	}
+	return noObstacle
+}
+
+// reportWaiting logs why the task that has been ready for the longest time has no
+// run, if that time exceeds waitReportAge.
+func (c *Cell) reportWaiting(now time.Time) {
+	if len(c.readyTasks) == 0 || now.Sub(c.waitReportedAt) < waitReportPeriod {
+		return
+	}
+	t := slices.MinFunc(c.readyTasks, func(a, b *task) int { return a.readySince.Compare(b.readySince) })
+	if now.Sub(t.readySince) < waitReportAge || len(t.runs) > 0 {
+		return
+	}
+	c.waitReportedAt = now
+	c.addEvent(DecisionEvent{Event: "task waiting", Task: t.id(), Run: t.lastRun + 1, Outcome: c.describeObstacles(now, t), Age: now.Sub(t.readySince)})
+}
+
+// describeObstacles returns the number of workers for each obstacle to a task.
+func (c *Cell) describeObstacles(now time.Time, t *task) string {
+	if c.startsPaused {
+		return "starts are paused"
+	}
+	if t.job().fromEarlierTerm && !c.recoveryDone(now) {
+		return fmt.Sprintf("%d workers may still run tasks of an earlier term", len(c.recovering))
+	}
+	var counts [obstacleCount]int
+	for _, w := range c.sortedWorkers() {
+		counts[c.obstacleTo(now, t, w)]++
+	}
+	var parts []string
+	for o, count := range counts {
+		if count > 0 {
+			parts = append(parts, fmt.Sprintf("%d %s", count, obstacle(o)))
+		}
+	}
+	return strings.Join(parts, ", ")
+}
