entry: show that a worker that returns in the same term is fenced off

A worker that was cut off until the leader forgot it, and that returns as the same incarnation, is not used again in that term. An accepted job stays queued although the worker's room is free.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -247,6 +248,29 @@
 	return found
 }
 
+// awaitWorkerCount waits until the leader knows that many workers.
+func (d *deployment) awaitWorkerCount(count int) {
+	d.t.Helper()
+	poll.WaitOn(d.t, func(poll.LogT) poll.Result {
+		encoded, err := json.Marshal(d.leader().entry.Dump())
+		if err != nil {
+			return poll.Error(err)
+		}
+		var state struct {
+			Cell struct {
+				Workers []json.RawMessage `json:"workers"`
+			} `json:"cell-0"`
+		}
+		if err := json.Unmarshal(encoded, &state); err != nil {
+			return poll.Error(err)
+		}
+		if len(state.Cell.Workers) == count {
+			return poll.Success()
+		}
+		return poll.Continue("%d workers", len(state.Cell.Workers))
+	}, poll.WithTimeout(waitTimeout), poll.WithDelay(100*time.Millisecond))
+}
+
 // The basic path: every instance accepts requests and forwards them to the leader,
 // each task runs once, and unknown jobs and paths are refused with their own status.
 func TestAnyInstanceServesJobsAndEachTaskRunsOnce(t *testing.T) {
@@ -390,6 +414,31 @@
 	assert.Equal(t, left.StartedTasks(), startedBefore, "tasks were started on the worker that left")
 }
 
+// Guards against workers that are fenced off for the rest of a term: a worker that was
+// cut off until the leader forgot it remembers the tokens of its earlier session and
+// refuses lower ones.
+func TestWorkerThatReturnsInSameTermIsUsedAgain(t *testing.T) {
+	d := deploy(t, 1, 50*time.Millisecond)
+	d.submit(jobID(1))
+	d.awaitState(jobID(1), "completed")
+	firstToken := d.workers[0].FencingToken()
+	for n := 2; d.workers[0].FencingToken() == firstToken; n++ {
+		d.workers[0].LoseResponses(1) // A start in doubt raises the token.
+		d.submit(jobID(n))
+		d.awaitState(jobID(n), "completed")
+	}
+	for _, w := range d.workers {
+		w.SetCutOff(true)
+		d.log.AppendRecord("keyed.servers", w.ID, nil)
+	}
+	d.awaitWorkerCount(0)
+	d.workers[0].SetCutOff(false)
+	d.log.AppendRecord("keyed.servers", d.workers[0].ID, d.workers[0].RegistryEntry())
+	d.submit(jobID(100))
+	d.awaitState(jobID(100), "completed")
+	d.checkEachTaskRanOnce(jobID(100))
+}
+
 // A leader that receives SIGTERM while the log is unreachable must keep its cell. It
 // used to give up its term at once; no other instance could claim the cell, nobody
 // renewed the workers' leases, and the leases of running tasks expired after 4.5 s.
--- a/test/fleet/worker.go
+++ b/test/fleet/worker.go
@@ -44,6 +44,8 @@
 	overlaps *OverlapDetector
 	// renewalDelay is the time that the response to a lease renewal takes to arrive.
 	renewalDelay time.Duration
+	// cutOff is set while no order reaches the worker.
+	cutOff bool
 	// responsesToLose is the number of coming starts that take effect without a
 	// response.
 	responsesToLose int
@@ -125,6 +127,20 @@
 	w.renewalDelay = delay
 }
 
+// SetCutOff sets whether orders fail to reach the worker. What runs on it goes on.
+func (w *Worker) SetCutOff(cutOff bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cutOff = cutOff
+}
+
+// FencingToken returns the highest token of any order so far.
+func (w *Worker) FencingToken() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.fencingToken
+}
+
 // StartedCount returns how many runs of a task have started.
 func (w *Worker) StartedCount(task string) int {
 	w.mu.Lock()
@@ -187,6 +203,12 @@
 // the response and returns false.
 func (w *Worker) acceptOrder(rw http.ResponseWriter, r *http.Request) (workerOrder, bool) {
 	var order workerOrder
+	w.mu.Lock()
+	cutOff := w.cutOff
+	w.mu.Unlock()
+	if cutOff {
+		panic(http.ErrAbortHandler) // Closes the connection without a response.
+	}
 	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
 		rw.WriteHeader(http.StatusBadRequest)
 		return order, false
