entry: give the sessions of one term rising fencing tokens

Cause: each session with a worker started at the first token of the term. A worker that was cut off until the leader forgot it, and that returned as the same incarnation, remembered the higher tokens of its earlier session and refused every lease renewal until the leader changed. Counters that must rise for a term were kept for the life of a connection.

A session now starts above the highest token that a closed session of the term has used; the leadership, which lives as long as the term, keeps it.

--- a/internal/connection/workerlink/session.go
+++ b/internal/connection/workerlink/session.go
@@ -195,6 +195,9 @@
 	s.cancel()
 }
 
+// Token returns the highest fencing token that the session has used.
+func (s *Session) Token() int64 { return s.token.Load() }
+
 // Wait blocks until the goroutines of the session have ended after Close. They may
 // still pass a result to the sink before.
 func (s *Session) Wait() { s.goroutines.Wait() }
--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -57,6 +57,9 @@
 	renewalEndOffset atomic.Int64
 
 	sessions map[cell.WorkerID]*openSession
+	// lastToken is the highest fencing token of the sessions that were closed in
+	// this term. A worker that returns under a new session refuses lower ones.
+	lastToken int64
 
 	lastRequest     atomic.Uint64
 	waitingRequests sync.Map // request number to the chan struct{} closed once it is stored
@@ -83,6 +86,7 @@
 		cancel:   cancel,
 		sessions: map[cell.WorkerID]*openSession{},
 
+		lastToken:       heldTerm.Epoch * workerlink.TokensPerTerm,
 		renewalRequests: make(chan struct{}, 1),
 	}
 	l.lastRenewal.Store(&claimSent)
@@ -315,20 +319,24 @@
 			continue
 		}
 		if existing != nil {
-			existing.Close()
+			l.closeSession(existing)
 		}
-		token := l.term.Epoch * workerlink.TokensPerTerm
-		session := workerlink.Open(ctx, info.ID, l.entry.options.DialWorker(info), l, token)
+		session := workerlink.Open(ctx, info.ID, l.entry.options.DialWorker(info), l, l.lastToken+1)
 		l.sessions[info.ID] = &openSession{session, info.Address}
 	}
 	for id, session := range l.sessions {
 		if !registered[id] {
-			session.Close()
+			l.closeSession(session)
 			delete(l.sessions, id)
 		}
 	}
 }
 
+func (l *leadership) closeSession(session *openSession) {
+	session.Close()
+	l.lastToken = max(l.lastToken, session.Token())
+}
+
 // Report implements workerlink.Sink. It passes a worker's report to the cell.
 func (l *leadership) Report(report cell.Report) {
 	l.post(func(now time.Time, c *cell.Cell) { c.ApplyReport(now, report) })
