cell: notice a restarted worker whose incarnation number is lower

Callers saw an accepted job with nothing running while most workers were free. The number of an incarnation is the time of day at which it began. After the machine's clock was stepped back, a restarted worker has a lower number than before. ApplyReport took each of its reports for a late answer of an earlier incarnation: the worker kept answering, so it never became unresponsive, the runs that had ended with the earlier incarnation stayed in the phase running, and their tasks were never started again in that term. The number also went into the stored entry, so that the next leader ignored the worker as well. The other way round, a late answer of an ended incarnation with a higher number was taken for a restart, and what ran was started a second time.

Failing before: cell_test.go:350: assertion failed: 0 (int) != 1 (int): the run ended with its incarnation cell_test.go:367: assertion failed: 1 (int) != 0 (int): answer of incarnation 100

The order of incarnations now follows from the order of messages: a renewal that was sent after an answer had arrived can't be answered by an earlier incarnation. An answer of another incarnation to a renewal sent before is ignored; the next renewal shows the restart.

--- a/internal/version/cell/cell_test.go
+++ b/internal/version/cell/cell_test.go
@@ -333,3 +333,37 @@
 	assert.Equal(t, len(starts), 1)
 	assert.Equal(t, starts[0].Task, first.Task)
 }
+
+// Regression test for a task that never ran again: the machine's time of day was stepped
+// back before its worker restarted, so the new incarnation had a lower number, and all
+// its reports were taken for late answers of an earlier one.
+func TestRestartWithLowerIncarnationIsNoticed(t *testing.T) {
+	c := newRestoredCell(testRecord(3))
+	running := newReport(testWorker, testStart, RunReport{Task: firstTaskID(), Run: 1})
+	running.Incarnation = 100
+	c.ApplyReport(testStart, running)
+	c.ApplyReport(testStart, newReport(otherWorker, testStart))
+	now := testStart.Add(time.Second)
+	restarted := newReport(testWorker, now)
+	restarted.Incarnation = 50
+	c.ApplyReport(now, restarted)
+	assert.Equal(t, len(c.TakeEffects(now).Starts), 1, "the run ended with its incarnation")
+}
+
+// An answer of an incarnation that has ended can arrive after one of the next
+// incarnation, whose number may be lower. If it were taken for a restart, what the
+// worker runs now would be started a second time.
+func TestLateAnswerOfEndedIncarnationIsIgnored(t *testing.T) {
+	c := newRestoredCell(testRecord(3))
+	arrived := testStart.Add(2 * time.Second)
+	current := newReport(testWorker, testStart, RunReport{Task: firstTaskID(), Run: 1})
+	current.Incarnation = 50
+	c.ApplyReport(arrived, current)
+	c.ApplyReport(arrived, newReport(otherWorker, testStart))
+	for _, incarnation := range []int64{40, 100} {
+		late := newReport(testWorker, testStart.Add(time.Second))
+		late.Incarnation = incarnation
+		c.ApplyReport(arrived.Add(time.Second), late)
+		assert.Equal(t, len(c.TakeEffects(arrived.Add(time.Second)).Starts), 0, "answer of incarnation %d", incarnation)
+	}
+}
--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -13,8 +13,10 @@
 		return
 	}
 	if w.info.Incarnation != 0 && report.Incarnation != 0 && w.info.Incarnation != report.Incarnation {
-		if report.Incarnation < w.info.Incarnation {
-			return // A late answer of an earlier incarnation.
+		// Numbers don't tell which incarnation is newer, since the time of day may have
+		// been stepped. A renewal sent after the known one has answered does.
+		if report.Sent.Before(w.lastResponse) {
+			return
 		}
 		c.handleRestart(now, w, report.Incarnation)
 	} else if report.Sent.Before(w.lastReportSent) {
