cell: simulate newer faults and check that startable tasks start

The simulation now has worker-side leases, held renewals, sessions with their own tokens, a registry with heartbeats and expiry, capacity that changes, cuts, unlisted and draining workers, log outages, late and lost orders, sick workers, an advice service, gangs and tasks that always fail or crash their worker. It checks at each start that no worker gets more than the capacity that the leader was shown, and, once faults are 4 s past, that a task that could run starts within 3 s while there is room for it twice and less than half of the capacity is used. At the end all jobs that can end have ended, and nothing of an ended job runs. An end that a worker listed only after its lease had expired doesn't count as taken note of.

--- a/internal/version/cell/simulation_test.go
+++ b/internal/version/cell/simulation_test.go
@@ -3,7 +3,9 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -15,7 +17,8 @@
 
 // simulation runs a Cell against simulated workers in virtual time. At each
 // start of a task, it checks that the task has no other run and is not done
-// already, and that no worker's runs exceed its capacity.
+// already, and that no worker's runs exceed the capacity that the cell was shown.
+// While no fault is near, it checks that tasks that could run are started.
 type simulation struct {
 	t              *testing.T
 	random         *rand.Rand
@@ -23,31 +26,62 @@
 	events         eventHeap
 	lastEventOrder int
 
-	cell    *Cell
-	epoch   int64
-	workers []*simWorker
-	stored  storedState
+	cell     *Cell
+	epoch    int64
+	workers  []*simWorker
+	sessions map[WorkerID]*simSession
+	stored   storedState
 	// answered holds the requests that were answered.
 	answered map[uint64]bool
 	requests uint64
 	starts   int
 	done     map[TaskID]bool
+	canceled map[jobspec.ID]bool
+	// openJobs holds the submitted jobs that had not ended when they were last looked
+	// at.
+	openJobs map[jobspec.ID]*jobspec.Job
 	// writeDelay is the time that a write takes to be stored.
 	writeDelay time.Duration
-	lossRate   float64
+	// lossRate is the share of calls to workers that get no answer in time.
+	lossRate float64
+	// storeDown is set while the log, and with it the registry, can't be reached.
+	storeDown     bool
+	delayedWrites []func()
+	lastRenewal   time.Time
+	// registryChanged is set while the leader has not read the newest registry.
+	registryChanged bool
+	adviceBusyUntil time.Time
+	// disturbedAt is the time of the last fault.
+	disturbedAt time.Time
+	// startable holds, for each task that could be started, since when.
+	startable map[TaskID]time.Time
+	lastRunAt map[TaskID]time.Time
+	// firstTokenOnly opens each session of a term with the first token of the term.
+	firstTokenOnly bool
+	// heldOrdersReachNextIncarnation lets a new incarnation carry out orders that were
+	// sent to the last one and arrive late.
+	heldOrdersReachNextIncarnation bool
 	// trace records all decisions; it is printed when a check fails.
 	trace []string
 }
 
 func (s *simulation) addTrace(id TaskID, format string, args ...any) {
-	s.trace = append(s.trace, fmt.Sprintf("%v %.3f ", id, float64(s.now.UnixMicro()-1e9)/1e6)+fmt.Sprintf(format, args...))
+	s.trace = append(s.trace, fmt.Sprintf("%v %.3f ", id, s.seconds())+fmt.Sprintf(format, args...))
 }
 
-// taskTrace returns the trace of one task.
+// addFault records a fault in the trace of every task.
+func (s *simulation) addFault(format string, args ...any) {
+	s.disturbedAt = s.now
+	s.trace = append(s.trace, fmt.Sprintf("fault %.3f ", s.seconds())+fmt.Sprintf(format, args...))
+}
+
+func (s *simulation) seconds() float64 { return float64(s.now.UnixMicro()-1e9) / 1e6 }
+
+// taskTrace returns the trace of one task and the faults.
 func (s *simulation) taskTrace(id TaskID) string {
 	lines := ""
 	for _, line := range s.trace {
-		if strings.HasPrefix(line, fmt.Sprint(id)) {
+		if strings.HasPrefix(line, fmt.Sprint(id)) || strings.HasPrefix(line, "fault") {
 			lines += "\n" + line
 		}
 	}
@@ -72,6 +106,9 @@
 	for _, info := range write.Workers {
 		s.workers[info.ID] = info
 	}
+	for _, id := range write.RemovedWorkers {
+		delete(s.workers, id)
+	}
 	for _, id := range write.RemovedJobs {
 		delete(s.jobs, id)
 		delete(s.progress, id)
@@ -79,26 +116,72 @@
 }
 
 type simWorker struct {
-	info  WorkerInfo
-	token int64
-	// sessionToken is the token that the leader currently uses for the worker.
-	sessionToken int64
-	// clockToken is the token under which the leader last got an answer, and
-	// thus a reading of the worker's clock.
-	clockToken      int64
-	incarnation     int64
+	info        WorkerInfo
+	fullSize    Size
+	token       int64
+	incarnation int64
+	// listed is the worker's registry entry, or nil; it was last written at lastWrite.
+	listed    *WorkerInfo
+	lastWrite time.Time
+	// shown is the capacity that the leader last read.
+	shown           Size
 	runs            map[TaskID]*simRun
 	ended           []RunEnd
 	lastEndNumber   int64
 	acknowledgedEnd int64
 	// highestRun is, for each task, the highest run that ended or was stopped.
 	highestRun map[TaskID]int64
-	crashed    bool
+	leaseUntil time.Time
+	// heldAnswers answer the lease renewals that wait for an end.
+	heldAnswers []func()
+	crashed     bool
+	// cut is set while no message passes between the worker and the leader or the
+	// registry.
+	cut bool
+	// unlistedByFault is set while the worker can't write to the registry.
+	unlistedByFault bool
+	// guardsCapacity is set if the worker refuses starts that don't fit.
+	guardsCapacity bool
+	// sick is set while all runs fail.
+	sick bool
+	gone bool
+}
+
+func (w *simWorker) reachable() bool { return !w.crashed && !w.cut && !w.gone }
+
+func (w *simWorker) used() Size {
+	used := Size{}
+	for _, run := range w.runs {
+		used = used.plus(run.size)
+	}
+	return used
+}
+
+// declaredCPU is the CPU of all runs, including best-effort ones.
+func (w *simWorker) declaredCPU() int {
+	total := 0
+	for _, run := range w.runs {
+		total += run.spec.CPUMillis
+	}
+	return total
+}
+
+// simSession is the leader's session with a worker.
+type simSession struct {
+	cell   *Cell
+	worker *simWorker
+	token  int64
+	extend bool
+	// lateAnswer is set when an answer arrived after its renewal counted as unanswered.
+	lateAnswer bool
+	knowsClock bool
+	closed     bool
+	// renewals numbers the renewals; an answer to any but the newest is late.
+	renewals int
 }
 
 type simRun struct {
 	number int64
-	endsAt time.Time
 	size   Size
 	spec   *jobspec.Step
 }
@@ -127,7 +210,19 @@
 	return last
 }
 
-const testLease = 4500 * time.Millisecond
+const (
+	testLease = 4500 * time.Millisecond
+	// testLeaseMargin is how much later the leader considers a lease as expired.
+	testLeaseMargin = 600 * time.Millisecond
+	testCallTimeout = 700 * time.Millisecond
+	// testRecoveryWait is how long a new leader waits for workers that don't answer.
+	testRecoveryWait = 8 * time.Second
+	testBusyWait     = 800 * time.Millisecond
+	testIdleWait     = 1400 * time.Millisecond
+	testHeartbeat    = 600 * time.Millisecond
+	// testTokensPerTerm is the number of fencing tokens of a term.
+	testTokensPerTerm = 100_000
+)
 
 func newSimulation(t *testing.T, seed uint64, workers int) *simulation {
 	s := &simulation{
@@ -136,6 +231,10 @@
 		now:        time.UnixMilli(1_000_000),
 		answered:   map[uint64]bool{},
 		done:       map[TaskID]bool{},
+		canceled:   map[jobspec.ID]bool{},
+		openJobs:   map[jobspec.ID]*jobspec.Job{},
+		startable:  map[TaskID]time.Time{},
+		lastRunAt:  map[TaskID]time.Time{},
 		writeDelay: 5 * time.Millisecond,
 		stored: storedState{
 			jobs:     map[jobspec.ID]JobRecord{},
@@ -144,106 +243,302 @@
 		},
 	}
 	for i := range workers {
-		s.workers = append(s.workers, &simWorker{
-			info: WorkerInfo{
-				ID: WorkerID(fmt.Sprintf("w%03d", i)), Pool: "pool", Rack: fmt.Sprintf("r%d", i/8),
-				Capacity: Size{CPU: 32000, MemoryMB: 128000},
-			},
-			runs:        map[TaskID]*simRun{},
-			highestRun:  map[TaskID]int64{},
-			incarnation: 1,
-		})
+		s.addWorker(i)
 	}
+	s.heartbeat()
+	s.schedule(0, s.readRegistry)
 	return s
 }
 
+func (s *simulation) addWorker(i int) {
+	size := Size{CPU: 32000, MemoryMB: 128000}
+	w := &simWorker{
+		info: WorkerInfo{
+			ID: WorkerID(fmt.Sprintf("w%03d", i)), Pool: "pool", Rack: fmt.Sprintf("r%d", i/8), Capacity: size, Incarnation: 1000,
+		},
+		fullSize:       size,
+		runs:           map[TaskID]*simRun{},
+		highestRun:     map[TaskID]int64{},
+		incarnation:    1000,
+		guardsCapacity: i%2 == 0,
+	}
+	if i%3 == 0 {
+		w.info.Labels = []string{"third"}
+	}
+	s.workers = append(s.workers, w)
+}
+
 func (s *simulation) schedule(d time.Duration, callback func()) {
 	s.lastEventOrder++
 	heap.Push(&s.events, simEvent{s.now.Add(d), s.lastEventOrder, callback})
 }
 
+// heartbeat lets the workers write their registry entries and removes those of silent
+// workers.
+func (s *simulation) heartbeat() {
+	for _, w := range s.workers {
+		switch {
+		case s.storeDown:
+		case w.reachable() && !w.unlistedByFault:
+			w.lastWrite = s.now
+			if w.listed == nil || !w.listed.Equal(w.info) {
+				entry := w.info
+				w.listed = &entry
+				s.registryChanged = true
+			}
+		case w.listed != nil && s.now.Sub(w.lastWrite) > 3*testHeartbeat:
+			w.listed = nil
+			s.registryChanged = true
+		}
+	}
+	s.schedule(testHeartbeat, s.heartbeat)
+}
+
+// readRegistry passes a changed registry to the leader.
+func (s *simulation) readRegistry() {
+	if s.registryChanged && !s.storeDown && s.cell != nil {
+		s.registryChanged = false
+		s.updateWorkers()
+	}
+	s.schedule(300*time.Millisecond, s.readRegistry)
+}
+
+func (s *simulation) updateWorkers() {
+	var infos []WorkerInfo
+	for _, w := range s.workers {
+		if w.listed != nil {
+			infos = append(infos, *w.listed)
+			w.shown = w.listed.Capacity
+		}
+	}
+	s.cell.UpdateWorkers(s.now, infos)
+	s.applyEffects(s.cell)
+}
+
 // startTerm begins a term from the stored state.
 func (s *simulation) startTerm() {
+	s.addFault("new leader")
+	s.schedule(testRecoveryWait-startWithin, func() { s.addFault("recovery of the new leader ends") })
 	s.epoch += 3
-	c := New(Config{Epoch: s.epoch, RecoveryWait: 8 * time.Second, EndedJobRetention: time.Minute,
-		MaxEarlierLease: testLease, RemoteFactor: 2})
+	c := New(Config{Epoch: s.epoch, RecoveryWait: testRecoveryWait, EndedJobRetention: time.Minute,
+		MaxEarlierLease: testLease + testLeaseMargin, RemoteFactor: 2})
 	var jobs []JobRecord
-	for _, job := range s.stored.jobs {
-		jobs = append(jobs, job)
+	for _, id := range slices.Sorted(maps.Keys(s.stored.jobs)) {
+		jobs = append(jobs, s.stored.jobs[id])
 	}
 	var progress []ProgressRecord
-	for _, record := range s.stored.progress {
-		progress = append(progress, record)
+	for _, id := range slices.Sorted(maps.Keys(s.stored.progress)) {
+		progress = append(progress, s.stored.progress[id])
 	}
 	var workers []WorkerInfo
-	for _, info := range s.stored.workers {
-		workers = append(workers, info)
+	for _, id := range slices.Sorted(maps.Keys(s.stored.workers)) {
+		workers = append(workers, s.stored.workers[id])
 	}
 	c.Restore(s.now, jobs, progress, workers)
 	s.cell = c
-	var infos []WorkerInfo
-	for _, w := range s.workers {
-		infos = append(infos, w.info)
-		w.sessionToken = s.epoch * 1000
-		s.schedule(time.Millisecond, func() { s.renewLease(c, w, w.sessionToken) })
+	s.sessions = map[WorkerID]*simSession{}
+	s.delayedWrites = nil
+	s.lastRenewal = s.now
+	s.adviceBusyUntil = time.Time{}
+	if s.storeDown {
+		s.storeDown = false // A leader is elected only while the log is reachable.
 	}
-	c.UpdateWorkers(s.now, infos)
+	s.updateWorkers()
 	s.tick(c)
-	s.applyEffects(c)
 }
 
 func (s *simulation) tick(c *Cell) {
 	if c != s.cell {
 		return
 	}
+	if !s.storeDown {
+		s.lastRenewal = s.now
+	}
+	c.SetStartsEnabled(s.now.Sub(s.lastRenewal) < 4*time.Second)
 	c.Tick(s.now)
 	s.applyEffects(c)
 	s.schedule(100*time.Millisecond, func() { s.tick(c) })
 }
 
-// renewLease sends a lease renewal to a worker, and the next one after a pause.
-func (s *simulation) renewLease(c *Cell, w *simWorker, token int64) {
-	if c != s.cell || token < w.sessionToken {
+// openSessions opens a session with each worker of the cell that has none.
+func (s *simulation) openSessions(c *Cell) {
+	if c != s.cell || !c.WorkersChanged() {
 		return
 	}
-	pause := 800 * time.Millisecond
-	sent := s.now
-	if w.crashed {
-		s.schedule(pause, func() {
-			if c == s.cell {
-				c.MarkUnresponsive(s.now, w.info.ID, time.Time{})
-				s.applyEffects(c)
-			}
-			s.renewLease(c, w, token)
-		})
-		return
+	known := map[WorkerID]bool{}
+	infos := c.Workers()
+	slices.SortFunc(infos, func(a, b WorkerInfo) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	for _, info := range infos {
+		known[info.ID] = true
+		if existing := s.sessions[info.ID]; existing != nil && !existing.closed {
+			continue
+		}
+		token := s.epoch * testTokensPerTerm
+		if earlier := s.sessions[info.ID]; earlier != nil && !s.firstTokenOnly {
+			token = earlier.token + 1
+		}
+		session := &simSession{cell: c, worker: s.worker(info.ID), token: token, extend: true}
+		s.sessions[info.ID] = session
+		s.schedule(s.randomDelay(), func() { s.renewLease(session, 0) })
+	}
+	for id, session := range s.sessions {
+		if !known[id] {
+			session.closed = true
+		}
 	}
-	if token < w.token {
+}
+
+// renewLease sends a lease renewal to a worker, and the next one after its answer.
+func (s *simulation) renewLease(session *simSession, wait time.Duration) {
+	if session.closed || session.cell != s.cell {
 		return
 	}
-	w.token = token
-	report := s.reportOf(w, sent, token)
-	if s.random.Float64() < s.lossRate {
-		s.schedule(pause, func() {
-			if c == s.cell {
-				c.MarkUnresponsive(s.now, w.info.ID, sent.Add(testLease))
-				s.applyEffects(c)
+	w, token, sent := session.worker, session.token, s.now
+	extend := session.extend && session.knowsClock
+	leaseEnd := time.Time{}
+	if extend {
+		leaseEnd = sent.Add(testLease + testLeaseMargin)
+	}
+	session.renewals++
+	number := session.renewals
+	answer := func(report Report, ok bool) {
+		if session.closed || session.cell != s.cell {
+			return
+		}
+		if number != session.renewals {
+			if ok {
+				session.lateAnswer = true
+				s.deliverReport(session.cell, report)
 			}
-			s.renewLease(c, w, token)
-		})
-		if s.random.Float64() < lateAnswerShare {
-			delay := pause + time.Duration(s.random.Int64N(int64(testLease)))
-			s.schedule(delay, func() { s.deliverReport(c, report) })
+			return
+		}
+		session.renewals++
+		if !ok {
+			s.unanswered(session, leaseEnd)
+			return
+		}
+		session.extend = true
+		session.knowsClock = true
+		s.deliverReport(session.cell, report)
+		s.schedule(s.pauseAfter(report), func() { s.renewLease(session, s.nextWait(report)) })
+	}
+	fate := s.random.Float64()
+	arrival, returnDelay := s.randomDelay(), s.randomDelay()
+	if fate < s.lossRate {
+		switch s.random.IntN(3) {
+		case 0: // The renewal arrives late.
+			arrival += time.Duration(s.random.Int64N(int64(12 * time.Second)))
+		case 1: // The answer arrives late.
+			returnDelay += time.Duration(s.random.Int64N(int64(testLease)))
+		case 2: // The answer is lost.
+			returnDelay = -1
+		}
+	}
+	s.schedule(wait+testCallTimeout, func() {
+		if number == session.renewals {
+			answer(Report{}, false)
+		}
+	})
+	s.schedule(arrival, func() {
+		if !w.reachable() {
+			return
+		}
+		if token < w.token {
+			s.schedule(returnDelayOrZero(returnDelay), func() { answer(Report{}, false) })
+			return
+		}
+		w.token = token
+		if extend {
+			s.extendLease(w, sent.Add(testLease))
 		}
+		incarnation := w.incarnation
+		answered := false
+		respond := func() {
+			if answered || w.incarnation != incarnation || !w.reachable() {
+				return
+			}
+			answered = true
+			report := s.reportOf(w, sent, token)
+			report.LeaseUntil = leaseEnd
+			if returnDelay >= 0 {
+				s.schedule(returnDelay, func() {
+					if !w.cut {
+						answer(report, true)
+					}
+				})
+			}
+		}
+		if wait == 0 || s.hasUnacknowledgedEnds(w) {
+			respond()
+			return
+		}
+		w.heldAnswers = append(w.heldAnswers, respond)
+		s.schedule(wait, respond)
+	})
+}
+
+func returnDelayOrZero(d time.Duration) time.Duration { return max(d, 0) }
+
+func (s *simulation) hasUnacknowledgedEnds(w *simWorker) bool {
+	return len(w.ended) > 0 && w.ended[len(w.ended)-1].Number > w.acknowledgedEnd
+}
+
+func (s *simulation) unanswered(session *simSession, leaseEnd time.Time) {
+	session.extend = session.lateAnswer
+	session.lateAnswer = false
+	session.cell.MarkUnresponsive(s.now, session.worker.info.ID, leaseEnd)
+	s.applyEffects(session.cell)
+	s.schedule(200*time.Millisecond, func() { s.renewLease(session, 0) })
+}
+
+// pauseAfter returns the pause between a report and the next renewal.
+func (s *simulation) pauseAfter(report Report) time.Duration {
+	if len(report.Ended) > 0 {
+		return 2*s.writeDelay + 20*time.Millisecond
+	}
+	return time.Millisecond
+}
+
+func (s *simulation) nextWait(report Report) time.Duration {
+	switch {
+	case report.LeaseUntil.IsZero() || s.storeDown && len(report.Ended) > 0:
+		return 0
+	case len(report.Running)+len(report.Ended) == 0:
+		return testIdleWait
+	}
+	return testBusyWait
+}
+
+func (s *simulation) extendLease(w *simWorker, until time.Time) {
+	if !until.After(w.leaseUntil) {
 		return
 	}
-	s.schedule(2*time.Millisecond, func() { s.deliverReport(c, report) })
-	s.schedule(pause/4, func() { s.renewLease(c, w, token) })
+	w.leaseUntil = until
+	incarnation := w.incarnation
+	s.schedule(until.Sub(s.now), func() {
+		if w.incarnation != incarnation || w.crashed || s.now.Before(w.leaseUntil) {
+			return
+		}
+		s.forgetUnknownEnds(w)
+		for _, id := range sortedTasks(w.runs) {
+			s.endRun(w, id, w.runs[id].number, EndLeaseExpired)
+		}
+	})
+}
+
+// forgetUnknownEnds lets the tasks start again whose ends no leader is known to have
+// learned of before the worker's lease expired or its incarnation ended.
+func (s *simulation) forgetUnknownEnds(w *simWorker) {
+	for _, end := range w.ended {
+		if end.Number > w.acknowledgedEnd {
+			delete(s.done, end.Task)
+		}
+	}
 }
 
-// lateAnswerShare is the share of the unanswered renewals whose answer arrives later,
-// after those to renewals that were sent meanwhile.
-const lateAnswerShare = 0.5
+func sortedTasks(runs map[TaskID]*simRun) []TaskID {
+	return slices.SortedFunc(maps.Keys(runs), func(a, b TaskID) int { return strings.Compare(fmt.Sprint(a), fmt.Sprint(b)) })
+}
 
 func (s *simulation) deliverReport(c *Cell, report Report) {
 	if c == s.cell {
@@ -255,16 +550,13 @@
 // reportOf returns the worker's answer to a renewal.
 func (s *simulation) reportOf(w *simWorker, sent time.Time, token int64) Report {
 	report := Report{Worker: w.info.ID, Incarnation: w.incarnation, Sent: sent, Token: token}
-	if w.clockToken == token {
-		report.LeaseUntil = s.now.Add(testLease)
-	}
-	w.clockToken = token // The leader knows the worker's clock from now on.
-	for id, run := range w.runs {
+	for _, id := range sortedTasks(w.runs) {
+		run := w.runs[id]
 		measurement := run.spec.CPUMillis
 		if run.spec.LatencyTargetMillis > 0 {
 			measurement = 7
 		}
-		report.Running = append(report.Running, RunReport{Task: id, Run: run.number, Percent: 50, Measurement: measurement})
+		report.Running = append(report.Running, RunReport{Task: id, Run: run.number, Percent: 50 + s.random.IntN(49), Measurement: measurement})
 	}
 	for _, end := range w.ended {
 		if end.Number > w.acknowledgedEnd {
@@ -286,6 +578,7 @@
 
 // applyEffects carries out the effects of the cell.
 func (s *simulation) applyEffects(c *Cell) {
+	s.openSessions(c)
 	effects := c.TakeEffects(s.now)
 	for _, event := range effects.Events {
 		s.addTrace(event.Task, "%s run %d %s %s", event.Event, event.Run, event.Worker, event.Outcome)
@@ -295,17 +588,22 @@
 		s.sendStart(c, order)
 	}
 	for _, order := range effects.Stops {
-		s.schedule(s.randomDelay(), func() { s.stopRun(order) })
+		s.sendStop(c, order)
 	}
 	for _, ack := range effects.Acknowledgements {
-		if w := s.worker(ack.Worker); w.incarnation == ack.Incarnation {
+		if w := s.worker(ack.Worker); w.incarnation == ack.Incarnation && w.reachable() {
 			w.acknowledgedEnd = max(w.acknowledgedEnd, ack.Number)
 		}
 	}
 	for _, id := range effects.Resolve {
-		w := s.worker(id)
-		w.sessionToken++
-		s.schedule(0, func() { s.renewLease(c, w, w.sessionToken) })
+		if session := s.sessions[id]; session != nil && !session.closed {
+			session.token++
+			session.renewals++ // The renewal under way is abandoned.
+			s.schedule(0, func() { s.renewLease(session, 0) })
+		}
+	}
+	for _, request := range effects.Advice {
+		s.answerAdvice(c, request)
 	}
 	for _, request := range effects.AnswerableRequests {
 		s.answered[request] = true
@@ -323,74 +621,225 @@
 	if c != s.cell {
 		return // A write of an earlier leader is fenced off.
 	}
+	if s.storeDown {
+		s.delayedWrites = append(s.delayedWrites, func() { s.store(c, write) })
+		return
+	}
 	s.stored.apply(write)
 	c.MarkStored(write.Number)
 	s.applyEffects(c)
 }
 
-// sendStart delivers a start order to its worker. Some answers are lost.
-func (s *simulation) sendStart(c *Cell, order StartOrder) {
-	token := s.worker(order.Worker).sessionToken
-	extraDelay := time.Duration(0)
-	outcome := StartAccepted
-	if s.random.Float64() < s.lossRate {
-		outcome = StartUnknown
-		extraDelay = time.Duration(s.random.IntN(8)) * time.Second
+// adviceAllows is the policy of the advice service: a third of the workers may not
+// run a step.
+func adviceAllows(step StepID, id WorkerID) bool {
+	sum := step.Step
+	for _, b := range []byte(string(step.Job) + string(id)) {
+		sum = sum*31 + int(b)
 	}
-	w := s.worker(order.Worker)
-	incarnation := w.incarnation
-	s.schedule(s.randomDelay()+extraDelay, func() {
-		switch {
-		case w.crashed || w.incarnation != incarnation:
-			// The connection on which the order was sent ended with the process.
-			outcome = StartUnknown
-		case token < w.token || extraDelay > testLease || !s.startRun(w, order):
-			if outcome == StartAccepted {
-				outcome = StartRefused
+	return sum%3 != 0
+}
+
+const testTicketValidity = 4 * time.Second
+
+// answerAdvice lets the advice service answer a call; it handles one at a time.
+func (s *simulation) answerAdvice(c *Cell, request AdviceRequest) {
+	begin := s.now
+	if s.adviceBusyUntil.After(begin) {
+		begin = s.adviceBusyUntil
+	}
+	s.adviceBusyUntil = begin.Add(request.Latency.ResponseTime(len(request.Workers)))
+	result := AdviceResult{Step: request.Step, Workers: request.Workers, Sent: s.now, Tickets: map[WorkerID]string{}}
+	result.Failed = s.random.Float64() < s.lossRate
+	s.schedule(s.adviceBusyUntil.Sub(s.now)+s.randomDelay(), func() {
+		if c != s.cell {
+			return
+		}
+		if !result.Failed {
+			result.ValidUntil = result.Sent.Add(testTicketValidity)
+			for _, id := range request.Workers {
+				if adviceAllows(request.Step, id) {
+					result.Tickets[id] = fmt.Sprint("ticket ", s.worker(id).incarnation)
+				}
 			}
 		}
+		c.ApplyAdvice(s.now, result)
+		s.applyEffects(c)
 	})
-	s.schedule(s.randomDelay()+4*time.Millisecond, func() {
-		if c != s.cell {
-			return
+}
+
+// sendStart delivers a start order to its worker. Some orders are late or lost, and
+// some answers are lost.
+func (s *simulation) sendStart(c *Cell, order StartOrder) {
+	session := s.sessions[order.Worker]
+	if session == nil || session.closed {
+		c.ApplyStartResult(s.now, StartResult{Worker: order.Worker, Task: order.Task, Run: order.Run, Outcome: StartRefused, Refusal: RefusedNotSent})
+		return
+	}
+	token, w, sent, shown := session.token, session.worker, s.now, session.worker.shown
+	arrival, returnDelay := s.randomDelay(), s.randomDelay()
+	late := false
+	if s.random.Float64() < s.lossRate {
+		switch s.random.IntN(3) {
+		case 0:
+			arrival += 2*time.Second + time.Duration(s.random.Int64N(int64(10*time.Second)))
+			late = true
+		case 1:
+			returnDelay = -1
+		case 2:
+			arrival = -1
 		}
-		if w.crashed {
-			outcome = StartUnknown
+	}
+	answered := false
+	answer := func(outcome StartOutcome, reason Refusal) {
+		if answered || c != s.cell {
+			return
 		}
+		answered = true
 		c.ApplyStartResult(s.now, StartResult{Worker: order.Worker, Task: order.Task, Run: order.Run, Outcome: outcome,
-			Refusal: RefusedOldRun, Token: token, LeaseUntil: s.now.Add(testLease)})
+			Refusal: reason, Token: token, LeaseUntil: sent.Add(testLease + testLeaseMargin)})
 		s.applyEffects(c)
+	}
+	s.schedule(testCallTimeout, func() { answer(StartUnknown, "") })
+	if arrival < 0 {
+		return
+	}
+	incarnation := w.incarnation
+	s.schedule(arrival, func() {
+		if !w.reachable() || w.incarnation != incarnation && !s.heldOrdersReachNextIncarnation {
+			return // The connection on which the order was sent ended with the process.
+		}
+		outcome, reason := StartAccepted, Refusal("")
+		if s.now.Sub(sent) > testLease {
+			outcome, reason = StartRefused, RefusedExpired
+		} else if token < w.token {
+			outcome, reason = StartRefused, RefusedFenced
+		} else {
+			s.extendLease(w, sent.Add(testLease))
+			if reason = s.startRun(w, order, shown, late); reason != "" {
+				outcome = StartRefused
+			}
+		}
+		if returnDelay >= 0 {
+			s.schedule(returnDelay, func() {
+				if w.reachable() && w.incarnation == incarnation {
+					answer(outcome, reason)
+				}
+			})
+		}
 	})
 }
 
-func (s *simulation) startRun(w *simWorker, order StartOrder) bool {
+// startRun carries out a start order. It returns why the worker refuses it, or "".
+func (s *simulation) startRun(w *simWorker, order StartOrder, shown Size, late bool) Refusal {
 	if existing := w.runs[order.Task]; existing != nil {
-		return existing.number == order.Run
+		if existing.number == order.Run {
+			return ""
+		}
+		return RefusedOldRun
 	}
 	if order.Run <= w.highestRun[order.Task] {
-		return false
+		return RefusedOldRun
 	}
-	spec := &s.stored.jobs[order.Task.Job].Job.Steps[order.Task.Step]
+	record := s.stored.jobs[order.Task.Job]
+	spec := &record.Job.Steps[order.Task.Step]
 	size := Size{CPU: spec.CPUMillis, MemoryMB: spec.MemoryMB}
 	if spec.BestEffort {
 		size.CPU = 0
 	}
-	run := &simRun{number: order.Run, size: size, spec: spec}
-	duration := time.Duration(float64(spec.EstimateMillis)*(0.5+s.random.Float64())) * time.Millisecond
-	run.endsAt = s.now.Add(duration)
-	w.runs[order.Task] = run
+	if w.guardsCapacity && !w.info.Capacity.canHold(w.used().plus(size)) {
+		return RefusedNoCapacity
+	}
+	if record.Terms.Advice != nil && order.Ticket != fmt.Sprint("ticket ", w.incarnation) {
+		return RefusedTicket
+	}
+	w.runs[order.Task] = &simRun{number: order.Run, size: size, spec: spec}
 	s.starts++
 	s.addTrace(order.Task, "started run %d on %s", order.Run, w.info.ID)
 	s.checkGuarantees(order.Task)
-	if !spec.LongRunning {
-		incarnation := w.incarnation
-		s.schedule(duration, func() {
+	if used := w.used(); !late && !shown.canHold(used) && !w.shown.canHold(used) {
+		s.t.Fatalf("runs on %s reserve %v; the leader was shown a capacity of %v: %s", w.info.ID, used, shown, s.taskTrace(order.Task))
+	}
+	s.scheduleEnd(w, order, spec, record.Job.Spec)
+	return ""
+}
+
+// scheduleEnd lets a run end by itself.
+func (s *simulation) scheduleEnd(w *simWorker, order StartOrder, spec *jobspec.Step, behavior string) {
+	duration := time.Duration(float64(spec.EstimateMillis)*(0.5+s.random.Float64())) * time.Millisecond
+	if spec.Gang {
+		s.scheduleGangEnd(order, spec, duration)
+		return
+	}
+	incarnation := w.incarnation
+	at := func(d time.Duration, callback func()) {
+		s.schedule(d, func() {
 			if w.incarnation == incarnation && !w.crashed {
-				s.endRun(w, order.Task, order.Run, EndSucceeded)
+				callback()
 			}
 		})
 	}
-	return true
+	switch {
+	case behavior == "crash":
+		at(300*time.Millisecond, func() {
+			if existing := w.runs[order.Task]; existing != nil && existing.number == order.Run {
+				s.crash(w, time.Duration(1000+s.random.IntN(4000))*time.Millisecond)
+			}
+		})
+	case behavior == "fail" || w.sick:
+		at(200*time.Millisecond+duration/8, func() { s.endRun(w, order.Task, order.Run, EndFailed) })
+	case !spec.LongRunning:
+		at(duration, func() {
+			reason := EndSucceeded
+			if w.sick {
+				reason = EndFailed
+			}
+			s.endRun(w, order.Task, order.Run, reason)
+		})
+	}
+}
+
+// gangRuns returns the workers of the members of a gang that have the given run.
+func (s *simulation) gangRuns(id TaskID, count int, run int64) []*simWorker {
+	members := make([]*simWorker, count)
+	for _, w := range s.workers {
+		for other, existing := range w.runs {
+			if other.Job == id.Job && other.Occurrence == id.Occurrence && other.Step == id.Step && existing.number == run {
+				members[other.Index] = w
+			}
+		}
+	}
+	return members
+}
+
+func (s *simulation) scheduleGangEnd(order StartOrder, spec *jobspec.Step, duration time.Duration) {
+	if slices.Contains(s.gangRuns(order.Task, spec.Count, order.Run), nil) {
+		return
+	}
+	s.schedule(duration, func() {
+		members := s.gangRuns(order.Task, spec.Count, order.Run)
+		if slices.Contains(members, nil) {
+			return
+		}
+		for index, w := range members {
+			id := order.Task
+			id.Index = index
+			s.endRun(w, id, order.Run, EndSucceeded)
+		}
+	})
+}
+
+// breakGang ends the other members of a gang soon after one has ended.
+func (s *simulation) breakGang(id TaskID, spec *jobspec.Step, run int64) {
+	s.schedule(200*time.Millisecond, func() {
+		for index, w := range s.gangRuns(id, spec.Count, run) {
+			if w != nil {
+				member := id
+				member.Index = index
+				s.endRun(w, member, run, EndGangBroken)
+			}
+		}
+	})
 }
 
 func (s *simulation) endRun(w *simWorker, id TaskID, run int64, reason EndReason) {
@@ -403,18 +852,36 @@
 	w.lastEndNumber++
 	w.ended = append(w.ended, RunEnd{Number: w.lastEndNumber, Task: id, Run: run, Reason: reason})
 	s.addTrace(id, "ended run %d on %s %s", run, w.info.ID, reason)
+	s.lastRunAt[id] = s.now
 	if reason == EndSucceeded {
 		s.done[id] = true
+	} else if existing.spec.Gang && reason != EndGangBroken {
+		s.breakGang(id, existing.spec, run)
+	}
+	held := w.heldAnswers
+	w.heldAnswers = nil
+	for _, respond := range held {
+		s.schedule(0, respond)
 	}
 }
 
-func (s *simulation) stopRun(order StopOrder) {
-	w := s.worker(order.Worker)
-	if w.crashed {
+func (s *simulation) sendStop(c *Cell, order StopOrder) {
+	session := s.sessions[order.Worker]
+	if session == nil || session.closed || s.random.Float64() < s.lossRate/2 {
 		return
 	}
-	w.highestRun[order.Task] = max(w.highestRun[order.Task], order.Run)
-	s.endRun(w, order.Task, order.Run, EndStopped)
+	token, w := session.token, session.worker
+	s.schedule(s.randomDelay(), func() {
+		if !w.reachable() || token < w.token {
+			return
+		}
+		w.highestRun[order.Task] = max(w.highestRun[order.Task], order.Run)
+		s.schedule(time.Duration(s.random.IntN(400))*time.Millisecond, func() {
+			if !w.crashed {
+				s.endRun(w, order.Task, order.Run, EndStopped)
+			}
+		})
+	})
 }
 
 // checkGuarantees verifies the guarantees of the package when a task starts.
@@ -422,14 +889,9 @@
 	spec := s.stored.jobs[id.Job].Job.Steps[id.Step]
 	running := 0
 	for _, w := range s.workers {
-		used := Size{}
-		for other, run := range w.runs {
-			used = used.plus(run.size)
-			if other == id && !w.crashed {
-				running++
-			}
+		if w.runs[id] != nil && !w.crashed {
+			running++
 		}
-		assert.Assert(s.t, w.info.Capacity.canHold(used), "runs on %s reserve %v, more than its capacity", w.info.ID, used)
 	}
 	if running > 1 && !spec.Speculative {
 		s.t.Fatalf("task %v has %d runs at a time: %s", id, running, s.taskTrace(id))
@@ -441,32 +903,49 @@
 
 // crash ends a worker's incarnation; a new one starts after downtime.
 func (s *simulation) crash(w *simWorker, downtime time.Duration) {
-	if w.crashed {
+	s.crashWithStep(w, downtime, int64(downtime/time.Millisecond)+1)
+}
+
+// crashWithStep is like crash. The number of the new incarnation differs from that of
+// the last one by step.
+func (s *simulation) crashWithStep(w *simWorker, downtime time.Duration, step int64) {
+	if w.crashed || w.gone {
 		return
 	}
+	s.addFault("crash of %s for %v, incarnation %+d", w.info.ID, downtime, step)
 	w.crashed = true
-	for id := range w.runs {
+	w.heldAnswers = nil
+	for _, id := range sortedTasks(w.runs) {
+		run := w.runs[id]
 		delete(w.runs, id)
-	}
-	for _, end := range w.ended {
-		if end.Number > w.acknowledgedEnd {
-			delete(s.done, end.Task) // No leader knows that the task is done, so it may start again.
+		s.lastRunAt[id] = s.now
+		if run.spec.Gang {
+			s.breakGang(id, run.spec, run.number)
 		}
 	}
+	s.forgetUnknownEnds(w)
 	s.schedule(downtime, func() {
+		s.addFault("%s is back", w.info.ID)
 		w.crashed = false
-		w.incarnation++
+		w.incarnation += step
+		w.info.Incarnation = w.incarnation
 		w.token = 0
 		w.lastEndNumber, w.acknowledgedEnd = 0, 0
 		w.ended = nil
+		w.leaseUntil = time.Time{}
 		w.highestRun = map[TaskID]int64{}
 	})
 }
 
 func (s *simulation) submit(job *jobspec.Job, priority int) jobspec.ID {
+	return s.submitWithTerms(job, QueueTerms{Queue: "q", Pool: "pool", Priority: priority, Attempts: 4, Stretch: 2, ObjectiveMillis: 1000})
+}
+
+func (s *simulation) submitWithTerms(job *jobspec.Job, terms QueueTerms) jobspec.ID {
 	s.requests++
 	id := jobspec.ID(fmt.Sprintf("%016x", s.requests))
-	s.cell.Submit(s.now, s.requests, id, job, QueueTerms{Queue: "q", Pool: "pool", Priority: priority, Attempts: 4, Stretch: 2, ObjectiveMillis: 1000})
+	s.openJobs[id] = job
+	s.cell.Submit(s.now, s.requests, id, job, terms)
 	s.applyEffects(s.cell)
 	return id
 }
@@ -554,14 +1033,45 @@
 			continue // It was forgotten after its retention; the removal is not stored yet.
 		}
 		assert.Assert(s.t, found, "job %s is lost", id)
+		if s.canceled[id] {
+			assert.Assert(s.t, state.IsFinal(), "job %s was canceled", id)
+			continue
+		}
 		if job.Job.Steps[0].LongRunning {
-			assert.Equal(s.t, state, Running, "job %s: %s", id, s.unfinishedTrace(id))
+			if s.canRunOn(&job) {
+				assert.Equal(s.t, state, Running, "job %s: %s", id, s.unfinishedTrace(id))
+			}
 			continue
 		}
-		if state != Completed {
-			s.t.Fatalf("job %s is %v: %s", id, state, s.unfinishedTrace(id))
+		if job.Job.Spec == "fail" {
+			assert.Equal(s.t, state, Failed, "job %s: %s", id, s.unfinishedTrace(id))
+			continue
+		}
+		if state == Failed && s.failedRuns(id) {
+			continue
+		}
+		if state != Completed && s.canRunOn(&job) {
+			s.t.Fatalf("job %s is %v, %+v: %s", id, state, job.Job.Steps, s.unfinishedTrace(id))
+		}
+	}
+}
+
+// canRunOn reports whether there is room for each step of a job, so that it could have
+// completed.
+func (s *simulation) canRunOn(record *JobRecord) bool {
+	for index := range record.Job.Steps {
+		if !s.hasRoomForTwo(record, index, &record.Job.Steps[index]) {
+			return false
 		}
 	}
+	return true
+}
+
+// failedRuns reports whether any run of a job failed because its worker was sick.
+func (s *simulation) failedRuns(id jobspec.ID) bool {
+	return slices.ContainsFunc(s.trace, func(line string) bool {
+		return strings.HasPrefix(line, fmt.Sprintf("{%s ", id)) && strings.HasSuffix(line, string(EndFailed))
+	})
 }
 
 // unfinishedTrace returns the trace of the tasks of a job that are not done.
