cell: jobs that always fail don't exclude sound workers

Callers saw accepted tasks wait while most workers were free and answered. A worker is excluded after three failures in a row of different jobs. Long-running tasks have no limit of attempts, so that two or more jobs whose tasks always fail made the failures of all workers grow for ever: each worker was excluded for 2.5 s after each failure and then got one probe, mostly another task that fails.

Failing before: health_test.go:51: assertion failed: 2 (excluded) != 0 (trusted): both jobs fail on sound workers

The failure of a run no longer counts against its worker if the job has failed on a worker on which a run that was ordered later has succeeded, until a run of the job succeeds. On a worker that is itself at fault no later run succeeds, so its failures still count.

--- a/internal/version/cell/health.go
+++ b/internal/version/cell/health.go
@@ -38,6 +38,8 @@
 	failures    int
 	lastJob     jobspec.ID
 	lastFailure time.Time
+	// lastSuccessOrdered is when the newest run was ordered that has succeeded.
+	lastSuccessOrdered time.Time
 }
 
 func (h *health) recordEnd(reason EndReason, job jobspec.ID, now time.Time) {
@@ -53,6 +55,39 @@
 	}
 }
 
+// recordRunEnd records the end of a run in the health of its worker. The failure of a
+// job that fails on sound workers shows nothing about the worker.
+func (r *run) recordRunEnd(reason EndReason, now time.Time) {
+	j, h := r.task.job(), &r.worker.health
+	switch reason {
+	case EndSucceeded:
+		j.failedOn = nil
+		if r.orderedAt.After(h.lastSuccessOrdered) {
+			h.lastSuccessOrdered = r.orderedAt
+		}
+	case EndFailed:
+		if j.failsOnSoundWorkers() {
+			return
+		}
+		if j.failedOn == nil {
+			j.failedOn = map[*worker]time.Time{}
+		}
+		j.failedOn[r.worker] = now
+	}
+	h.recordEnd(reason, j.id, now)
+}
+
+// failsOnSoundWorkers reports whether the job has failed on a worker on which a run that
+// was ordered later has succeeded, and none of its own runs has succeeded since.
+func (j *job) failsOnSoundWorkers() bool {
+	for w, at := range j.failedOn {
+		if w.health.lastSuccessOrdered.After(at) {
+			return true
+		}
+	}
+	return false
+}
+
 // recordFault counts a stalled run, or a start that the worker refused because
 // it is unhealthy.
 func (h *health) recordFault(now time.Time) {
--- a/internal/version/cell/health_test.go
+++ b/internal/version/cell/health_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -27,3 +28,31 @@
 	w.health.recordEnd(EndSucceeded, jobA, now)
 	assert.Equal(t, w.trust(now), trusted)
 }
+
+// Long-running tasks that always fail kept sound workers excluded for ever, so that other
+// tasks waited while most workers were free.
+func TestFailuresOfHopelessJobsDoNotExcludeWorkers(t *testing.T) {
+	record := testRecord(1)
+	first, second, sound := newJob(record, testStart), newJob(record, testStart), newJob(record, testStart)
+	first.id, second.id, sound.id = jobA[:15]+"b", jobA[:15]+"c", jobA[:15]+"d"
+	proven, other := newWorker(testInfo(testWorker)), newWorker(testInfo(otherWorker))
+	end := func(j *job, w *worker, at time.Time, reason EndReason) {
+		r := &run{task: j.ensureOccurrence(0).steps[0].tasks[0], worker: w, phase: running, orderedAt: at}
+		r.recordRunEnd(reason, at.Add(100*time.Millisecond))
+	}
+	end(first, proven, testStart, EndFailed)
+	end(second, proven, testStart, EndFailed)
+	end(sound, proven, testStart.Add(time.Second), EndSucceeded)
+	now := testStart.Add(2 * time.Second)
+	for range excludeAfterFailures {
+		end(first, other, now, EndFailed)
+		end(second, other, now, EndFailed)
+	}
+	assert.Equal(t, other.trust(now.Add(time.Second)), trusted, "both jobs fail on sound workers")
+	end(first, proven, now, EndSucceeded)
+	for range excludeAfterFailures {
+		end(first, other, now, EndFailed)
+		end(sound, other, now, EndFailed)
+	}
+	assert.Equal(t, other.trust(now.Add(time.Second)), excluded, "a job that has succeeded since shows that the worker is not sound")
+}
--- a/internal/version/cell/job.go
+++ b/internal/version/cell/job.go
@@ -28,6 +28,9 @@
 	occurrences    map[int]*occurrence
 	endedAt        time.Time
 	changed        bool
+	// failedOn holds, for each worker on which a run has failed since the last success,
+	// the time of the last failure there.
+	failedOn map[*worker]time.Time
 }
 
 // occurrence is one execution of all steps of a job.
--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -158,7 +158,7 @@
 	duration := time.Duration(0)
 	if r := w.findRun(end.Task, end.Run); r != nil {
 		duration = now.Sub(r.runningSince)
-		w.health.recordEnd(end.Reason, end.Task.Job, now)
+		r.recordRunEnd(end.Reason, now)
 		c.durations.recordEnd(r, end.Reason, duration)
 		w.removeRun(r)
 	}
