cell: stop a run of an ended job that a report lists first

A start order got no answer, or a report overtook its answer, the job was canceled or its task was completed by another run meanwhile, and the stop order was lost. A report that listed the run made it running and nothing stopped it: only stops of running runs are repeated. A long-running task of a canceled job ran on and kept its capacity for the rest of the term. Failing before: cell_test.go:387: Stops is nil, want the run on w1

The report now stops such a run, as the answer to a start order does.

--- a/internal/version/cell/cell_test.go
+++ b/internal/version/cell/cell_test.go
@@ -367,3 +367,22 @@
 		assert.Equal(t, len(c.TakeEffects(arrived.Add(time.Second)).Starts), 0, "answer of incarnation %d", incarnation)
 	}
 }
+
+// The stop order for a canceled job is lost, and the start order before it got no answer.
+// If the worker lists the run later, it must be stopped; a long-running task would go on
+// and keep its capacity for ever.
+func TestRunListedAfterCancelIsStopped(t *testing.T) {
+	c := newRestoredCell(testRecord(3))
+	c.ApplyReport(testStart, newReport(testWorker, testStart))
+	c.ApplyReport(testStart, newReport(otherWorker, testStart))
+	order := c.TakeEffects(testStart).Starts[0]
+	c.ApplyStartResult(testStart, StartResult{Worker: order.Worker, Task: order.Task, Run: order.Run, Outcome: StartUnknown, Token: 1})
+	assert.Assert(t, c.Cancel(testStart, 1, jobA))
+	c.MarkStored(c.TakeEffects(testStart).Write.Number)
+	c.TakeEffects(testStart)
+	now := testStart.Add(time.Second)
+	resolved := newReport(order.Worker, now, RunReport{Task: order.Task, Run: order.Run})
+	resolved.Token = 2
+	c.ApplyReport(now, resolved)
+	assert.DeepEqual(t, c.TakeEffects(now).Stops, []StopOrder{{order.Worker, order.Task, order.Run}})
+}
--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -295,6 +295,9 @@
 		r.phase = running
 		r.runningSince = now
 		c.markStarted(r.task.job())
+		if r.task.done || r.task.job().state.IsFinal() {
+			c.stopRun(now, r) // An earlier stop order may have been lost.
+		}
 	}
 	if reported.Checkpoint != "" {
 		r.checkpoint = reported.Checkpoint
