cell: advice about an ended incarnation is asked again

A worker that restarted while the advice service judged its earlier incarnation counted as judged in its new one. If the service had not allowed the earlier one, it was never asked about the worker again for that step, and a step that only this worker could run waited for ever. Failing before: advice_test.go:125: assertion failed: 0 (int) != 1 (int)

The incarnations are noted when the call is made. A ticket for an earlier incarnation is no longer tried either.

--- a/internal/version/cell/advice.go
+++ b/internal/version/cell/advice.go
@@ -31,10 +31,13 @@
 type adviceState struct {
 	// pending is set while a call about the step is in flight.
 	pending bool
+	// askedIncarnations holds the incarnations of the workers that the last call is
+	// about.
+	askedIncarnations map[WorkerID]int64
 	// retryAt is the end of the pause after a failed call.
 	retryAt time.Time
 	// judgedIncarnations holds, for each worker that the service has answered
-	// for, the worker's incarnation at that time.
+	// for, the worker's incarnation when it was asked.
 	judgedIncarnations map[WorkerID]int64
 	tickets            map[WorkerID]ticket
 }
@@ -94,6 +97,10 @@
 		return
 	}
 	s.advice.pending = true
+	s.advice.askedIncarnations = map[WorkerID]int64{}
+	for _, id := range workers {
+		s.advice.askedIncarnations[id] = c.workers[id].info.Incarnation
+	}
 	c.adviceCallsInFlight++
 	c.effects.Advice = append(c.effects.Advice, AdviceRequest{Step: s.id(), Workers: workers, Latency: *t.job().terms.Advice})
 }
@@ -145,14 +152,14 @@
 
 func (a *adviceState) apply(c *Cell, result AdviceResult) (outcome string) {
 	for _, id := range result.Workers {
-		w := c.workers[id]
-		if w == nil {
+		if c.workers[id] == nil {
 			continue
 		}
-		a.judgedIncarnations[id] = w.info.Incarnation
+		incarnation := a.askedIncarnations[id]
+		a.judgedIncarnations[id] = incarnation
 		delete(a.tickets, id)
 		if text, allowed := result.Tickets[id]; allowed {
-			a.tickets[id] = ticket{text: text, incarnation: w.info.Incarnation, validUntil: result.ValidUntil.Add(-ticketMargin)}
+			a.tickets[id] = ticket{text: text, incarnation: incarnation, validUntil: result.ValidUntil.Add(-ticketMargin)}
 		}
 	}
 	if len(result.Tickets) == 0 {
--- a/internal/version/cell/advice_test.go
+++ b/internal/version/cell/advice_test.go
@@ -109,3 +109,18 @@
 	c.MarkStored(1)
 	assert.Equal(t, len(c.TakeEffects(testStart.Add(retryPause)).Advice), maxCallsInFlight-1)
 }
+
+// A worker restarts while the advice service judges its earlier incarnation, which the
+// service no longer allows. If that answer counted for the new incarnation, the service
+// would never be asked about it.
+func TestAnswerAboutEndedIncarnationIsNotKept(t *testing.T) {
+	c, request := newCellAwaitingAdvice(t)
+	now := testStart.Add(time.Second)
+	for _, id := range request.Workers {
+		restarted := newReport(id, now)
+		restarted.Incarnation = 2
+		c.ApplyReport(now, restarted)
+	}
+	c.ApplyAdvice(now, newAdviceResult(request, testStart, nil))
+	assert.Equal(t, len(c.TakeEffects(now.Add(retryPause)).Advice), 1)
+}
