cell: steps that can't be placed leave advice calls to others

The cell asked the advice service again about workers for which the step held a valid ticket, and about workers on which the task may not start now. A step that held tickets and could not be placed (best-effort tasks next to a service over its target, workers that are excluded) therefore called without a pause. Two such steps ahead in the order took both calls in flight, and the steps behind them were never asked about. Failing before: advice_test.go:162: the service was never asked about the step that could be placed

Workers with a valid ticket, or on which the task may not start, are no longer named.

--- a/internal/version/cell/advice.go
+++ b/internal/version/cell/advice.go
@@ -105,8 +105,9 @@
 	c.effects.Advice = append(c.effects.Advice, AdviceRequest{Step: s.id(), Workers: workers, Latency: *t.job().terms.Advice})
 }
 
-// workersToAsk returns at most maxWorkersPerCall workers to ask about. Workers
-// with an expired ticket come first, since the policy is known to allow them,
+// workersToAsk returns at most maxWorkersPerCall workers to ask about, none of them with
+// a valid ticket or unsuitable for the task: steps that can't be placed would otherwise
+// take the calls that other steps wait for. Workers with an expired ticket come first, since the policy is known to allow them,
 // followed by workers that the service has not judged yet, those with most free
 // CPU first.
 func (c *Cell) workersToAsk(now time.Time, t *task) []WorkerID {
@@ -115,6 +116,12 @@
 		if !w.canRun(now, t) {
 			continue
 		}
+		if _, possible := c.score(now, t, w); !possible {
+			continue
+		}
+		if _, valid := t.step.ticketFor(now, w); valid {
+			continue
+		}
 		_, hasTicket := t.step.advice.tickets[w.info.ID]
 		incarnation, judged := t.step.advice.judgedIncarnations[w.info.ID]
 		switch {
--- a/internal/version/cell/advice_test.go
+++ b/internal/version/cell/advice_test.go
@@ -124,3 +124,40 @@
 	c.ApplyAdvice(now, newAdviceResult(request, testStart, nil))
 	assert.Equal(t, len(c.TakeEffects(now.Add(retryPause)).Advice), 1)
 }
+
+// Two best-effort steps hold tickets for all workers but can't be placed, since a tail is
+// over its target there. If they kept asking for new tickets, they would take all calls,
+// and steps that could be placed would wait for ever.
+func TestStepsWithTicketsLeaveAdviceCallsToOthers(t *testing.T) {
+	c, request := newCellAwaitingAdvice(t)
+	c.ApplyAdvice(testStart, newAdviceResult(request, testStart, nil)) // The first job may run nowhere.
+	for _, w := range c.workers {
+		w.bestEffort.overSince = testStart
+	}
+	submit := func(suffix jobspec.ID, bestEffort bool) {
+		record := testRecord(3)
+		record.Job.Steps[0].BestEffort = bestEffort
+		record.Terms.Advice = &AdviceLatency{}
+		if !bestEffort {
+			record.Terms.Priority = 1
+		}
+		c.Submit(testStart, 1, jobA[:15]+suffix, &record.Job, record.Terms)
+	}
+	submit("b", true)
+	submit("c", true)
+	submit("d", false)
+	now := testStart
+	effects := c.TakeEffects(now)
+	c.MarkStored(effects.Write.Number)
+	for range 20 {
+		now = now.Add(retryPause)
+		for _, call := range c.TakeEffects(now).Advice {
+			if call.Step.Job == jobA[:15]+"d" {
+				return
+			}
+			tickets := map[WorkerID]string{testWorker: "t", otherWorker: "t"}
+			c.ApplyAdvice(now, newAdviceResult(call, now, tickets))
+		}
+	}
+	t.Fatal("the service was never asked about the step that could be placed")
+}
