platform, entry: skip a record that can't be taken apart

A record of another writer without content, or with a key longer than the record, made the whole read fail, and the reader read from the same offset again. The leader saw no further change of its workers until it was replaced, and went on starting tasks on workers that had left; the configuration was read in the same way. Before the fix:

registry_test.go:55: assertion failed: error is not nil: log call unanswered: a record of 0 bytes is shorter than its key and the key's length

Such a record is now returned with Err set. The readers of the registry and of the configuration log it and go on after it. For the records that a cell stores itself it stays an error, since skipping one could lose a job.

--- a/internal/connection/cellcodec/cellcodec.go
+++ b/internal/connection/cellcodec/cellcodec.go
@@ -87,6 +87,9 @@
 func DecodeCell(records []store.Record) (CellState, error) {
 	var state CellState
 	for _, record := range records {
+		if record.Err != nil {
+			return CellState{}, fault.Wrap(fault.Malformed, record.Err, "decoding the stored record %s", record.Key)
+		}
 		if len(record.Value) == 0 {
 			continue
 		}
--- a/internal/connection/term/term.go
+++ b/internal/connection/term/term.go
@@ -51,7 +51,11 @@
 	}
 	newest := records[len(records)-1]
 	var content termRecord
-	if err := cbor.Unmarshal(newest.Value, &content); err != nil {
+	err = newest.Err
+	if err == nil {
+		err = cbor.Unmarshal(newest.Value, &content)
+	}
+	if err != nil {
 		return election.Term{}, fault.Wrap(fault.Malformed, err, "decoding the term record of cell %d", cell)
 	}
 	term := election.Term{Cell: cell, Epoch: content.Epoch, Holder: content.Holder, Released: content.Released,
--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -79,7 +79,7 @@
 
 func (e *Entry) applyConfiguration(records []store.Record) {
 	for _, record := range records {
-		decoded, err := e.options.Decoder.Manifest(record)
+		decoded, err := e.decodeManifest(record)
 		if err != nil {
 			e.options.Journal.RecordSkipped("configuration", record.Key, err)
 			continue
@@ -90,6 +90,15 @@
 	}
 }
 
+// decodeManifest decodes a record of the configuration. It returns nil for a record that
+// holds no manifest.
+func (e *Entry) decodeManifest(record store.Record) (*manifest.Manifest, error) {
+	if record.Err != nil {
+		return nil, record.Err
+	}
+	return e.options.Decoder.Manifest(record)
+}
+
 // applyManifest puts a manifest into force if its version is higher than that of
 // the manifest in force. A process never returns to an earlier version. source is
 // logged.
--- a/internal/entry/registry.go
+++ b/internal/entry/registry.go
@@ -75,12 +75,12 @@
 		if cellOf(record.Key, cells) != r.cell {
 			continue
 		}
-		if len(record.Value) == 0 {
+		if record.Err == nil && len(record.Value) == 0 {
 			delete(r.workers, record.Key)
 			changed = true
 			continue
 		}
-		info, err := r.entry.options.Decoder.Worker(record)
+		info, err := r.decode(record)
 		if err != nil {
 			r.entry.options.Journal.RecordSkipped("registry", record.Key, err)
 			continue
@@ -92,3 +92,11 @@
 	}
 	return changed
 }
+
+// decode decodes the record of a worker.
+func (r *registryReader) decode(record store.Record) (cell.WorkerInfo, error) {
+	if record.Err != nil {
+		return cell.WorkerInfo{}, record.Err
+	}
+	return r.entry.options.Decoder.Worker(record)
+}
--- /dev/null
+++ b/internal/entry/registry_test.go
@@ -0,0 +1,58 @@
+package entry
+
+import (
+	"net/http"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"poplarvalve/internal/version/cell"
+	"poplarvalve/platform"
+	"poplarvalve/test/fleet"
+)
+
+const registryTopic = "keyed.servers"
+
+// newTestReader returns a reader of the registry in an emulated log, for the only cell.
+func newTestReader(t *testing.T) (*fleet.Log, *registryReader) {
+	t.Helper()
+	emulatedLog := fleet.NewLog()
+	t.Cleanup(emulatedLog.Close)
+	e := testEntry(t)
+	e.options.Log = platform.NewLogClient(emulatedLog.Address(), &http.Client{Transport: &http.Transport{}})
+	e.options.Registry = platform.RegistryPartition
+	e.options.Decoder = platform.Decoder{}
+	e.leaders.setCellCount(1)
+	return emulatedLog, newRegistryReader(e, 0)
+}
+
+func goodEntry() []byte {
+	return []byte(`{"service":"pool","address":"10.0.0.1:80","zone":"z","state":"ready","capacity":{"cpu":1000,"mem_mb":10}}`)
+}
+
+// pollIDs polls a reader once and returns the names of all workers that it then knows.
+func pollIDs(t *testing.T, r *registryReader) []cell.WorkerID {
+	t.Helper()
+	_, _, err := r.poll(t.Context())
+	assert.NilError(t, err)
+	var ids []cell.WorkerID
+	for _, info := range r.workers {
+		ids = append(ids, info.ID)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// One record that can't be taken apart made each read fail from the same offset on. The
+// leader saw no further change of its workers and started tasks on those that had left.
+func TestDamagedRecordDoesNotStopRegistryReader(t *testing.T) {
+	emulatedLog, reader := newTestReader(t)
+	assert.Equal(t, len(pollIDs(t, reader)), 0)
+	emulatedLog.AppendRecord(registryTopic, "i-1", goodEntry())
+	emulatedLog.AppendDamagedRecord(registryTopic, "i-2")
+	emulatedLog.AppendRecord(registryTopic, "i-3", goodEntry())
+	assert.DeepEqual(t, pollIDs(t, reader), []cell.WorkerID{"i-1", "i-3"})
+	emulatedLog.AppendRecord(registryTopic, "i-1", nil)
+	assert.DeepEqual(t, pollIDs(t, reader), []cell.WorkerID{"i-3"})
+}
--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -26,6 +26,9 @@
 	// Offset is the position of the record in its partition. Read and Newest
 	// set it; Append ignores it.
 	Offset int64
+	// Err is set by Read and Newest on a record that can't be taken apart. The record
+	// then has no value, and no key if that can't be read either.
+	Err error
 }
 
 // Writer identifies a sequence of appends by one producer. An append with a
--- a/test/fleet/log.go
+++ b/test/fleet/log.go
@@ -53,6 +53,8 @@
 type keyedValue struct {
 	value  []byte
 	offset int
+	// damaged makes log-newest send a value that is not base64.
+	damaged bool
 }
 
 // NewLog starts an empty log on loopback. Topics are created when they are
@@ -111,6 +113,18 @@
 	l.findOrCreate(topic, "0").appendRecord(append(record, value...))
 }
 
+// AppendDamagedRecord appends one record to a topic's partition 0 that no reader can
+// take apart: reads return it without content, and log-newest with a value that is
+// not base64.
+func (l *Log) AppendDamagedRecord(topic, key string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := l.findOrCreate(topic, "0")
+	p.appendRecord(append([]byte{byte(len(key))}, key...))
+	p.newest[key] = keyedValue{value: []byte("damaged"), offset: p.endOffset() - 1, damaged: true}
+	p.records[len(p.records)-1] = nil
+}
+
 // findOrCreate returns a partition of a topic. The caller must hold l.mu.
 func (l *Log) findOrCreate(topic, partitionName string) *partition {
 	name := topic + "/" + partitionName
@@ -129,7 +143,7 @@
 	if _, known := p.newest[key]; !known {
 		p.keys = append(p.keys, key)
 	}
-	p.newest[key] = keyedValue{record[1+record[0]:], p.endOffset()}
+	p.newest[key] = keyedValue{value: record[1+record[0]:], offset: p.endOffset()}
 	p.records = append(p.records, record)
 	close(p.appended)
 	p.appended = make(chan struct{})
@@ -286,8 +300,11 @@
 			hasMore = true
 			break
 		}
-		items = append(items, map[string]any{"key": key, "offset": p.newest[key].offset,
-			"value": base64.StdEncoding.EncodeToString(p.newest[key].value)})
+		value := base64.StdEncoding.EncodeToString(p.newest[key].value)
+		if p.newest[key].damaged {
+			value = "%"
+		}
+		items = append(items, map[string]any{"key": key, "offset": p.newest[key].offset, "value": value})
 	}
 	writeJSON(w, http.StatusOK, map[string]any{"items": items, "has_more": hasMore, "end": p.endOffset()})
 }
