--- a/internal/entry/registry_test.go
+++ b/internal/entry/registry_test.go
@@ -56,3 +56,13 @@
 	emulatedLog.AppendRecord(registryTopic, "i-1", nil)
 	assert.DeepEqual(t, pollIDs(t, reader), []cell.WorkerID{"i-3"})
 }
+
+// One value that can't be read among the newest records kept each new leader from
+// reading any worker.
+func TestDamagedRecordDoesNotHideWorkersFromNewReader(t *testing.T) {
+	emulatedLog, reader := newTestReader(t)
+	emulatedLog.AppendRecord(registryTopic, "i-1", goodEntry())
+	emulatedLog.AppendDamagedRecord(registryTopic, "i-2")
+	emulatedLog.AppendRecord(registryTopic, "i-3", goodEntry())
+	assert.DeepEqual(t, pollIDs(t, reader), []cell.WorkerID{"i-1", "i-3"})
+}
