--- a/internal/entry/registry_test.go
+++ b/internal/entry/registry_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"net/http"
 	"slices"
 	"testing"
@@ -66,3 +67,16 @@
 	emulatedLog.AppendRecord(registryTopic, "i-3", goodEntry())
 	assert.DeepEqual(t, pollIDs(t, reader), []cell.WorkerID{"i-1", "i-3"})
 }
+
+// A worker whose capacity shrank to 0 kept its earlier capacity, and tasks were placed
+// for which it had no room.
+func TestCapacityThatShrinksToZeroIsTaken(t *testing.T) {
+	emulatedLog, reader := newTestReader(t)
+	emulatedLog.AppendRecord(registryTopic, "i-1", goodEntry())
+	pollIDs(t, reader)
+	emulatedLog.AppendRecord(registryTopic, "i-1", bytes.Replace(goodEntry(), []byte(`"cpu":1000`), []byte(`"cpu":0`), 1))
+	infos, changed, err := reader.poll(t.Context())
+	assert.NilError(t, err)
+	assert.Assert(t, changed)
+	assert.Equal(t, infos[0].Capacity, cell.Size{MemoryMB: 10})
+}
