cellcodec: read stored records of any length

The decoder reads at most 131,072 elements of a list by default; the encoder has no limit. The progress of a job lists each finished task, and a job may have 262,144. Once such a record was stored, no later leader could restore the cell, and all of its jobs would be lost to their callers. Before the fix:

Stored records are now decoded without a limit of elements; the size of a record bounds them.

--- a/internal/connection/cellcodec/cellcodec.go
+++ b/internal/connection/cellcodec/cellcodec.go
@@ -4,6 +4,7 @@
 package cellcodec
 
 import (
+	"math"
 	"strings"
 
 	"github.com/fxamacker/cbor/v2"
@@ -80,6 +81,19 @@
 	return records
 }
 
+// storedDecoding decodes whatever EncodeWriteBatch encodes. The size of a record bounds
+// the number of its elements.
+var storedDecoding = mustDecMode(cbor.DecOptions{MaxArrayElements: math.MaxInt32, MaxMapPairs: math.MaxInt32})
+
+// mustDecMode panics on invalid options, which are constants of this package.
+func mustDecMode(options cbor.DecOptions) cbor.DecMode {
+	mode, err := options.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
 // DecodeCell returns the state that the newest records of a cell describe.
 // Records with an empty value mark removed keys and are skipped. A record that
 // can't be decoded is an error of kind Malformed, because skipping it could lose
@@ -105,18 +119,18 @@
 	switch {
 	case strings.HasPrefix(record.Key, jobKeyPrefix):
 		var job cell.JobRecord
-		err = cbor.Unmarshal(record.Value, &job)
+		err = storedDecoding.Unmarshal(record.Value, &job)
 		s.Jobs = append(s.Jobs, job)
 	case strings.HasPrefix(record.Key, progressKeyPrefix):
 		var progress cell.ProgressRecord
-		err = cbor.Unmarshal(record.Value, &progress)
+		err = storedDecoding.Unmarshal(record.Value, &progress)
 		s.Progress = append(s.Progress, progress)
 	case strings.HasPrefix(record.Key, workerKeyPrefix):
 		var worker cell.WorkerInfo
-		err = cbor.Unmarshal(record.Value, &worker)
+		err = storedDecoding.Unmarshal(record.Value, &worker)
 		s.Workers = append(s.Workers, worker)
 	case record.Key == learnedKey:
-		err = cbor.Unmarshal(record.Value, &s.Learned)
+		err = storedDecoding.Unmarshal(record.Value, &s.Learned)
 	}
 	if err != nil {
 		return fault.Wrap(fault.Malformed, err, "decoding the stored record %s", record.Key)
--- /dev/null
+++ b/internal/connection/cellcodec/cellcodec_test.go
@@ -0,0 +1,27 @@
+package cellcodec
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"poplarvalve/internal/version/cell"
+)
+
+// storeAndDecode returns the state that the next leader reads after a write.
+func storeAndDecode(t *testing.T, write cell.WriteBatch) CellState {
+	t.Helper()
+	records, err := EncodeWriteBatch(write)
+	assert.NilError(t, err)
+	state, err := DecodeCell(records)
+	assert.NilError(t, err)
+	return state
+}
+
+// The progress of a job with more finished tasks than the decoder's default limit was
+// stored but not read: every later leader failed, and the cell had none for good.
+func TestStoredProgressOfLargeJobCanBeRead(t *testing.T) {
+	tasks := make([]cell.TaskRecord, 64*4096)
+	state := storeAndDecode(t, cell.WriteBatch{Progress: []cell.ProgressRecord{{ID: "00000000000000aa", Tasks: tasks}}})
+	assert.Equal(t, len(state.Progress[0].Tasks), len(tasks))
+}
