cellcodec: read stored names that are not valid text

CBOR text is encoded without a check and decoded with one. The name of a worker is the key of its registry entry, which another writer may choose: a key that is not valid UTF-8 was stored with the cell, and no later leader could restore the cell. Before the fix:

cellcodec_test.go:36: assertion failed: error is not nil: malformed: decoding the stored record w/i-\xff: cbor: invalid UTF-8 string

Stored records are decoded without that check, as they were written. A cell whose records already contain such a name recovers.

--- a/internal/connection/cellcodec/cellcodec.go
+++ b/internal/connection/cellcodec/cellcodec.go
@@ -83,7 +83,7 @@
 
 // storedDecoding decodes whatever EncodeWriteBatch encodes. The size of a record bounds
 // the number of its elements.
-var storedDecoding = mustDecMode(cbor.DecOptions{MaxArrayElements: math.MaxInt32, MaxMapPairs: math.MaxInt32})
+var storedDecoding = mustDecMode(cbor.DecOptions{MaxArrayElements: math.MaxInt32, MaxMapPairs: math.MaxInt32, UTF8: cbor.UTF8DecodeInvalid})
 
 // mustDecMode panics on invalid options, which are constants of this package.
 func mustDecMode(options cbor.DecOptions) cbor.DecMode {
--- a/internal/connection/cellcodec/cellcodec_test.go
+++ b/internal/connection/cellcodec/cellcodec_test.go
@@ -25,3 +25,15 @@
 	state := storeAndDecode(t, cell.WriteBatch{Progress: []cell.ProgressRecord{{ID: "00000000000000aa", Tasks: tasks}}})
 	assert.Equal(t, len(state.Progress[0].Tasks), len(tasks))
 }
+
+// The name of a worker comes from a key that another writer chose. A name that is not
+// valid text was stored but not read, and no later leader could restore the cell.
+func TestStoredNameThatIsNotTextCanBeRead(t *testing.T) {
+	write := cell.WriteBatch{
+		Workers: []cell.WorkerInfo{{ID: "i-\xff", Zone: "\xfe"}},
+		Learned: &cell.LearnedRecord{UnloadedTails: map[string]float64{"\xff": 1}},
+	}
+	state := storeAndDecode(t, write)
+	assert.DeepEqual(t, state.Workers, write.Workers)
+	assert.DeepEqual(t, state.Learned.UnloadedTails, write.Learned.UnloadedTails)
+}
