entry: treat a start of a worker in the future as unknown

An entry may name a start of its worker that lies in the future. The cell took it over and then ignored each report of the worker as a late one of an earlier start: the worker got no work, and because it was stored with the cell and never counted as answering, each later leader would wait for it. Before the fix:

registry_test.go:102: assertion failed: 0 (int) != 1 (int)

(the cell had not noticed the report). A start after the current time is now unknown, both in the registry and in the stored records; the first report of the worker then says when it started. A machine whose clock is slow loses nothing by it: the start of a worker that has not reported in a term has no other use.

--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -183,7 +183,8 @@
 		EndedJobRetention: options.Limits.EndedJobRetention,
 		RemoteFactor:      options.Limits.RemoteFactor,
 	})
-	l.cell.Restore(time.Now(), state.Jobs, state.Progress, state.Workers)
+	now := time.Now()
+	l.cell.Restore(now, state.Jobs, state.Progress, withoutFutureStarts(now, state.Workers))
 	l.cell.RestoreLearned(state.Learned)
 	l.writer.onStored = func(number uint64, took time.Duration) {
 		options.Metrics.AppendFinished(took)
--- a/internal/entry/registry.go
+++ b/internal/entry/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"poplarvalve/internal/process/store"
 	"poplarvalve/internal/version/cell"
@@ -38,7 +39,7 @@
 	for _, info := range r.workers {
 		infos = append(infos, info)
 	}
-	return infos, true, nil
+	return withoutFutureStarts(time.Now(), infos), true, nil
 }
 
 // read reads the records from nextOffset on. If they are no longer retained, it
@@ -100,3 +101,15 @@
 	}
 	return r.entry.options.Decoder.Worker(record)
 }
+
+// withoutFutureStarts makes a start after now unknown. A cell would take all reports of
+// such a worker for late ones of an earlier start; with an unknown start, the first
+// report says when the worker has started.
+func withoutFutureStarts(now time.Time, infos []cell.WorkerInfo) []cell.WorkerInfo {
+	for i := range infos {
+		if infos[i].Incarnation > now.UnixMilli() {
+			infos[i].Incarnation = 0
+		}
+	}
+	return infos
+}
--- a/internal/entry/registry_test.go
+++ b/internal/entry/registry_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net/http"
 	"slices"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -80,3 +82,24 @@
 	assert.Assert(t, changed)
 	assert.Equal(t, infos[0].Capacity, cell.Size{MemoryMB: 10})
 }
+
+// A start in the future made the cell take all reports of the worker for late ones of an
+// earlier start. The worker was never used, and each later leader waited for it.
+func TestStartInFutureDoesNotHideReports(t *testing.T) {
+	emulatedLog, reader := newTestReader(t)
+	now := time.Now()
+	future := now.Add(time.Hour).UnixMilli()
+	emulatedLog.AppendRecord(registryTopic, "i-1", fmt.Appendf(nil, `%s,"born":%d}`, bytes.TrimSuffix(goodEntry(), []byte("}")), future))
+	infos, _, err := reader.poll(t.Context())
+	assert.NilError(t, err)
+	stored := slices.Clone(infos)
+	stored[0].Incarnation = future
+	for _, workers := range [][]cell.WorkerInfo{infos, withoutFutureStarts(now, stored)} {
+		c := cell.New(cell.Config{Epoch: 1})
+		c.Restore(now, nil, nil, workers)
+		c.ApplyReport(now, cell.Report{Worker: "i-1", Incarnation: now.UnixMilli(), Sent: now})
+		events := c.TakeEffects(now).Events
+		assert.Equal(t, len(events), 1)
+		assert.Equal(t, events[0].Event, "worker held")
+	}
+}
