entry: keep a worker whose newest registry record can't be read

An odd record under the name of a known worker left the worker's newest good entry in force, but only until the registry was read anew, because the log had dropped the reader's offset. Then the worker got no more work until it wrote its next entry. Before the fix:

registry_test.go:121: assertion failed: []cell.WorkerID( - nil, + {"i-1", "i-2"}, )

The reader now keeps what it knows of a worker that is still listed. Users expect that another writer can't take a worker out of use: the worker's own answers show whether it is there, its next entry replaces the old one within a heartbeat, and its removal still removes it. A worker of which only an odd record is known isn't used.

--- a/internal/entry/registry.go
+++ b/internal/entry/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"poplarvalve/internal/process/store"
@@ -15,12 +16,13 @@
 	// nextOffset is the offset of the next read; -1 means that all records must
 	// be read again.
 	nextOffset int64
-	workers    map[string]cell.WorkerInfo
-	reachable  bool
+	// workers holds the newest entry of each worker that could be decoded.
+	workers   map[string]cell.WorkerInfo
+	reachable bool
 }
 
 func newRegistryReader(e *Entry, number int) *registryReader {
-	return &registryReader{entry: e, cell: number, nextOffset: -1, reachable: true}
+	return &registryReader{entry: e, cell: number, nextOffset: -1, workers: map[string]cell.WorkerInfo{}, reachable: true}
 }
 
 // poll reads the new registry records. If a worker of the cell has changed, it
@@ -51,7 +53,7 @@
 		if err != nil {
 			return false, err
 		}
-		r.workers = map[string]cell.WorkerInfo{}
+		r.keepListed(records)
 		r.apply(records)
 		r.nextOffset = end
 		return true, nil
@@ -68,8 +70,18 @@
 	return r.apply(batch.Records), nil
 }
 
+// keepListed forgets the workers of which the registry has no record any more.
+func (r *registryReader) keepListed(newest []store.Record) {
+	listed := make(map[string]bool, len(newest))
+	for _, record := range newest {
+		listed[record.Key] = true
+	}
+	maps.DeleteFunc(r.workers, func(key string, _ cell.WorkerInfo) bool { return !listed[key] })
+}
+
 // apply applies the records of the cell's workers and reports whether any worker
-// has changed. Records of workers in other cells are not decoded, to save time.
+// has changed. Records of workers in other cells are not decoded, to save time. A record
+// that can't be decoded leaves the newest good entry of its worker in force.
 func (r *registryReader) apply(records []store.Record) (changed bool) {
 	cells := r.entry.leaders.Cells()
 	for _, record := range records {
--- a/internal/entry/registry_test.go
+++ b/internal/entry/registry_test.go
@@ -103,3 +103,22 @@
 		assert.Equal(t, events[0].Event, "worker held")
 	}
 }
+
+// An odd entry under the name of a worker must not take the worker out of use: whether it
+// is there, its own answers show. Read again from the newest records, the worker was gone.
+func TestOddEntryDoesNotReplaceKnownWorker(t *testing.T) {
+	emulatedLog, reader := newTestReader(t)
+	for _, id := range []string{"i-1", "i-2", "i-3"} {
+		emulatedLog.AppendRecord(registryTopic, id, goodEntry())
+	}
+	pollIDs(t, reader)
+	emulatedLog.AppendRecord(registryTopic, "i-1", []byte(`{"service":7}`))
+	emulatedLog.AppendDamagedRecord(registryTopic, "i-2")
+	emulatedLog.AppendRecord(registryTopic, "i-4", []byte(`{"service":7}`))
+	assert.DeepEqual(t, pollIDs(t, reader), []cell.WorkerID{"i-1", "i-2", "i-3"})
+	emulatedLog.AppendRecord(registryTopic, "i-3", nil)
+	emulatedLog.DropHistory(registryTopic)
+	assert.DeepEqual(t, pollIDs(t, reader), []cell.WorkerID{"i-1", "i-2"})
+	emulatedLog.AppendRecord(registryTopic, "i-1", nil)
+	assert.DeepEqual(t, pollIDs(t, reader), []cell.WorkerID{"i-2"})
+}
