logging: bound the lines about records that can't be used

Each skipped record gave a line of its own under the limit of the lines about requests, and the line quoted the record: a writer that repeats an odd entry used up the lines about requests, with up to a megabyte each. Before the fix:

journal_test.go:25: assertion failed: expression is false: strings.Contains( output.String(), `"op":"submit"`): the line about the request was dropped

These lines now have a limit of their own, 5 a second, and the text of an error is cut at 512 bytes, also in the lines about repeated operations.

--- a/internal/process/logging/journal.go
+++ b/internal/process/logging/journal.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +16,12 @@
 	// together cost up to 3 thousandths of a core.
 	maxRequestLinesPerSecond = 200
 	maxTaskLinesPerSecond    = 400
+	// maxSkipLinesPerSecond limits the lines about records that can't be used. Their
+	// writer decides how often it writes them.
+	maxSkipLinesPerSecond = 5
+	// maxErrorTextBytes limits the text of an error, which may quote what another
+	// process has sent.
+	maxErrorTextBytes = 512
 	// maxQueuedLines is the maximum number of lines that wait to be written.
 	maxQueuedLines = 1024
 )
@@ -27,6 +34,7 @@
 	output   *asyncWriter
 	requests lineLimit
 	tasks    lineLimit
+	skips    lineLimit
 	onDrop   func()
 }
 
@@ -46,6 +54,7 @@
 	j := &Journal{output: newAsyncWriter(w, onDrop), onDrop: onDrop}
 	j.requests.maxPerSecond = maxRequestLinesPerSecond
 	j.tasks.maxPerSecond = maxTaskLinesPerSecond
+	j.skips.maxPerSecond = maxSkipLinesPerSecond
 	j.log = log.Logger{
 		Level:      log.ParseLevel(level),
 		TimeFormat: timeFormat,
@@ -185,12 +194,21 @@
 
 // Retrying logs that an operation failed and is tried again.
 func (j *Journal) Retrying(what string, err error) {
-	j.limitedInfo(&j.requests).Str("what", what).Err(err).Msg("failed, trying again")
+	j.limitedInfo(&j.requests).Str("what", what).Str("error", errorText(err)).Msg("failed, trying again")
 }
 
 // RecordSkipped logs that a record that another process wrote can't be used.
 func (j *Journal) RecordSkipped(source, key string, err error) {
-	j.limitedInfo(&j.requests).Str("source", source).Str("key", key).Err(err).Msg("record skipped")
+	j.limitedInfo(&j.skips).Str("source", source).Str("key", key).Str("error", errorText(err)).Msg("record skipped")
+}
+
+// errorText returns the text of an error, cut at maxErrorTextBytes.
+func errorText(err error) string {
+	text := err.Error()
+	if len(text) > maxErrorTextBytes {
+		text = strings.ToValidUTF8(text[:maxErrorTextBytes], "") + " (cut)"
+	}
+	return text
 }
 
 // UnexpectedError logs a panic that ended only a part of the process: where it
