metrics: count the records that are skipped

A record of another process that can't be used left only a log line, which may be dropped. Operators had nothing to set an alarm on. Before the fix:

registry_test.go:141: assertion failed: expression is false: ... "poplarvalve_records_skipped_total{source=%q} %d\n": registry

poplarvalve_records_skipped_total counts them by source: the registry, the configuration, or a peer.

--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"poplarvalve/internal/connection/cellcodec"
+	"poplarvalve/internal/process/metrics"
 	"poplarvalve/internal/process/store"
 	"poplarvalve/internal/version/manifest"
 )
@@ -81,7 +82,7 @@
 	for _, record := range records {
 		decoded, err := e.decodeManifest(record)
 		if err != nil {
-			e.options.Journal.RecordSkipped("configuration", record.Key, err)
+			e.skipRecord(metrics.SourceConfiguration, record.Key, err)
 			continue
 		}
 		if decoded != nil {
@@ -117,7 +118,7 @@
 	e.options.Journal.ManifestInForce(received.Version, source, len(received.Queues))
 	encoded, err := cellcodec.EncodeManifest(received)
 	if err != nil {
-		e.options.Journal.RecordSkipped("configuration", "manifest", err)
+		e.skipRecord(metrics.SourceConfiguration, "manifest", err)
 		return
 	}
 	e.encodedManifest.Update(func(current *encodedManifest) *encodedManifest {
@@ -128,11 +129,17 @@
 	})
 }
 
+// skipRecord logs and counts a record that can't be used.
+func (e *Entry) skipRecord(source metrics.RecordSource, key string, err error) {
+	e.options.Metrics.RecordSkipped(source)
+	e.options.Journal.RecordSkipped(source.String(), key, err)
+}
+
 // applyEncodedManifest applies a manifest that another instance has sent.
 func (e *Entry) applyEncodedManifest(encoded []byte) {
 	decoded, err := cellcodec.DecodeManifest(encoded)
 	if err != nil {
-		e.options.Journal.RecordSkipped("peer", "manifest", err)
+		e.skipRecord(metrics.SourcePeer, "manifest", err)
 		return
 	}
 	e.applyManifest(decoded, "peer")
--- a/internal/entry/registry.go
+++ b/internal/entry/registry.go
@@ -5,6 +5,7 @@
 	"maps"
 	"time"
 
+	"poplarvalve/internal/process/metrics"
 	"poplarvalve/internal/process/store"
 	"poplarvalve/internal/version/cell"
 )
@@ -95,7 +96,7 @@
 		}
 		info, err := r.decode(record)
 		if err != nil {
-			r.entry.options.Journal.RecordSkipped("registry", record.Key, err)
+			r.entry.skipRecord(metrics.SourceRegistry, record.Key, err)
 			continue
 		}
 		if known, found := r.workers[record.Key]; !found || !known.Equal(info) {
--- a/internal/entry/registry_test.go
+++ b/internal/entry/registry_test.go
@@ -4,12 +4,15 @@
 	"bytes"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"poplarvalve/internal/process/store"
 	"poplarvalve/internal/version/cell"
 	"poplarvalve/platform"
 	"poplarvalve/test/fleet"
@@ -122,3 +125,19 @@
 	emulatedLog.AppendRecord(registryTopic, "i-1", nil)
 	assert.DeepEqual(t, pollIDs(t, reader), []cell.WorkerID{"i-2"})
 }
+
+// Without a counter, nobody notices records that are skipped for days.
+func TestSkippedRecordsAreCounted(t *testing.T) {
+	emulatedLog, reader := newTestReader(t)
+	emulatedLog.AppendDamagedRecord(registryTopic, "i-1")
+	emulatedLog.AppendRecord(registryTopic, "i-2", []byte("[]"))
+	emulatedLog.AppendRecord(registryTopic, "i-3", goodEntry())
+	pollIDs(t, reader)
+	reader.entry.applyConfiguration([]store.Record{{Key: "config", Value: []byte("[]")}})
+	reader.entry.applyEncodedManifest([]byte{0xff})
+	recorder := httptest.NewRecorder()
+	reader.entry.options.Metrics.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	for source, want := range map[string]int{"registry": 2, "configuration": 1, "peer": 1} {
+		assert.Assert(t, strings.Contains(recorder.Body.String(), fmt.Sprintf("poplarvalve_records_skipped_total{source=%q} %d\n", source, want)), source)
+	}
+}
--- a/internal/process/metrics/entry.go
+++ b/internal/process/metrics/entry.go
@@ -22,6 +22,27 @@
 	crashes       prometheus.Counter
 	jobsGivenUp   prometheus.Counter
 	droppedLines  prometheus.Counter
+	// skippedRecords is indexed by RecordSource.
+	skippedRecords [sourceCount]prometheus.Counter
+}
+
+// RecordSource says who wrote a record that was skipped.
+type RecordSource uint8
+
+const (
+	// SourceRegistry is a worker or another writer of the registry.
+	SourceRegistry RecordSource = iota
+	// SourceConfiguration is the operators' configuration.
+	SourceConfiguration
+	// SourcePeer is another instance.
+	SourcePeer
+
+	sourceCount = 3
+)
+
+// String returns the name of the source in logs and metrics.
+func (s RecordSource) String() string {
+	return [sourceCount]string{"registry", "configuration", "peer"}[s]
 }
 
 const (
@@ -49,6 +70,10 @@
 		droppedLines: newCounter("log_lines_dropped_total", "Log lines left out because there were too many."),
 	}
 	requests := newCounterVec("job_requests_total", "Requests about jobs, by how they were answered.", "operation", "verdict")
+	skipped := newCounterVec("records_skipped_total", "Records of other processes that can't be used, by their source.", "source")
+	for source := range RecordSource(sourceCount) {
+		e.skippedRecords[source] = skipped.WithLabelValues(source.String())
+	}
 	latency := newHistogramVec("job_request_seconds", "Time from arrival to the answer.", "operation")
 	for operation, name := range operationNames {
 		e.latency[operation] = latency.WithLabelValues(name)
@@ -56,7 +81,7 @@
 			e.requests[operation][verdict] = requests.WithLabelValues(name, verdictName)
 		}
 	}
-	e.registry.MustRegister(requests, latency, e.appendSeconds, e.starts, e.stops, e.throttles, e.crashes, e.jobsGivenUp, e.droppedLines,
+	e.registry.MustRegister(requests, latency, e.appendSeconds, e.starts, e.stops, e.throttles, e.crashes, e.jobsGivenUp, e.droppedLines, skipped,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return e
 }
@@ -102,3 +127,6 @@
 
 // LineDropped counts one log line that was dropped.
 func (e *EntryMetrics) LineDropped() { e.droppedLines.Inc() }
+
+// RecordSkipped counts one record that can't be used.
+func (e *EntryMetrics) RecordSkipped(source RecordSource) { e.skippedRecords[source].Inc() }
