entry: confine a panic at one record to that record

A panic while a record of the registry or the configuration is decoded ended the term of the leader, or restarted the loop that follows the configuration. The record stays in the log: each later leader, and each restart of the loop, would meet it again. No such input is known; the fuzz target has found none. Before the fix:

registry_test.go:171: assertion failed: error is not nil: internal: unexpected error: odd record

The panic is now the error of that record, which is skipped. The text of an error in the log has room for the first frames of the stack.

--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -80,7 +80,7 @@
 
 func (e *Entry) applyConfiguration(records []store.Record) {
 	for _, record := range records {
-		decoded, err := e.decodeManifest(record)
+		decoded, err := decodeRecord(record, e.options.Decoder.Manifest)
 		if err != nil {
 			e.skipRecord(metrics.SourceConfiguration, record.Key, err)
 			continue
@@ -91,15 +91,6 @@
 	}
 }
 
-// decodeManifest decodes a record of the configuration. It returns nil for a record that
-// holds no manifest.
-func (e *Entry) decodeManifest(record store.Record) (*manifest.Manifest, error) {
-	if record.Err != nil {
-		return nil, record.Err
-	}
-	return e.options.Decoder.Manifest(record)
-}
-
 // applyManifest puts a manifest into force if its version is higher than that of
 // the manifest in force. A process never returns to an earlier version. source is
 // logged.
--- a/internal/entry/registry.go
+++ b/internal/entry/registry.go
@@ -5,6 +5,7 @@
 	"maps"
 	"time"
 
+	"poplarvalve/internal/process/fault"
 	"poplarvalve/internal/process/metrics"
 	"poplarvalve/internal/process/store"
 	"poplarvalve/internal/version/cell"
@@ -94,7 +95,7 @@
 			changed = true
 			continue
 		}
-		info, err := r.decode(record)
+		info, err := decodeRecord(record, r.entry.options.Decoder.Worker)
 		if err != nil {
 			r.entry.skipRecord(metrics.SourceRegistry, record.Key, err)
 			continue
@@ -107,12 +108,16 @@
 	return changed
 }
 
-// decode decodes the record of a worker.
-func (r *registryReader) decode(record store.Record) (cell.WorkerInfo, error) {
+// decodeRecord decodes a record of another process. A panic in decode costs only the
+// record: the next leader would meet it again.
+func decodeRecord[T any](record store.Record, decode func(store.Record) (T, error)) (decoded T, err error) {
 	if record.Err != nil {
-		return cell.WorkerInfo{}, record.Err
+		return decoded, record.Err
 	}
-	return r.entry.options.Decoder.Worker(record)
+	if unexpected := fault.Catch(func() { decoded, err = decode(record) }); unexpected != nil {
+		return decoded, unexpected
+	}
+	return decoded, err
 }
 
 // withoutFutureStarts makes a start after now unknown. A cell would take all reports of
--- a/internal/entry/registry_test.go
+++ b/internal/entry/registry_test.go
@@ -12,8 +12,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"poplarvalve/internal/process/fault"
 	"poplarvalve/internal/process/store"
 	"poplarvalve/internal/version/cell"
+	"poplarvalve/internal/version/manifest"
 	"poplarvalve/platform"
 	"poplarvalve/test/fleet"
 )
@@ -141,3 +143,34 @@
 		assert.Assert(t, strings.Contains(recorder.Body.String(), fmt.Sprintf("poplarvalve_records_skipped_total{source=%q} %d\n", source, want)), source)
 	}
 }
+
+// panickingDecoder panics at the records with the value "odd".
+type panickingDecoder struct{ platform.Decoder }
+
+func (d panickingDecoder) Worker(record store.Record) (cell.WorkerInfo, error) {
+	if string(record.Value) == "odd" {
+		panic("odd record")
+	}
+	return d.Decoder.Worker(record)
+}
+
+func (d panickingDecoder) Manifest(record store.Record) (*manifest.Manifest, error) {
+	if string(record.Value) == "odd" {
+		panic("odd record")
+	}
+	return d.Decoder.Manifest(record)
+}
+
+// An unexpected error at one record ended the term of the leader that read it, and of
+// each that followed; the loop that follows the configuration met it again for ever.
+func TestPanicAtRecordCostsOnlyThatRecord(t *testing.T) {
+	emulatedLog, reader := newTestReader(t)
+	reader.entry.options.Decoder = panickingDecoder{}
+	emulatedLog.AppendRecord(registryTopic, "i-1", []byte("odd"))
+	emulatedLog.AppendRecord(registryTopic, "i-2", goodEntry())
+	assert.NilError(t, fault.Catch(func() { assert.DeepEqual(t, pollIDs(t, reader), []cell.WorkerID{"i-2"}) }))
+	assert.NilError(t, fault.Catch(func() {
+		reader.entry.applyConfiguration([]store.Record{{Key: "config", Value: []byte("odd")}, {Key: "config", Value: []byte(`{"version":3}`)}})
+	}))
+	assert.Equal(t, reader.entry.manifest.Load().Version, int64(3))
+}
--- a/internal/process/logging/journal.go
+++ b/internal/process/logging/journal.go
@@ -20,8 +20,8 @@
 	// writer decides how often it writes them.
 	maxSkipLinesPerSecond = 5
 	// maxErrorTextBytes limits the text of an error, which may quote what another
-	// process has sent.
-	maxErrorTextBytes = 512
+	// process has sent. It has room for the first frames of a stack.
+	maxErrorTextBytes = 2 << 10
 	// maxQueuedLines is the maximum number of lines that wait to be written.
 	maxQueuedLines = 1024
 )
