platform, entry: read anew when the offset is outside of the partition

A reader whose offset is beyond the end of the partition got an empty response and asked for the same offset again: after offsets that fell back, no change of a worker or of the configuration was seen until the log had grown past it. Records of a response that starts after the requested offset were taken for those at that offset. Before the fix:

odd_test.go:220: assertion failed: unanswered (store.Reason) != expired registry_test.go:186: assertion failed: ... - "i-1", + "i-2",

Both now count as expired, which makes the readers start from the newest records. The reader of the configuration pauses before that, so that a log that goes on answering so isn't called without a pause.

--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -68,6 +68,7 @@
 	batch, err := e.options.Log.Read(ctx, e.options.Configuration, *nextOffset, configurationReadWait)
 	if isExpired(err) {
 		*nextOffset = -1
+		sleep(ctx, configurationRetryPause) // The next read may find the same.
 		return nil
 	}
 	if err != nil {
--- a/internal/entry/registry_test.go
+++ b/internal/entry/registry_test.go
@@ -174,3 +174,15 @@
 	}))
 	assert.Equal(t, reader.entry.manifest.Load().Version, int64(3))
 }
+
+// After the offsets of the log had fallen back, the reader asked for an offset beyond the
+// end and saw no change until the log had grown past it.
+func TestReaderStartsAnewAfterOffsetsFellBack(t *testing.T) {
+	emulatedLog, reader := newTestReader(t)
+	emulatedLog.AppendRecord(registryTopic, "i-1", goodEntry())
+	pollIDs(t, reader)
+	reader.nextOffset += 5
+	emulatedLog.AppendRecord(registryTopic, "i-2", goodEntry())
+	assert.DeepEqual(t, pollIDs(t, reader), []cell.WorkerID{"i-1", "i-2"})
+	assert.Equal(t, reader.nextOffset, int64(2))
+}
--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -96,7 +96,8 @@
 	OutOfSequence Reason = "out_of_sequence"
 	// EndMismatch means that the partition does not end at Condition.EndOffset.
 	EndMismatch Reason = "moved"
-	// Expired means that the requested records are no longer kept.
+	// Expired means that the requested records are no longer kept, or that the
+	// partition ends before them.
 	Expired Reason = "expired"
 	// Rejected means that the call itself is invalid.
 	Rejected Reason = "rejected"
