entry: refuse a number of cells that no deployment has

The number of cells was taken from a heartbeat of another instance or from the stored layout without a check, and an instance starts a goroutine for each cell: a damaged or foreign message with a huge number would use up its memory. 0 and negative numbers in the layout were taken as not known yet, without an error in the log. Before the fix:

leaders_test.go:93: assertion failed: (int) != 0 (int) leaders_test.go:105: assertion failed: err is nil:

Only 1 to 24 cells are taken, which is what a deployment is given when it starts; the stored number otherwise is an error that is logged at each attempt.

--- a/internal/entry/layout.go
+++ b/internal/entry/layout.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"poplarvalve/internal/process/fault"
 	"poplarvalve/internal/process/store"
 	"poplarvalve/internal/version/election"
 )
@@ -54,7 +55,7 @@
 	for _, record := range records {
 		switch record.Key {
 		case cellCountKey:
-			return strconv.Atoi(string(record.Value))
+			return decodeCellCount(record)
 		case counterKey:
 			counterNonce = string(record.Value)
 		}
@@ -69,6 +70,21 @@
 	return 0, err
 }
 
+// decodeCellCount decodes the stored number of cells.
+func decodeCellCount(record store.Record) (int, error) {
+	cells, err := strconv.Atoi(string(record.Value))
+	if record.Err != nil {
+		err = record.Err
+	}
+	if err != nil {
+		return 0, fault.Wrap(fault.Malformed, err, "decoding the stored number of cells")
+	}
+	if cells < 1 || cells > election.MaxCells {
+		return 0, fault.New(fault.Malformed, "the stored number of cells is %d, want 1 to %d", cells, election.MaxCells)
+	}
+	return cells, nil
+}
+
 // deriveCellCount derives the number of cells from the number of registered
 // workers and writes it to the log, once the number of workers is stable. It returns
 // 0 before that, and if another instance has written to the topic since endOffset.
--- a/internal/entry/leaders.go
+++ b/internal/entry/leaders.go
@@ -274,7 +274,7 @@
 // HandleHeartbeat implements celllink.Server. It records what another instance knows
 // about cells, leaders and the manifest.
 func (l *leaderDirectory) HandleHeartbeat(heartbeat cellcodec.LinkHeartbeat) {
-	if heartbeat.Cells > 0 && l.Cells() == 0 {
+	if heartbeat.Cells > 0 && heartbeat.Cells <= election.MaxCells && l.Cells() == 0 {
 		l.setCellCount(heartbeat.Cells)
 	}
 	for _, leader := range heartbeat.Leaders {
--- a/internal/entry/leaders_test.go
+++ b/internal/entry/leaders_test.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"math"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -80,3 +82,30 @@
 	heartbeat, _ = e.leaders.NextHeartbeat(behind, 0)
 	assert.Assert(t, len(heartbeat.ManifestContent) > 0)
 }
+
+// Each cell is followed by a goroutine of its own. A number of cells that no deployment
+// has, in a damaged heartbeat or layout record, made an instance start goroutines until
+// its memory was used up.
+func TestImpossibleNumberOfCellsIsNotUsed(t *testing.T) {
+	l := testEntry(t).leaders
+	for _, cells := range []int{1 << 40, election.CellsFor(math.MaxInt32) + 1, -1} {
+		l.HandleHeartbeat(cellcodec.LinkHeartbeat{Nonce: 2, Cells: cells})
+		assert.Equal(t, l.Cells(), 0)
+	}
+	l.HandleHeartbeat(cellcodec.LinkHeartbeat{Nonce: 2, Cells: 3})
+	assert.Equal(t, l.Cells(), 3)
+}
+
+// The record is written once and read by each instance at its start.
+func TestImpossibleStoredNumberOfCellsIsAnError(t *testing.T) {
+	emulatedLog, reader := newTestReader(t)
+	for _, cells := range []string{"1000000000", "0", "-1", "x", "1e3"} {
+		emulatedLog.AppendRecord("keyed.layout", "cells", []byte(cells))
+		_, err := reader.entry.readCellCount(t.Context(), &election.WorkerCensus{Started: time.Now()})
+		assert.Check(t, err != nil, "%s", cells)
+	}
+	emulatedLog.AppendRecord("keyed.layout", "cells", []byte("3"))
+	cells, err := reader.entry.readCellCount(t.Context(), &election.WorkerCensus{Started: time.Now()})
+	assert.NilError(t, err)
+	assert.Equal(t, cells, 3)
+}
--- a/internal/version/election/census.go
+++ b/internal/version/election/census.go
@@ -8,9 +8,9 @@
 	// cell has free capacity. With cells of 70 workers this happened on three of
 	// seven days of scaled-up load.
 	workersPerCell = 500
-	// maxCells bounds the number of cells, since each cell needs a partition of
+	// MaxCells bounds the number of cells, since each cell needs a partition of
 	// its own and a topic of the log has 24.
-	maxCells = 24
+	MaxCells = 24
 	// censusStablePeriod is how long the number of registered workers must stay the
 	// same before it is used on the first start of a deployment. The workers take
 	// one or two heartbeats to register. After censusTimeout the count is used even
@@ -25,7 +25,7 @@
 // CellsFor returns the number of cells for a deployment with the given number of
 // workers: one per 500 workers or part of them, at least 1 and at most 24.
 func CellsFor(workers int) int {
-	return min(maxCells, max(1, (workers+workersPerCell-1)/workersPerCell))
+	return min(MaxCells, max(1, (workers+workersPerCell-1)/workersPerCell))
 }
 
 // WorkerCensus decides, on the first start of a deployment, when the number of
