cell: keep the reserve for short tasks when a caller names huge sizes

The demand of waiting short tasks is added up as integers, and a caller may name any size for a task. Two tasks of 2^62 thousandths of a core had a negative sum, so that no demand was seen and long-running tasks took the capacity that is kept free for short ones. Before the fix:

reserve_test.go:22: assertion failed: c.reserve.peak is less than 16000 / reserveMaxDivisor: the reserve is 960

One task now adds at most the total capacity, above which the demand has no further effect.

--- a/internal/version/cell/reserve.go
+++ b/internal/version/cell/reserve.go
@@ -81,7 +81,8 @@
 	}
 	for _, t := range c.readyTasks {
 		if spec := t.spec(); !spec.LongRunning {
-			c.totals.shortDemand += t.size().CPU
+			// A caller may name any size; the sum must not overflow.
+			c.totals.shortDemand += min(t.size().CPU, c.totals.capacity)
 		}
 	}
 	c.reserve.observe(now, min(c.totals.shortDemand, c.totals.capacity/reserveMaxDivisor), c.totals.capacity)
