entry: test that odd registry entries disturb neither leader nor successor

A test across the reader, the leader and the next leader: entries of another writer that are nested, far too large, out of range, not text, or that can't be taken apart stand between those of workers.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -248,29 +249,42 @@
 	return found
 }
 
-// awaitWorkerCount waits until the leader knows that many workers.
-func (d *deployment) awaitWorkerCount(count int) {
+// dumpedWorker is a worker in the state dump of its leader.
+type dumpedWorker struct {
+	Worker       string
+	Listed, Held bool
+}
+
+// awaitWorkers waits until the workers in the dump of the leader of cell 0 meet a
+// condition.
+func (d *deployment) awaitWorkers(condition func([]dumpedWorker) bool) {
 	d.t.Helper()
 	poll.WaitOn(d.t, func(poll.LogT) poll.Result {
 		encoded, err := json.Marshal(d.leader().entry.Dump())
-		if err != nil {
-			return poll.Error(err)
-		}
+		assert.NilError(d.t, err)
 		var state struct {
 			Cell struct {
-				Workers []json.RawMessage `json:"workers"`
+				Workers []dumpedWorker `json:"workers"`
 			} `json:"cell-0"`
 		}
-		if err := json.Unmarshal(encoded, &state); err != nil {
-			return poll.Error(err)
-		}
-		if len(state.Cell.Workers) == count {
+		assert.NilError(d.t, json.Unmarshal(encoded, &state))
+		if condition(state.Cell.Workers) {
 			return poll.Success()
 		}
-		return poll.Continue("%d workers", len(state.Cell.Workers))
+		return poll.Continue("%+v", state.Cell.Workers)
 	}, poll.WithTimeout(waitTimeout), poll.WithDelay(100*time.Millisecond))
 }
 
+// awaitOnlyListed waits until the leader of cell 0 has one worker in its registry, which
+// has answered.
+func (d *deployment) awaitOnlyListed(id string) {
+	d.t.Helper()
+	d.awaitWorkers(func(workers []dumpedWorker) bool {
+		listed := slices.DeleteFunc(workers, func(w dumpedWorker) bool { return !w.Listed })
+		return len(listed) == 1 && listed[0] == dumpedWorker{Worker: id, Listed: true, Held: true}
+	})
+}
+
 // The basic path: every instance accepts requests and forwards them to the leader,
 // each task runs once, and unknown jobs and paths are refused with their own status.
 func TestAnyInstanceServesJobsAndEachTaskRunsOnce(t *testing.T) {
@@ -431,7 +445,7 @@
 		w.SetCutOff(true)
 		d.log.AppendRecord("keyed.servers", w.ID, nil)
 	}
-	d.awaitWorkerCount(0)
+	d.awaitWorkers(func(workers []dumpedWorker) bool { return len(workers) == 0 })
 	d.workers[0].SetCutOff(false)
 	d.log.AppendRecord("keyed.servers", d.workers[0].ID, d.workers[0].RegistryEntry())
 	d.submit(jobID(100))
@@ -528,3 +542,54 @@
 	}
 	return rest
 }
+
+// Another writer leaves odd entries among those of the workers. None of them may stop the
+// reader, end a leader, keep the next one from leading, or hide the workers.
+func TestOddRegistryEntriesDisturbNeitherLeaderNorSuccessor(t *testing.T) {
+	d := deploy(t, 1, 50*time.Millisecond)
+	d.submit(jobID(1))
+	d.awaitState(jobID(1), "completed")
+	good := string(d.workers[0].RegistryEntry())
+	address := good[strings.Index(good, "127.0.0.1:"):]
+	address = address[:strings.Index(address, `"`)]
+	altered := func(old, odd string) string {
+		assert.Assert(t, strings.Contains(good, old), old)
+		return strings.Replace(good, old, odd, 1)
+	}
+	odd := map[string]string{
+		"i-nested":      strings.Repeat("[", 100_000),
+		"i-cpu":         altered(`"cpu":16000`, `"cpu":4611686018427387904`),
+		"i-cpu2":        altered(`"cpu":16000`, `"cpu":4611686018427387904`),
+		"i-port":        altered(address, "127.0.0.1:70000"),
+		"i-path":        altered(address, address+"/x"),
+		"i-born":        altered(`"born":`, `"born":9999`),
+		"i-labels":      altered(`"labels":["a"`, `"labels":[`+strings.Repeat(`"",`, 200_000)+`"a"`),
+		"i-\xff":        good,
+		"":              good,
+		"i-not-text":    altered(`"pool"`, "\"pool\xff\""),
+		"i-line\nbreak": good,
+	}
+	for key, value := range odd {
+		d.log.AppendRecord("keyed.servers", key, []byte(value))
+	}
+	d.log.AppendDamagedRecord("keyed.servers", "i-damaged")
+	d.log.AppendDamagedRecord("keyed.op", "damaged")
+	late := fleet.NewWorker("i-late", "pool", 50*time.Millisecond, d.overlaps)
+	t.Cleanup(late.Close)
+	d.workers = append(d.workers, late)
+	d.log.AppendRecord("keyed.servers", late.ID, late.RegistryEntry())
+	for _, w := range d.workers[:3] {
+		d.log.AppendRecord("keyed.servers", w.ID, nil)
+	}
+	d.awaitOnlyListed(late.ID)
+	d.submit(jobID(2))
+	d.awaitState(jobID(2), "completed")
+	d.checkEachTaskRanOnce(jobID(2))
+	assert.Equal(t, late.DoneTasksOfJob(jobID(2)), 6)
+	d.entries[0].stop()
+	d.entries = nil
+	d.start()
+	d.submit(jobID(3))
+	d.awaitState(jobID(3), "completed")
+	assert.Equal(t, late.DoneTasksOfJob(jobID(3)), 6)
+}
