cell: tell the successive workers of one machine apart

Lost workers were kept by address. After a change of leader, two of them could share an address: the crashed one and its predecessor, which was stored but gone. The crash was then judged by the runs of the wrong one and implicated no task.

Lost workers are now kept by their ID, and the successor at an address settles all of them.

--- a/internal/version/cell/cell.go
+++ b/internal/version/cell/cell.go
@@ -30,8 +30,8 @@
 	// registryRead is set once the registry has been read in this term.
 	registryRead bool
 
-	// lostWorkers holds the workers that became unresponsive, by address.
-	lostWorkers map[string]*lostWorker
+	// lostWorkers holds the workers that became unresponsive.
+	lostWorkers map[WorkerID]*lostWorker
 
 	readyTasks []*task
 	// needsRanking is set if tasks were added to readyTasks since it was last
@@ -81,7 +81,7 @@
 		jobs:        map[jobspec.ID]*job{},
 		workers:     map[WorkerID]*worker{},
 		recovering:  map[WorkerID]bool{},
-		lostWorkers: map[string]*lostWorker{},
+		lostWorkers: map[WorkerID]*lostWorker{},
 		durations:   newDurationModel(),
 		pressures:   newPressureModel(),
 	}
--- a/internal/version/cell/cell_test.go
+++ b/internal/version/cell/cell_test.go
@@ -18,7 +18,7 @@
 var testStart = time.UnixMilli(1_000_000)
 
 func testInfo(id WorkerID) WorkerInfo {
-	return WorkerInfo{ID: id, Pool: "pool", Capacity: Size{CPU: 8000, MemoryMB: 8000}}
+	return WorkerInfo{ID: id, Address: "address of " + string(id), Pool: "pool", Capacity: Size{CPU: 8000, MemoryMB: 8000}}
 }
 
 func testSpec() jobspec.Job {
--- a/internal/version/cell/crash.go
+++ b/internal/version/cell/crash.go
@@ -53,17 +53,14 @@
 
 // recordLoss remembers a worker that became unresponsive.
 func (c *Cell) recordLoss(now time.Time, w *worker) {
-	if w.info.Address == "" {
-		return // Nothing tells its successor.
-	}
-	c.lostWorkers[w.info.Address] = &lostWorker{worker: w, silentSince: now}
+	c.lostWorkers[w.info.ID] = &lostWorker{worker: w, silentSince: now}
 }
 
 // forgetLosses drops the lost workers that were retained long enough.
 func (c *Cell) forgetLosses(now time.Time) {
-	for address, lost := range c.lostWorkers {
+	for id, lost := range c.lostWorkers {
 		if now.Sub(lost.silentSince) > lostWorkerRetention {
-			delete(c.lostWorkers, address)
+			delete(c.lostWorkers, id)
 		}
 	}
 }
@@ -71,19 +68,19 @@
 // recordSuspects keeps the runs that may have crashed a worker, before they are given
 // up because their leases have expired.
 func (c *Cell) recordSuspects(w *worker) {
-	if lost := c.lostWorkers[w.info.Address]; lost != nil && lost.worker == w && len(lost.suspects) == 0 {
+	if lost := c.lostWorkers[w.info.ID]; lost != nil && lost.worker == w && len(lost.suspects) == 0 {
 		lost.suspects = w.crashSuspects()
 	}
 }
 
-// handleSuccessor handles the first answer of a worker. If another worker at its
-// address was lost, that one has ended, and so has all that ran on it.
+// handleSuccessor handles the first answer of a worker. If other workers at its address
+// were lost, they have ended, and so has all that ran on them.
 func (c *Cell) handleSuccessor(now time.Time, successor *worker) {
-	lost := c.lostWorkers[successor.info.Address]
-	if lost == nil || lost.judged || lost.worker.isSameIncarnation(successor) {
-		return
+	for _, lost := range c.lostWorkers {
+		if lost.worker.info.Address == successor.info.Address && !lost.judged && !lost.worker.isSameIncarnation(successor) {
+			c.handleReplacement(now, lost.worker)
+		}
 	}
-	c.handleReplacement(now, lost.worker)
 }
 
 // handleReplacement handles the end of a worker that another one has replaced at its
@@ -93,7 +90,7 @@
 	w.unresponsive = true
 	delete(c.recovering, w.info.ID)
 	c.recordSuspects(w)
-	if lost := c.lostWorkers[w.info.Address]; lost != nil && lost.worker == w {
+	if lost := c.lostWorkers[w.info.ID]; lost != nil && lost.worker == w {
 		c.judgeCrash(now, w, lost.suspects)
 	}
 	for r := range w.runs {
@@ -113,7 +110,7 @@
 // judgeCrash implicates the tasks that may have crashed a worker.
 func (c *Cell) judgeCrash(now time.Time, w *worker, suspects []*run) {
 	var lost *lostWorker
-	if found := c.lostWorkers[w.info.Address]; found != nil && found.worker == w && w.unresponsive {
+	if found := c.lostWorkers[w.info.ID]; found != nil && found.worker == w && w.unresponsive {
 		lost = found
 		lost.judged = true
 	}
@@ -223,22 +220,19 @@
 // became unresponsive at the same time as it.
 func (c *Cell) lostWithRack(reference *lostWorker) bool {
 	rack := reference.worker.info.Rack
-	lostCount, others := 0, 0
-	lostHere := func(address string) bool {
-		lost := c.lostWorkers[address]
-		return lost != nil && lost.silentSince.Sub(reference.silentSince).Abs() <= rackLossWindow
-	}
-	for address, lost := range c.lostWorkers {
-		if lost.worker.info.Rack == rack && lostHere(address) {
-			lostCount++
+	lostAddresses := map[string]bool{}
+	for _, lost := range c.lostWorkers {
+		if lost.worker.info.Rack == rack && lost.silentSince.Sub(reference.silentSince).Abs() <= rackLossWindow {
+			lostAddresses[lost.worker.info.Address] = true
 		}
 	}
+	others := 0
 	for _, w := range c.workers {
-		if w.info.Rack == rack && w.registered && !lostHere(w.info.Address) {
+		if w.info.Rack == rack && w.registered && !lostAddresses[w.info.Address] {
 			others++
 		}
 	}
-	return lostCount >= rackLossMinimum && lostCount >= others
+	return len(lostAddresses) >= rackLossMinimum && len(lostAddresses) >= others
 }
 
 // endProbation clears an implicated task if the run has outlasted the probation
--- a/internal/version/cell/simulation_test.go
+++ b/internal/version/cell/simulation_test.go
@@ -254,7 +254,7 @@
 	size := Size{CPU: 32000, MemoryMB: 128000}
 	w := &simWorker{
 		info: WorkerInfo{
-			ID: WorkerID(fmt.Sprintf("w%03d", i)), Pool: "pool", Rack: fmt.Sprintf("r%d", i/8), Capacity: size, Incarnation: 1000,
+			ID: WorkerID(fmt.Sprintf("w%03d", i)), Address: fmt.Sprint("10.0.0.", i), Pool: "pool", Rack: fmt.Sprintf("r%d", i/8), Capacity: size, Incarnation: 1000,
 		},
 		fullSize:       size,
 		runs:           map[TaskID]*simRun{},
