cell: start an implicated task once its crashes are stored

- The start of an implicated task, and of its gang, is ordered once the crashes and the run with its worker are stored.
The next leader counts a crash under the stored run.
- A crash is confirmed if the worker had accepted or listed the run.
Other runs count if the worker closed the connection of the order before it could have answered, or if an earlier leader had stored them.
A task is given up at the earlier limits only if two of its crashes are confirmed, and in any case after five.

TestImplicatedTaskIsStartedOnceItsCrashesAreStored, TestNextLeaderCountsCrashUnderStoredRun, TestTaskWhoseStartsAreNeverAnsweredIsGivenUp and TestTaskIsNotGivenUpForOrdersThatMayNotHaveArrived are new. In TestRestartWithLowerIncarnationIsNoticed the write has to be stored before the start that the test asks for.

--- a/internal/connection/workerlink/session.go
+++ b/internal/connection/workerlink/session.go
@@ -493,7 +493,9 @@
 		result.Refusal = refused.Reason
 	default:
 		result.Outcome = cell.StartUnknown
-		result.ConnectionClosed = isClosedByWorker(err)
+		if isClosedByWorker(err) {
+			result.ClosedAfter = time.Since(sent)
+		}
 	}
 	s.sink.StartResult(result)
 }
--- a/internal/version/cell/cell_test.go
+++ b/internal/version/cell/cell_test.go
@@ -347,6 +347,7 @@
 	restarted := newReport(testWorker, now)
 	restarted.Incarnation = 50
 	c.ApplyReport(now, restarted)
+	c.MarkStored(c.TakeEffects(now).Write.Number) // The worker may have crashed under the task.
 	assert.Equal(t, len(c.TakeEffects(now).Starts), 1, "the run ended with its incarnation")
 }
 
--- a/internal/version/cell/crash.go
+++ b/internal/version/cell/crash.go
@@ -28,6 +28,10 @@
 	crashLimit         = 3
 	isolatedCrashLimit = 2
 	sharedCrashLimit   = 4
+	// confirmedCrashMinimum is the number of crashes, of those counted, for which the
+	// task must certainly have started. maxCrashes applies whether or not it had.
+	confirmedCrashMinimum = 2
+	maxCrashes            = 5
 	// rackLossWindow is the time within which the workers of a rack fall silent if the
 	// rack itself is lost. rackLossMinimum is the smallest number of them.
 	rackLossWindow  = time.Second
@@ -139,9 +143,12 @@
 		return
 	}
 	t.crashes++
+	if r.hasStarted() {
+		t.confirmedCrashes++
+	}
 	c.markChanged(t.job())
 	outcome := fmt.Sprintf("%d workers crashed", t.crashes)
-	if t.crashes < limit {
+	if t.crashes < maxCrashes && (t.crashes < limit || t.confirmedCrashes < confirmedCrashMinimum) {
 		c.addEvent(DecisionEvent{Event: "task implicated", Task: t.id(), Run: r.number, Worker: r.worker.info.ID, Outcome: outcome})
 		return
 	}
@@ -150,14 +157,21 @@
 	c.endJob(now, t.job(), Failed)
 }
 
+// hasStarted reports whether the worker has accepted or listed the run.
+func (r *run) hasStarted() bool { return r.phase == running || r.phase == stopping }
+
+// earlyCloseLimit is the time after a start order within which the worker may have
+// crashed by the task before its answer arrived. It is above the round-trip time between
+// regions; a worker that closes the connection later has not received the order or has
+// not carried it out.
+const earlyCloseLimit = 200 * time.Millisecond
+
 // crashSuspects returns the runs on the worker that had not outlasted the probation
-// period when it last answered. A start whose connection the worker closed counts as
-// such a run, since the worker may have crashed before its answer arrived.
+// period when it last answered, including those that may have started.
 func (w *worker) crashSuspects() []*run {
 	suspects := slices.Clone(w.earlierSuspects)
 	for r := range w.runs {
-		started := r.phase == running || r.phase == stopping || r.phase == inDoubt && r.connectionClosed
-		if started && !r.outlastedProbation() {
+		if (r.hasStarted() || r.closedEarly) && !r.outlastedProbation() {
 			suspects = append(suspects, r)
 		}
 	}
@@ -183,7 +197,7 @@
 // outlastedProbation reports whether the worker has answered a renewal that was sent
 // after the run had lasted for the probation period.
 func (r *run) outlastedProbation() bool {
-	return r.worker.lastReportSent.Sub(r.runningSince) >= probationPeriod
+	return r.hasStarted() && r.worker.lastReportSent.Sub(r.runningSince) >= probationPeriod
 }
 
 // blame returns the runs that may explain a crash, and the number of crashes from which
@@ -214,7 +228,9 @@
 	return blamed, isolatedCrashLimit
 }
 
-func (r *run) unproven() bool { return !r.runningSince.Before(r.worker.lastReportSent) }
+func (r *run) unproven() bool {
+	return !r.hasStarted() || !r.runningSince.Before(r.worker.lastReportSent)
+}
 
 // lostWithRack reports whether at least half of the workers in a lost worker's rack
 // became unresponsive at the same time as it.
@@ -245,7 +261,7 @@
 		r.implicated = false
 		r.worker.implicatedRuns--
 	}
-	r.task.crashes = 0
+	r.task.crashes, r.task.confirmedCrashes = 0, 0
 	c.markChanged(r.task.job())
 	c.addEvent(DecisionEvent{Event: "task cleared", Task: r.task.id(), Run: r.number, Worker: r.worker.info.ID})
 }
--- a/internal/version/cell/crash_test.go
+++ b/internal/version/cell/crash_test.go
@@ -36,6 +36,9 @@
 	stored          storedState
 	// heldWrites keeps writes from being stored while it is set.
 	heldWrites bool
+	// lateAnswers makes workers answer starts so late that a crash comes first.
+	// lostOrders makes starts close their connection without effect.
+	lateAnswers, lostOrders bool
 	// shared is set once two implicated tasks were on one worker.
 	shared bool
 	// events counts the events by name.
@@ -182,8 +185,13 @@
 }
 
 func (f *crashFleet) start(order StartOrder) {
-	f.starts[order.Task]++
 	result := StartResult{Worker: order.Worker, Task: order.Task, Run: order.Run, Token: 1}
+	if f.lostOrders {
+		result.Outcome, result.ClosedAfter = StartUnknown, earlyCloseLimit/2
+		f.cell.ApplyStartResult(f.now, result)
+		return
+	}
+	f.starts[order.Task]++
 	m := f.machine(order.Worker)
 	if m == nil {
 		result.Outcome, result.Refusal = StartRefused, RefusedOtherIncarnation
@@ -191,6 +199,9 @@
 		return
 	}
 	m.running[order.Task] = &crashRun{number: order.Run, endsAt: f.now.Add(f.runTime)}
+	if f.lateAnswers && f.deadly[order.Task] {
+		result.Outcome, result.ClosedAfter = StartUnknown, earlyCloseLimit/2
+	}
 	f.cell.ApplyStartResult(f.now, result)
 	if f.deadly[order.Task] {
 		f.crash(m)
@@ -323,7 +334,7 @@
 			w := &worker{lastReportSent: testStart}
 			var runs []*run
 			for _, s := range test.suspects {
-				runs = append(runs, &run{task: &task{crashes: s.crashes}, worker: w, runningSince: testStart.Add(s.started)})
+				runs = append(runs, &run{task: &task{crashes: s.crashes}, worker: w, phase: running, runningSince: testStart.Add(s.started)})
 			}
 			blamed, limit := blame(runs)
 			var indexes []int
@@ -418,6 +429,65 @@
 	return 0
 }
 
+// Guards against a leader that starts a task again and again while it can't store the
+// crashes, so that the next leader counts from zero.
+func TestImplicatedTaskIsStartedOnceItsCrashesAreStored(t *testing.T) {
+	f := newCrashFleet(t, 8)
+	f.deadly[firstTaskID()] = true
+	f.submit(jobA, 1, nil)
+	f.run(time.Second)
+	f.heldWrites = true
+	f.run(20 * time.Second)
+	assert.Equal(t, f.starts[firstTaskID()], 1)
+	f.takeOver(2)
+	f.heldWrites = false
+	f.run(40 * time.Second)
+	f.checkGivenUp(firstTaskID())
+}
+
+// Guards against a crash that no leader counts: the one that ordered the start has ended
+// before the worker was back.
+func TestNextLeaderCountsCrashUnderStoredRun(t *testing.T) {
+	f := newCrashFleet(t, 8)
+	f.deadly[firstTaskID()] = true
+	f.submit(jobA, 1, nil)
+	for f.crashes[firstTaskID()] < 2 {
+		f.run(100 * time.Millisecond)
+	}
+	counted := f.storedCrashes(firstTaskID())
+	f.takeOver(2)
+	f.run(f.downFor + time.Second)
+	assert.Equal(t, f.storedCrashes(firstTaskID()), counted+1)
+}
+
+// Guards against a task that crashes its workers before their answers to the starts
+// arrive, so that none of the crashes is certain.
+func TestTaskWhoseStartsAreNeverAnsweredIsGivenUp(t *testing.T) {
+	f := newCrashFleet(t, 8)
+	f.lateAnswers = true
+	f.deadly[firstTaskID()] = true
+	f.submit(jobA, 1, nil)
+	f.run(time.Minute)
+	f.checkGivenUp(firstTaskID())
+}
+
+// Guards against giving up a task that may never have started on the workers that crashed.
+func TestTaskIsNotGivenUpForOrdersThatMayNotHaveArrived(t *testing.T) {
+	f := newCrashFleet(t, 4)
+	f.submit(jobA, 1, nil)
+	for range maxCrashes - 1 {
+		f.lostOrders = true
+		f.run(500 * time.Millisecond)
+		for _, r := range f.cell.jobs[jobA].occurrences[0].steps[0].tasks[0].runs {
+			f.crash(f.machine(r.worker.info.ID))
+		}
+		f.lostOrders = false
+		f.run(f.downFor)
+	}
+	f.run(10 * time.Second)
+	assert.Equal(t, f.state(jobA), Completed)
+}
+
 // Guards against a task that stays implicated, and apart from others, after one of its
 // runs has shown that it does not crash its worker.
 func TestTaskThatOutlastsProbationIsCleared(t *testing.T) {
--- a/internal/version/cell/job.go
+++ b/internal/version/cell/job.go
@@ -77,8 +77,9 @@
 	// failedWorkers lists the workers on which the task failed or stalled.
 	failedWorkers []WorkerID
 	// crashes is the number of workers that crashed under the task since a run of it
-	// last outlasted the probation period.
-	crashes int
+	// last outlasted the probation period. For confirmedCrashes of them it is certain
+	// that the task had started.
+	crashes, confirmedCrashes int
 }
 
 // runPhase is the state of a run, as far as the cell knows it.
@@ -93,6 +94,8 @@
 	running
 	// stopping: a stop order has been issued.
 	stopping
+	// planned: the start order is issued once the run is stored.
+	planned
 )
 
 // run is one start of a task on one worker.
@@ -121,9 +124,9 @@
 	stopOrderedAt time.Time
 	// implicated is set while the run of an implicated task is on probation.
 	implicated bool
-	// connectionClosed is set if the worker closed the connection on which the start
-	// was ordered.
-	connectionClosed bool
+	// closedEarly is set if the worker closed the connection on which the start was
+	// ordered before it could have answered.
+	closedEarly bool
 }
 
 func (t *task) id() TaskID {
@@ -250,7 +253,7 @@
 func appendCrashRecords(to []CrashRecord, s *step) []CrashRecord {
 	for _, t := range s.tasks {
 		if t.crashes > 0 && !t.done {
-			record := CrashRecord{Occurrence: s.occurrence.number, Step: s.index, Index: t.index, Crashes: t.crashes}
+			record := CrashRecord{Occurrence: s.occurrence.number, Step: s.index, Index: t.index, Crashes: t.crashes, Confirmed: t.confirmedCrashes}
 			for _, r := range t.runs {
 				if r.implicated {
 					record.Worker, record.Run = r.worker.info.ID, r.number
@@ -284,7 +287,7 @@
 	}
 	for _, stored := range record.Crashes {
 		if t := j.findTask(TaskID{j.id, stored.Occurrence, stored.Step, stored.Index}); t != nil {
-			t.crashes = stored.Crashes
+			t.crashes, t.confirmedCrashes = stored.Crashes, stored.Confirmed
 		}
 	}
 }
--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -124,10 +124,18 @@
 	t := r.task
 	c.addEvent(DecisionEvent{Event: "run lost", Task: t.id(), Run: r.number, Worker: r.worker.info.ID, Outcome: reason, Age: now.Sub(r.orderedAt)})
 	c.keepCheckpoint(t, r.checkpoint)
-	r.worker.removeRun(r)
+	c.removeRun(r)
 	c.requeue(now, t)
 }
 
+// removeRun removes a run. The stored run of an implicated task is removed as well.
+func (c *Cell) removeRun(r *run) {
+	r.worker.removeRun(r)
+	if r.implicated {
+		c.markChanged(r.task.job())
+	}
+}
+
 func (c *Cell) keepCheckpoint(t *task, checkpoint string) {
 	if checkpoint != "" && t.spec().Checkpointing {
 		t.checkpoint = checkpoint
@@ -341,7 +349,7 @@
 	case StartUnknown:
 		r.phase = inDoubt
 		r.startToken = result.Token
-		r.connectionClosed = result.ConnectionClosed
+		r.closedEarly = result.ClosedAfter > 0 && result.ClosedAfter < earlyCloseLimit
 		c.effects.Resolve = append(c.effects.Resolve, result.Worker)
 		c.addEvent(DecisionEvent{Event: "start unanswered", Task: result.Task, Run: result.Run, Worker: result.Worker, Age: now.Sub(r.orderedAt)})
 	}
@@ -362,7 +370,7 @@
 	t := r.task
 	w := r.worker
 	c.addEvent(DecisionEvent{Event: "start refused", Task: t.id(), Run: r.number, Worker: w.info.ID, Outcome: string(reason), Age: now.Sub(r.orderedAt)})
-	w.removeRun(r)
+	c.removeRun(r)
 	switch reason {
 	case RefusedTicket:
 		t.step.forgetAdvice(w.info.ID)
--- a/internal/version/cell/schedule.go
+++ b/internal/version/cell/schedule.go
@@ -249,6 +249,9 @@
 // record of each start.
 const runsPerTerm = 1000
 
+// orderStart reserves a run on the worker and orders its start. The start of an
+// implicated task is ordered once the run is stored, so that the next leader counts a
+// crash under it.
 func (c *Cell) orderStart(now time.Time, t *task, w *worker, number int64) {
 	r := &run{task: t, number: number, phase: starting, size: t.size(), orderedAt: now, throttle: 100, implicated: t.implicated()}
 	c.recordTrial(now, t, w)
@@ -257,21 +260,48 @@
 	t.runs = append(t.runs, r)
 	w.addRun(r)
 	w.lastStartAt = now
-	if r.implicated {
-		c.markChanged(t.job())
-	}
 	if t.spec().LongRunning {
 		c.totals.free -= r.size.CPU
 	}
 	ticket, _ := t.step.ticketFor(now, w) // Empty if the queue needs no ticket.
-	c.effects.Starts = append(c.effects.Starts, StartOrder{
+	order := StartOrder{
 		Worker:     w.info.ID,
 		Task:       t.id(),
 		Run:        number,
 		Spec:       t.job().spec.Spec,
 		Checkpoint: t.checkpoint,
 		Ticket:     ticket,
-	})
+	}
+	if !t.runsOnProbation() {
+		c.effects.Starts = append(c.effects.Starts, order)
+		return
+	}
+	r.phase = planned
+	c.markChanged(t.job())
+	c.afterWrite(func() { c.sendPlanned(r, order) })
+}
+
+// runsOnProbation reports whether the start of a task waits until it is stored. The
+// members of a gang start together.
+func (t *task) runsOnProbation() bool {
+	if !t.spec().Gang {
+		return t.implicated()
+	}
+	return slices.ContainsFunc(t.step.tasks, (*task).implicated)
+}
+
+// sendPlanned orders the start of a planned run unless it was removed or is no longer
+// needed.
+func (c *Cell) sendPlanned(r *run, order StartOrder) {
+	if _, kept := r.worker.runs[r]; !kept || r.phase != planned {
+		return
+	}
+	if r.task.done || r.task.job().state.IsFinal() {
+		c.removeRun(r)
+		return
+	}
+	r.phase = starting
+	c.effects.Starts = append(c.effects.Starts, order)
 }
 
 // speculativeFactor is the multiple of its expected duration that a run may
--- a/internal/version/cell/types.go
+++ b/internal/version/cell/types.go
@@ -207,9 +207,9 @@
 	Run     int64
 	Outcome StartOutcome
 	Refusal Refusal
-	// ConnectionClosed is set for an unknown outcome if the worker's end closed the
-	// connection after the order was sent.
-	ConnectionClosed bool
+	// ClosedAfter is the time after which the worker's end closed the connection
+	// without an answer, or 0 if it did not.
+	ClosedAfter time.Duration
 	// Token is the fencing token that the order carried.
 	Token int64
 	// LeaseUntil has the same meaning as in Report.
@@ -401,14 +401,16 @@
 	Crashes []CrashRecord `cbor:"7,keyasint,omitempty"`
 }
 
-// CrashRecord is the number of workers that crashed under a task. Worker is the one on
-// which the task is on probation, or empty; Run is the number of that run.
+// CrashRecord is the number of workers that crashed under a task, for Confirmed of which
+// the task had certainly started. Worker is the one on which the task is on probation, or
+// empty; Run is the number of that run.
 type CrashRecord struct {
 	_          struct{} `cbor:",toarray"`
 	Occurrence int
 	Step       int
 	Index      int
 	Crashes    int
+	Confirmed  int
 	Worker     WorkerID
 	Run        int64
 }
