--- a/internal/version/cell/liveness_test.go
+++ b/internal/version/cell/liveness_test.go
@@ -225,8 +225,6 @@
 	return chosen
 }
 
-func (s *simulation) anyWorker() *simWorker { return s.workers[s.random.IntN(len(s.workers))] }
-
 func (s *simulation) millis(low, high int) time.Duration {
 	return time.Duration(low+s.random.IntN(high-low)) * time.Millisecond
 }
