cell: a probe that goes on doesn't keep other tasks from its worker

Callers saw accepted tasks wait while workers that answered had room. A worker with three failures in a row gets one run at a time, until one has ended. When that probe took long (15 s and more), all other tasks stayed away from the worker for as long.

Failing before: health_test.go:75: assertion failed: 2 (excluded) != 1 (suspect)

A probe that has run for excludePeriod without a new failure lets the worker get tasks that fit nowhere else. A failure excludes it again.

--- a/internal/version/cell/health.go
+++ b/internal/version/cell/health.go
@@ -99,22 +99,27 @@
 // trust returns the degree to which a worker with the given runs is trusted.
 func (w *worker) trust(now time.Time) trustLevel {
 	level := w.health.trust(now)
-	if w.health.failures >= excludeAfterFailures && w.hasShortRunOrderedAfter(w.health.lastFailure) {
+	if w.health.failures >= excludeAfterFailures && w.isProbed(now) {
 		return excluded // A run that probes the worker is under way.
 	}
 	return level
 }
 
-// hasShortRunOrderedAfter reports whether the worker has a run, not of a long-running
-// task, that was ordered after the given time. Long-running tasks show nothing by their
-// end.
-func (w *worker) hasShortRunOrderedAfter(at time.Time) bool {
+// isProbed reports whether a run that may show whether the worker has recovered is under
+// way and none has gone on for excludePeriod: tasks that take long would otherwise keep
+// the worker from all others. Long-running tasks show nothing by their end.
+func (w *worker) isProbed(now time.Time) bool {
+	probed := false
 	for r := range w.runs {
-		if r.orderedAt.After(at) && !r.task.spec().LongRunning {
-			return true
+		if !r.orderedAt.After(w.health.lastFailure) || r.task.spec().LongRunning {
+			continue
+		}
+		if r.phase == running && now.Sub(r.orderedAt) >= excludePeriod {
+			return false
 		}
+		probed = true
 	}
-	return false
+	return probed
 }
 
 func (h *health) trust(now time.Time) trustLevel {
--- a/internal/version/cell/health_test.go
+++ b/internal/version/cell/health_test.go
@@ -56,3 +56,23 @@
 	}
 	assert.Equal(t, other.trust(now.Add(time.Second)), excluded, "a job that has succeeded since shows that the worker is not sound")
 }
+
+// A probe of a task that takes long kept all other tasks from a worker that had recovered.
+func TestLongProbeDoesNotBlockWorker(t *testing.T) {
+	c := newRestoredCell(testRecord(3))
+	w := c.workers[testWorker]
+	for range excludeAfterFailures {
+		w.health.recordFault(testStart)
+	}
+	ordered := testStart.Add(excludePeriod)
+	spec := jobspec.Step{Count: 1, EstimateMillis: 15000}
+	probe := &run{task: &task{step: &step{spec: &spec}}, phase: inDoubt, orderedAt: ordered}
+	w.addRun(probe)
+	now := ordered.Add(excludePeriod)
+	assert.Equal(t, w.trust(now), excluded, "a run in doubt shows nothing")
+	probe.phase = running
+	assert.Equal(t, w.trust(now.Add(-1)), excluded)
+	assert.Equal(t, w.trust(now), suspect)
+	w.health.recordFault(now)
+	assert.Equal(t, w.trust(now), excluded)
+}
