workerlink: a late answer of an ended incarnation sets no clock

After a worker restarted with a lower incarnation number, because the time of day was stepped back, a late answer of its earlier incarnation set the clock by which leases are granted. The earlier clock is far ahead, so that the next renewal granted a lease up to the limit of the worker while the leader counted on 5 s: a task could be started again while its run on a worker that was cut off went on (TWICE).

Failing before: session_test.go:310: assertion failed: 9004500 (s.newGrant().LeaseUntil int64) != 0 (int64): either incarnation may be the newer one

As in the cell, the order of messages decides, not the number. If it does not show which incarnation is newer, the clock is unknown until the next answer.

--- a/internal/connection/workerlink/session.go
+++ b/internal/connection/workerlink/session.go
@@ -163,10 +163,20 @@
 	incarnation  int64
 }
 
-// replaces reports whether a reading is from a later call or a later incarnation
-// than an earlier one.
-func (r *clockReading) replaces(earlier *clockReading) bool {
-	return earlier == nil || r.incarnation > earlier.incarnation || !r.sent.Before(earlier.sent)
+// newest returns the newer one of an earlier reading and this one. It returns nil if they
+// are of two incarnations and the call of this one was sent before the earlier one was
+// read: numbers don't tell which incarnation is newer, since the time of day may have been
+// stepped.
+func (r *clockReading) newest(earlier *clockReading) *clockReading {
+	switch {
+	case earlier == nil:
+		return r
+	case r.incarnation != earlier.incarnation && r.sent.Before(earlier.readAt):
+		return nil
+	case r.sent.Before(earlier.sent):
+		return earlier
+	}
+	return r
 }
 
 // Open starts a session and its lease renewals. token is the first fencing token;
@@ -432,7 +442,9 @@
 
 // recordClock records a reading of the worker's clock by a call that was sent at
 // sent, unless a later call has read it already. The worker took the reading before
-// its answer arrived here, so its clock now shows at least millis.
+// its answer arrived here, so its clock now shows at least millis. The clock becomes
+// unknown if it may be that of an ended incarnation; the next renewal then grants no
+// lease.
 func (s *Session) recordClock(millis, incarnation int64, sent time.Time) {
 	if millis <= 0 {
 		return
@@ -440,7 +452,7 @@
 	reading := &clockReading{millis: millis, sent: sent, readAt: time.Now(), incarnation: incarnation}
 	for {
 		earlier := s.clock.Load()
-		if !reading.replaces(earlier) || s.clock.CompareAndSwap(earlier, reading) {
+		if s.clock.CompareAndSwap(earlier, reading.newest(earlier)) {
 			return
 		}
 	}
--- a/internal/connection/workerlink/session_test.go
+++ b/internal/connection/workerlink/session_test.go
@@ -296,3 +296,19 @@
 		assert.Assert(t, len(worker.receivedRenewals()) > 0)
 	})
 }
+
+// Guards against a lease that ends at a time of an ended incarnation's clock: a late answer
+// of that incarnation, whose number may be higher, must not set the clock.
+func TestLateAnswerOfEndedIncarnationDoesNotSetClock(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		s := &Session{}
+		lateRenewalSent := time.Now()
+		time.Sleep(time.Second)
+		s.recordClock(500, 50, time.Now())
+		time.Sleep(time.Second)
+		s.recordClock(9_000_000, 100, lateRenewalSent)
+		assert.Equal(t, s.newGrant().LeaseUntil, int64(0), "either incarnation may be the newer one")
+		s.recordClock(1500, 50, time.Now())
+		assert.Equal(t, s.newGrant().LeaseUntil, 1500+LeaseDuration.Milliseconds())
+	})
+}
