cell: count the crash of a worker that is back after its leases

Entries stay listed for three heartbeats, and longer while the store is down.

Cause: the suspects of a silent worker were kept with its loss once its leases had expired, but a restart was judged by the runs that were still on the worker: none.

Failing before: crash_test.go:317: assertion failed: running (cell.State) != failed (Failed cell.State)

The suspects now stay with the worker until its next answer, whichever way that shows what became of them.

--- a/internal/version/cell/crash.go
+++ b/internal/version/cell/crash.go
@@ -45,8 +45,6 @@
 type lostWorker struct {
 	worker      *worker
 	silentSince time.Time
-	// suspects are the runs that may have crashed the worker, once they were given up.
-	suspects []*run
 	// judged is set once it is known whether the worker crashed.
 	judged bool
 }
@@ -70,12 +68,9 @@
 }
 
 // recordSuspects keeps the runs that may have crashed a worker, before they are given
-// up because their leases have expired.
-func (c *Cell) recordSuspects(w *worker) {
-	if lost := c.lostWorkers[w.info.ID]; lost != nil && lost.worker == w && len(lost.suspects) == 0 {
-		lost.suspects = w.crashSuspects()
-	}
-}
+// up because their leases have expired. The worker's next answer, or that of its
+// successor, shows whether it did.
+func (w *worker) recordSuspects() { w.earlierSuspects = w.crashSuspects() }
 
 // handleSuccessor handles the first answer of a worker. If other workers at its address
 // were lost, they have ended, and so has all that ran on them.
@@ -93,10 +88,8 @@
 	w.replaced = true
 	w.unresponsive = true
 	delete(c.recovering, w.info.ID)
-	c.recordSuspects(w)
-	if lost := c.lostWorkers[w.info.ID]; lost != nil && lost.worker == w {
-		c.judgeCrash(now, w, lost.suspects)
-	}
+	c.judgeCrash(now, w, w.crashSuspects())
+	w.earlierSuspects = nil
 	for r := range w.runs {
 		// The outcome of an order in flight is still to come.
 		if r.phase != starting {
--- a/internal/version/cell/crash_test.go
+++ b/internal/version/cell/crash_test.go
@@ -34,6 +34,8 @@
 	starts, crashes map[TaskID]int
 	done            map[TaskID]bool
 	stored          storedState
+	// listedWhileDown keeps a worker listed while its machine is down.
+	listedWhileDown bool
 	// heldWrites keeps writes from being stored while it is set.
 	heldWrites bool
 	// lateAnswers makes workers answer starts so late that a crash comes first.
@@ -103,6 +105,9 @@
 	var infos []WorkerInfo
 	for _, m := range f.machines {
 		if m.down(f.now) {
+			if f.listedWhileDown {
+				infos = append(infos, m.info)
+			}
 			continue
 		}
 		infos = append(infos, m.info)
@@ -290,6 +295,17 @@
 	}
 }
 
+// Guards against a crash that is not counted because the worker, still listed, is back
+// under its ID only after the leases of its runs have expired.
+func TestCrashOfListedWorkerCountsAfterItsLeases(t *testing.T) {
+	f := newCrashFleet(t, 8)
+	f.keepIDs, f.listedWhileDown, f.downFor = true, true, crashLease+3*time.Second
+	f.deadly[firstTaskID()] = true
+	f.submit(jobA, 1, nil)
+	f.run(60 * time.Second)
+	f.checkGivenUp(firstTaskID())
+}
+
 // Guards against jobs that are given up because their tasks shared a worker with the one
 // that crashed it.
 func TestTasksBesideTheCauseOfCrashesComplete(t *testing.T) {
--- a/internal/version/cell/tick.go
+++ b/internal/version/cell/tick.go
@@ -26,7 +26,9 @@
 	if !w.unresponsive || now.Before(w.leaseUntil) || c.recovering[w.info.ID] && now.Before(c.recoveryDeadline) || w.hasStartInFlight() {
 		return
 	}
-	c.recordSuspects(w)
+	if len(w.runs) > 0 {
+		w.recordSuspects()
+	}
 	for r := range w.runs {
 		c.recordLostRun(now, r, "lease over")
 	}
--- a/internal/version/cell/worker.go
+++ b/internal/version/cell/worker.go
@@ -38,8 +38,9 @@
 	replaced bool
 	// implicatedRuns is the number of runs whose implicated flag is set.
 	implicatedRuns int
-	// earlierSuspects are runs of implicated tasks that an earlier leader ordered. The
-	// worker's first answer shows what became of them.
+	// earlierSuspects are runs of implicated tasks that an earlier leader ordered, and
+	// runs given up since the worker last answered. Its next answer shows what became of
+	// them.
 	earlierSuspects []*run
 	// lastStartAt is when the last start on the worker was ordered.
 	lastStartAt time.Time
