cell: use a replaced worker again that answers a later renewal

A worker at whose address another one had answered was ignored for the rest of the term, though it stayed listed and answered each renewal: its room was free and unused, and tasks that only it could run waited (LOST). It takes one wrong or late refusal, for example while its entry names another address.

Cause: the flag that protects against late answers of an ended worker was never reset.

Failing before: crash_test.go:561: assertion failed: queued (cell.State) != completed (Completed cell.State)

The time of the replacement is kept instead. An answer to a renewal sent before it is ignored as before; one sent after it can only come from the worker itself.

--- a/internal/version/cell/crash.go
+++ b/internal/version/cell/crash.go
@@ -85,7 +85,7 @@
 // handleReplacement handles the end of a worker that another one has replaced at its
 // address.
 func (c *Cell) handleReplacement(now time.Time, w *worker) {
-	w.replaced = true
+	w.replacedAt = now
 	w.unresponsive = true
 	delete(c.recovering, w.info.ID)
 	c.judgeCrash(now, w, w.crashSuspects())
--- a/internal/version/cell/crash_test.go
+++ b/internal/version/cell/crash_test.go
@@ -554,3 +554,16 @@
 	f.run(time.Second)
 	assert.Equal(t, f.starts[firstTaskID()], 2)
 }
+
+// Guards against a worker that is ignored for the rest of the term because another one
+// answered at its address for a while.
+func TestWorkerThatAnswersAfterItsReplacementIsUsedAgain(t *testing.T) {
+	f := newCrashFleet(t, 1)
+	f.run(time.Second)
+	id := f.machines[0].info.ID
+	f.cell.MarkUnresponsive(f.now, id, time.Time{})
+	f.cell.MarkReplaced(f.now, id)
+	f.submit(jobA, 1, nil)
+	f.run(5 * time.Second)
+	assert.Equal(t, f.state(jobA), Completed)
+}
--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -9,9 +9,10 @@
 // renewal that was sent before the one whose answer was applied last.
 func (c *Cell) ApplyReport(now time.Time, report Report) {
 	w := c.workers[report.Worker]
-	if w == nil || w.replaced {
+	if w == nil || w.replaced() && report.Sent.Before(w.replacedAt) {
 		return
 	}
+	w.replacedAt = time.Time{}
 	if w.info.Incarnation != 0 && report.Incarnation != 0 && w.info.Incarnation != report.Incarnation {
 		// Numbers don't tell which incarnation is newer, since the time of day may have
 		// been stepped. A renewal sent after the known one has answered does.
@@ -94,7 +95,7 @@
 // MarkReplaced records that a worker did not answer a lease renewal and that another
 // worker answers at its address.
 func (c *Cell) MarkReplaced(now time.Time, id WorkerID) {
-	if w := c.workers[id]; w != nil && w.unresponsive && !w.replaced {
+	if w := c.workers[id]; w != nil && w.unresponsive && !w.replaced() {
 		c.handleReplacement(now, w)
 	}
 }
--- a/internal/version/cell/worker.go
+++ b/internal/version/cell/worker.go
@@ -34,8 +34,9 @@
 	// bestEffort is the state of the limits on best-effort tasks on this
 	// worker.
 	bestEffort bestEffortState
-	// replaced is set once a later worker has answered at the worker's address.
-	replaced bool
+	// replacedAt is when another worker answered at the worker's address, or zero if this
+	// one has answered a renewal sent later.
+	replacedAt time.Time
 	// implicatedRuns is the number of runs whose implicated flag is set.
 	implicatedRuns int
 	// earlierSuspects are runs of implicated tasks that an earlier leader ordered, and
@@ -58,6 +59,9 @@
 	return w.registered && w.renewed && !w.unresponsive && !w.info.Draining && !w.hasUnknownRuns && !now.Before(w.startsBlockedUntil)
 }
 
+// replaced reports whether another worker has taken the worker's place.
+func (w *worker) replaced() bool { return !w.replacedAt.IsZero() }
+
 func (w *worker) free() Size { return w.info.Capacity.minus(w.reserved) }
 
 // policyAllows reports whether the worker's pool, its labels and the MaxPerWorker
