cell: an address where a worker never answered ends none of its runs

A task was started a second time while its first run was at work (TWICE) if an entry under the name of its worker named the address of another worker. That worker refused the lease renewal as meant for another incarnation, which was taken as proof that the first one had ended.

Failing before: crash_test.go:582: assertion failed: 1 (int) != 0 (int)

After its address has changed, a worker now counts as replaced only once it has answered at the new one. Until then its runs end with their leases.

--- a/internal/version/cell/cell.go
+++ b/internal/version/cell/cell.go
@@ -167,6 +167,7 @@
 	info.Incarnation = w.info.Incarnation
 	if info.Address != w.info.Address {
 		c.workersChanged = true
+		w.moved = true
 	}
 	if !info.Equal(w.info) {
 		c.write.Workers = append(c.write.Workers, info)
--- a/internal/version/cell/crash.go
+++ b/internal/version/cell/crash.go
@@ -76,8 +76,9 @@
 // were lost, they have ended, and so has all that ran on them.
 func (c *Cell) handleSuccessor(now time.Time, successor *worker) {
 	for _, lost := range c.lostWorkers {
-		if lost.worker.info.Address == successor.info.Address && !lost.judged && !lost.worker.isSameIncarnation(successor) {
-			c.handleReplacement(now, lost.worker)
+		w := lost.worker
+		if w.info.Address == successor.info.Address && !w.moved && !lost.judged && !w.isSameIncarnation(successor) {
+			c.handleReplacement(now, w)
 		}
 	}
 }
--- a/internal/version/cell/crash_test.go
+++ b/internal/version/cell/crash_test.go
@@ -567,3 +567,26 @@
 	f.run(5 * time.Second)
 	assert.Equal(t, f.state(jobA), Completed)
 }
+
+// Guards against a second run of a task while its worker, whose entry names the address
+// of another worker, still runs it.
+func TestRefusalAtAddressWithoutAnswerEndsNoRun(t *testing.T) {
+	f := newCrashFleet(t, 3)
+	f.runTime = time.Hour
+	f.submit(jobA, 1, nil)
+	f.run(3 * time.Second)
+	info := f.cell.jobs[jobA].occurrences[0].steps[0].tasks[0].runs[0].worker.info
+	var infos []WorkerInfo
+	for _, m := range f.machines {
+		if m.info.ID != info.ID {
+			infos = append(infos, m.info)
+		}
+	}
+	info.Address = infos[0].Address
+	f.cell.UpdateWorkers(f.now, append(infos, info))
+	f.cell.MarkUnresponsive(f.now, info.ID, f.now.Add(crashLease))
+	f.cell.MarkReplaced(f.now, info.ID)
+	assert.Equal(t, len(f.cell.TakeEffects(f.now).Starts), 0)
+	f.cell.Tick(f.now.Add(crashLease))
+	assert.Equal(t, len(f.cell.TakeEffects(f.now.Add(crashLease)).Starts), 1)
+}
--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -60,6 +60,7 @@
 	}
 	w.renewed = true
 	w.unresponsive = false
+	w.moved = false
 	w.lastResponse = now
 	if leaseUntil.After(w.leaseUntil) {
 		w.leaseUntil = leaseUntil
@@ -93,9 +94,10 @@
 }
 
 // MarkReplaced records that a worker did not answer a lease renewal and that another
-// worker answers at its address.
+// worker answers at its address. If the worker has never answered at that address, its
+// runs end with their leases.
 func (c *Cell) MarkReplaced(now time.Time, id WorkerID) {
-	if w := c.workers[id]; w != nil && w.unresponsive && !w.replaced() {
+	if w := c.workers[id]; w != nil && w.unresponsive && !w.replaced() && !w.moved {
 		c.handleReplacement(now, w)
 	}
 }
--- a/internal/version/cell/worker.go
+++ b/internal/version/cell/worker.go
@@ -43,6 +43,9 @@
 	// runs given up since the worker last answered. Its next answer shows what became of
 	// them.
 	earlierSuspects []*run
+	// moved is set while the worker's address has changed since the worker last answered.
+	// Its runs may still be at the earlier address.
+	moved bool
 	// lastStartAt is when the last start on the worker was ordered.
 	lastStartAt time.Time
 	// load caches the totals over the runs; it is nil if they have to be
