cell: drop a planned start when its worker can't take it any more

The start is now given up, and its task made ready again, if the worker is not usable or holds more than its capacity when the write is stored. TestPlannedStartIsDroppedWhenItsWorkerShrinks fails without that.

--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -188,7 +188,7 @@
 	l.cell.RestoreLearned(state.Learned)
 	l.writer.onStored = func(number uint64, took time.Duration) {
 		options.Metrics.AppendFinished(took)
-		l.post(func(_ time.Time, c *cell.Cell) { c.MarkStored(number) })
+		l.post(func(now time.Time, c *cell.Cell) { c.MarkStored(now, number) })
 	}
 	l.writer.onFatalError = l.endTerm
 	options.Journal.Recovered(l.term.Cell, l.term.Epoch, len(state.Jobs), len(state.Workers))
--- a/internal/version/cell/advice_test.go
+++ b/internal/version/cell/advice_test.go
@@ -106,7 +106,7 @@
 		c.Submit(testStart, uint64(n), record.ID, &record.Job, record.Terms)
 	}
 	c.TakeEffects(testStart)
-	c.MarkStored(1)
+	c.MarkStored(testStart, 1)
 	assert.Equal(t, len(c.TakeEffects(testStart.Add(retryPause)).Advice), maxCallsInFlight-1)
 }
 
@@ -148,7 +148,7 @@
 	submit("d", false)
 	now := testStart
 	effects := c.TakeEffects(now)
-	c.MarkStored(effects.Write.Number)
+	c.MarkStored(testStart, effects.Write.Number)
 	for range 20 {
 		now = now.Add(retryPause)
 		for _, call := range c.TakeEffects(now).Advice {
--- a/internal/version/cell/cell.go
+++ b/internal/version/cell/cell.go
@@ -71,7 +71,7 @@
 // stored.
 type writeAction struct {
 	number   uint64
-	callback func()
+	callback func(now time.Time)
 }
 
 // New returns an empty cell.
@@ -262,7 +262,7 @@
 	j := newJob(record, now)
 	c.jobs[j.id] = j
 	c.write.Jobs = append(c.write.Jobs, record)
-	c.afterWrite(func() {
+	c.afterWrite(func(now time.Time) {
 		tree, _, _ := c.storedJobs.Load().Insert([]byte(j.id), j)
 		c.storedJobs.Store(tree)
 		j.visibleState.CompareAndSwap(uint32(Hidden), uint32(Queued))
@@ -317,7 +317,7 @@
 	j.endedAt = now
 	c.addEvent(DecisionEvent{Event: "job ended", Task: TaskID{Job: j.id}, Outcome: state.String(), Age: now.Sub(j.acceptedAt)})
 	c.markChanged(j)
-	c.afterWrite(func() {
+	c.afterWrite(func(now time.Time) {
 		j.visibleState.Store(uint32(state))
 		c.stopJobRuns(now, j)
 	})
@@ -354,20 +354,20 @@
 }
 
 // afterWrite runs callback once everything decided so far is stored.
-func (c *Cell) afterWrite(callback func()) {
+func (c *Cell) afterWrite(callback func(now time.Time)) {
 	c.writeActions = append(c.writeActions, writeAction{c.lastWrite + 1, callback})
 }
 
 func (c *Cell) answerAfterWrite(request uint64) {
 	c.write.Urgent = true
-	c.afterWrite(func() { c.effects.AnswerableRequests = append(c.effects.AnswerableRequests, request) })
+	c.afterWrite(func(time.Time) { c.effects.AnswerableRequests = append(c.effects.AnswerableRequests, request) })
 }
 
 // MarkStored records that all writes up to and including number are stored.
-func (c *Cell) MarkStored(number uint64) {
+func (c *Cell) MarkStored(now time.Time, number uint64) {
 	completed := 0
 	for completed < len(c.writeActions) && c.writeActions[completed].number <= number {
-		c.writeActions[completed].callback()
+		c.writeActions[completed].callback(now)
 		completed++
 	}
 	c.writeActions = slices.Delete(c.writeActions, 0, completed)
--- a/internal/version/cell/cell_test.go
+++ b/internal/version/cell/cell_test.go
@@ -235,7 +235,7 @@
 	_, found := c.Lookup(jobA)
 	assert.Assert(t, !found)
 	assert.Equal(t, len(effects.Starts)+len(effects.AnswerableRequests), 0)
-	c.MarkStored(effects.Write.Number)
+	c.MarkStored(testStart, effects.Write.Number)
 	effects = c.TakeEffects(testStart)
 	assert.DeepEqual(t, effects.AnswerableRequests, []uint64{7})
 	assert.Equal(t, len(effects.Starts), 1)
@@ -253,7 +253,7 @@
 	assert.Equal(t, len(effects.Acknowledgements), 0)
 	state, _ := c.Lookup(jobA)
 	assert.Equal(t, state, Running, "the completion must not be shown before it is stored")
-	c.MarkStored(effects.Write.Number)
+	c.MarkStored(testStart, effects.Write.Number)
 	assert.DeepEqual(t, c.TakeEffects(testStart).Acknowledgements, []Acknowledgement{{testWorker, 1, 4}})
 	state, _ = c.Lookup(jobA)
 	assert.Equal(t, state, Completed)
@@ -286,11 +286,11 @@
 	write := c.TakeEffects(testStart).Write
 	assert.Assert(t, c.Cancel(testStart, 2, jobA))
 	canceled := c.TakeEffects(testStart).Write
-	c.MarkStored(write.Number)
+	c.MarkStored(testStart, write.Number)
 	state, _ := c.Lookup(jobA)
 	assert.Equal(t, state, Queued, "the cancellation is not stored yet")
 	assert.Equal(t, len(c.readyTasks), 0, "a canceled job must have no ready tasks")
-	c.MarkStored(canceled.Number)
+	c.MarkStored(testStart, canceled.Number)
 	state, _ = c.Lookup(jobA)
 	assert.Equal(t, state, Canceled)
 	assert.DeepEqual(t, c.TakeEffects(testStart).AnswerableRequests, []uint64{1, 2})
@@ -314,7 +314,7 @@
 		c.Submit(testStart, uint64(n), short.ID, &short.Job, short.Terms)
 	}
 	c.TakeEffects(testStart)
-	c.MarkStored(c.lastWrite)
+	c.MarkStored(testStart, c.lastWrite)
 	now := testStart.Add(time.Second)
 	shortStarts := c.TakeEffects(now).Starts
 	assert.Equal(t, len(shortStarts), 1)
@@ -347,7 +347,7 @@
 	restarted := newReport(testWorker, now)
 	restarted.Incarnation = 50
 	c.ApplyReport(now, restarted)
-	c.MarkStored(c.TakeEffects(now).Write.Number) // The worker may have crashed under the task.
+	c.MarkStored(now, c.TakeEffects(now).Write.Number) // The worker may have crashed under the task.
 	assert.Equal(t, len(c.TakeEffects(now).Starts), 1, "the run ended with its incarnation")
 }
 
@@ -379,7 +379,7 @@
 	order := c.TakeEffects(testStart).Starts[0]
 	c.ApplyStartResult(testStart, StartResult{Worker: order.Worker, Task: order.Task, Run: order.Run, Outcome: StartUnknown, Token: 1})
 	assert.Assert(t, c.Cancel(testStart, 1, jobA))
-	c.MarkStored(c.TakeEffects(testStart).Write.Number)
+	c.MarkStored(testStart, c.TakeEffects(testStart).Write.Number)
 	c.TakeEffects(testStart)
 	now := testStart.Add(time.Second)
 	resolved := newReport(order.Worker, now, RunReport{Task: order.Task, Run: order.Run})
--- a/internal/version/cell/crash_test.go
+++ b/internal/version/cell/crash_test.go
@@ -231,7 +231,7 @@
 		return
 	}
 	f.stored.apply(*write)
-	f.cell.MarkStored(write.Number)
+	f.cell.MarkStored(f.now, write.Number)
 }
 
 // takeOver replaces the cell by that of the next leader, which knows only what was
@@ -590,3 +590,24 @@
 	f.cell.Tick(f.now.Add(crashLease))
 	assert.Equal(t, len(f.cell.TakeEffects(f.now.Add(crashLease)).Starts), 1)
 }
+
+// Guards against a start that brings a worker over a capacity that has shrunk while the
+// start waited for its write.
+func TestPlannedStartIsDroppedWhenItsWorkerShrinks(t *testing.T) {
+	f := newCrashFleet(t, 1)
+	f.runTime = time.Hour
+	f.submit(jobA, 1, nil)
+	f.run(time.Second)
+	f.crash(f.machines[0])
+	f.heldWrites = true
+	f.run(f.downFor + time.Second)
+	assert.Equal(t, f.starts[firstTaskID()], 1)
+	f.machines[0].info.Capacity.CPU = 900
+	f.step()
+	f.heldWrites = false
+	f.run(time.Second)
+	assert.Equal(t, f.starts[firstTaskID()], 1)
+	f.machines[0].info.Capacity.CPU = 8000
+	f.run(time.Second)
+	assert.Equal(t, f.starts[firstTaskID()], 2)
+}
--- a/internal/version/cell/gang_test.go
+++ b/internal/version/cell/gang_test.go
@@ -79,7 +79,7 @@
 	c.ApplyReport(now, ended)
 	effects := c.TakeEffects(now)
 	assert.Equal(t, len(effects.Starts), 0)
-	c.MarkStored(effects.Write.Number)
+	c.MarkStored(testStart, effects.Write.Number)
 	state, _ := c.Lookup(jobA)
 	assert.Equal(t, state, Completed)
 }
--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -72,7 +72,7 @@
 // acknowledge allows the worker to discard its ends once they are stored.
 func (c *Cell) acknowledge(w *worker) {
 	ack := Acknowledgement{w.info.ID, w.info.Incarnation, w.lastEndNumber}
-	c.afterWrite(func() { c.effects.Acknowledgements = append(c.effects.Acknowledgements, ack) })
+	c.afterWrite(func(time.Time) { c.effects.Acknowledgements = append(c.effects.Acknowledgements, ack) })
 }
 
 // MarkUnresponsive records that a worker did not answer a lease renewal. The
--- a/internal/version/cell/schedule.go
+++ b/internal/version/cell/schedule.go
@@ -278,7 +278,7 @@
 	}
 	r.phase = planned
 	c.markChanged(t.job())
-	c.afterWrite(func() { c.sendPlanned(r, order) })
+	c.afterWrite(func(now time.Time) { c.sendPlanned(now, r, order) })
 }
 
 // runsOnProbation reports whether the start of a task waits until it is stored. The
@@ -290,14 +290,16 @@
 	return slices.ContainsFunc(t.step.tasks, (*task).implicated)
 }
 
-// sendPlanned orders the start of a planned run unless it was removed or is no longer
-// needed.
-func (c *Cell) sendPlanned(r *run, order StartOrder) {
+// sendPlanned orders the start of a planned run. It gives up the run if its task needs
+// none any more, or if the worker can't take it any more.
+func (c *Cell) sendPlanned(now time.Time, r *run, order StartOrder) {
 	if _, kept := r.worker.runs[r]; !kept || r.phase != planned {
 		return
 	}
-	if r.task.done || r.task.job().state.IsFinal() {
+	t, w := r.task, r.worker
+	if t.done || t.job().state.IsFinal() || !w.usable(now) || !w.info.Capacity.canHold(w.reserved) {
 		c.removeRun(r)
+		c.requeue(now, t)
 		return
 	}
 	r.phase = starting
--- a/internal/version/cell/simulation_test.go
+++ b/internal/version/cell/simulation_test.go
@@ -626,7 +626,7 @@
 		return
 	}
 	s.stored.apply(write)
-	c.MarkStored(write.Number)
+	c.MarkStored(s.now, write.Number)
 	s.applyEffects(c)
 }
 
--- a/internal/version/cell/throttle_test.go
+++ b/internal/version/cell/throttle_test.go
@@ -100,7 +100,7 @@
 	c.ApplyReport(now, newReport(testWorker, now, runReports(40)...))
 	job := &jobspec.Job{Steps: []jobspec.Step{{Count: 1, CPUMillis: 1000, EstimateMillis: 1000, BestEffort: true, Image: "mild"}}}
 	c.Submit(now, 1, "00000000000000bb", job, QueueTerms{Queue: "q", Pool: "pool", Attempts: 3})
-	c.MarkStored(c.TakeEffects(now).Write.Number)
+	c.MarkStored(now, c.TakeEffects(now).Write.Number)
 	assert.Equal(t, len(c.TakeEffects(now).Starts), 0)
 	now = now.Add(time.Second)
 	c.ApplyReport(now, newReport(testWorker, now, runReports(6)...))
