cell: count crashes of tasks that look like the loss of a rack again

Three tasks that each crash their worker were started without limit if their workers were half of the cell's part of a rack, or of all workers without a rack label (BUDGET): a step of three such tasks in a rack with up to six workers is enough.

Cause: the crashes come within a second of each other and were taken for the loss of the rack, which implicates no task. The tasks then started together again.

Failing before: crash_test.go:347: assertion failed: running (cell.State) != failed (Failed cell.State)

A task is now excused by one loss of a rack until a run of it has outlasted the probation period. The next one counts as a crash.

--- a/internal/version/cell/crash.go
+++ b/internal/version/cell/crash.go
@@ -14,7 +14,7 @@
 //
 // A worker counts as crashed only if a later incarnation has answered in its place. A
 // worker that is merely cut off, that drains, or that is lost together with its rack
-// implicates no task.
+// implicates no task, unless that task was lost with a rack just before.
 
 const (
 	// probationPeriod is how long a run must last to clear its task.
@@ -118,9 +118,13 @@
 	case w.info.Draining:
 		c.addEvent(DecisionEvent{Event: "worker crashed", Worker: w.info.ID, Outcome: "while draining"})
 		return
-	case lost != nil && c.lostWithRack(lost):
-		c.addEvent(DecisionEvent{Event: "worker crashed", Worker: w.info.ID, Outcome: "with its rack"})
-		return
+	}
+	if lost != nil && c.lostWithRack(lost) {
+		suspects = excuseRackLoss(suspects)
+		if len(suspects) == 0 {
+			c.addEvent(DecisionEvent{Event: "worker crashed", Worker: w.info.ID, Outcome: "with its rack"})
+			return
+		}
 	}
 	c.effects.CrashedWorkers++
 	blamed, limit := blame(suspects)
@@ -130,6 +134,19 @@
 	}
 }
 
+// excuseRackLoss leaves out the runs whose tasks are lost with a rack for the first time
+// since a run of theirs outlasted the probation period. Tasks that crash many workers of
+// a rack together look like the loss of the rack, but do so again when they are restarted.
+func excuseRackLoss(suspects []*run) (again []*run) {
+	for _, r := range suspects {
+		if r.task.lostWithRack {
+			again = append(again, r)
+		}
+		r.task.lostWithRack = true
+	}
+	return again
+}
+
 // implicate counts a crash under a task, and gives the task up at the limit.
 func (c *Cell) implicate(now time.Time, r *run, limit int) {
 	t := r.task
@@ -245,10 +262,13 @@
 	return len(lostAddresses) >= rackLossMinimum && len(lostAddresses) >= others
 }
 
-// endProbation clears an implicated task if the run has outlasted the probation
-// period.
+// endProbation clears a task if the run has outlasted the probation period.
 func (c *Cell) endProbation(r *run) {
-	if !r.task.implicated() || !r.outlastedProbation() {
+	if !r.outlastedProbation() {
+		return
+	}
+	r.task.lostWithRack = false
+	if !r.task.implicated() {
 		return
 	}
 	if r.implicated {
--- a/internal/version/cell/crash_test.go
+++ b/internal/version/cell/crash_test.go
@@ -306,6 +306,18 @@
 	f.checkGivenUp(firstTaskID())
 }
 
+// Guards against tasks that crash half of the workers of a rack together and are taken
+// for the loss of the rack each time.
+func TestTasksThatCrashTheirWorkersTogetherAreGivenUp(t *testing.T) {
+	f := newCrashFleet(t, 6)
+	for index := range 3 {
+		f.deadly[TaskID{Job: jobA, Index: index}] = true
+	}
+	f.submit(jobA, 3, func(s *jobspec.Step) { s.MaxPerWorker = 1 })
+	f.run(60 * time.Second)
+	f.checkGivenUp(firstTaskID())
+}
+
 // Guards against jobs that are given up because their tasks shared a worker with the one
 // that crashed it.
 func TestTasksBesideTheCauseOfCrashesComplete(t *testing.T) {
--- a/internal/version/cell/job.go
+++ b/internal/version/cell/job.go
@@ -80,6 +80,9 @@
 	// last outlasted the probation period. For confirmedCrashes of them it is certain
 	// that the task had started.
 	crashes, confirmedCrashes int
+	// lostWithRack is set while the task has been lost with a rack since a run of it last
+	// outlasted the probation period.
+	lostWithRack bool
 }
 
 // runPhase is the state of a run, as far as the cell knows it.
