cell: a run started before a crash is judged is on probation, too

Failing before: crash_test.go:495: assertion failed: f.stored.progress[jobA].Crashes[0].Worker is "": the worker of the current run is not stored

The runs that a task has when it is implicated are now marked like those ordered later. The mark also goes when another run of the task has cleared it.

--- a/internal/version/cell/crash.go
+++ b/internal/version/cell/crash.go
@@ -154,6 +154,11 @@
 		return
 	}
 	t.crashes++
+	for _, later := range t.runs {
+		if later != r {
+			later.startProbation()
+		}
+	}
 	if r.hasStarted() {
 		t.confirmedCrashes++
 	}
@@ -262,19 +267,28 @@
 	return len(lostAddresses) >= rackLossMinimum && len(lostAddresses) >= others
 }
 
+// startProbation marks a run that was started before its task was implicated, so that it
+// runs apart from other implicated tasks and is stored with the crashes.
+func (r *run) startProbation() {
+	if !r.implicated && !r.outlastedProbation() {
+		r.implicated = true
+		r.worker.implicatedRuns++
+	}
+}
+
 // endProbation clears a task if the run has outlasted the probation period.
 func (c *Cell) endProbation(r *run) {
 	if !r.outlastedProbation() {
 		return
 	}
 	r.task.lostWithRack = false
-	if !r.task.implicated() {
-		return
-	}
 	if r.implicated {
 		r.implicated = false
 		r.worker.implicatedRuns--
 	}
+	if !r.task.implicated() {
+		return
+	}
 	r.task.crashes, r.task.confirmedCrashes = 0, 0
 	c.markChanged(r.task.job())
 	c.addEvent(DecisionEvent{Event: "task cleared", Task: r.task.id(), Run: r.number, Worker: r.worker.info.ID})
--- a/internal/version/cell/crash_test.go
+++ b/internal/version/cell/crash_test.go
@@ -447,6 +447,25 @@
 	f.checkGivenUp(firstTaskID())
 }
 
+// Guards against a crash that the next leader can't count because the run was started
+// before the crash under the run before it was known.
+func TestRunStartedBeforeVerdictIsStoredAsSuspect(t *testing.T) {
+	f := newCrashFleet(t, 3)
+	f.runTime = time.Hour
+	f.downFor = crashLease + 500*time.Millisecond
+	f.submit(jobA, 1, nil)
+	f.run(time.Second)
+	for _, m := range f.machines {
+		if len(m.running) > 0 {
+			f.crash(m)
+		}
+	}
+	f.run(f.downFor + 100*time.Millisecond)
+	assert.Equal(t, f.starts[firstTaskID()], 2)
+	assert.Equal(t, f.storedCrashes(firstTaskID()), 1)
+	assert.Assert(t, f.stored.progress[jobA].Crashes[0].Worker != "", "the worker of the current run is not stored")
+}
+
 // storedCrashes returns the crashes under a task that the next leader will know.
 func (f *crashFleet) storedCrashes(id TaskID) int {
 	for _, record := range f.stored.progress[id.Job].Crashes {
