entry: survive SIGHUP while starting and stopping

A process had SIGHUP's default action, which ends it, until it had read its settings and after it had stopped reloading them. SIGHUP is now caught from the first step of the process to its last. Both tests fail without this: signal: hangup.

--- a/cmd/poplarvalved/entry.go
+++ b/cmd/poplarvalved/entry.go
@@ -70,6 +70,7 @@
 
 // runEntry loads the settings and serves multi-step jobs until SIGTERM or SIGINT.
 func runEntry(settingsPath string) error {
+	hangups := notifyHangups()
 	loadedSettings, err := settings.LoadEntrySettings(settingsPath)
 	if err != nil {
 		return err
@@ -78,7 +79,7 @@
 		return fault.Startup(fault.Internal, err, "checking the clocks of the machine")
 	}
 	debug.SetMemoryLimit(int64(float64(loadedSettings.Memory) * memoryLimitShare * (1 << 20)))
-	return newEntryDaemon(settingsPath, loadedSettings).run()
+	return newEntryDaemon(settingsPath, loadedSettings).run(hangups)
 }
 
 func newEntryDaemon(settingsPath string, s *settings.EntrySettings) *entryDaemon {
@@ -185,11 +186,11 @@
 	}
 }
 
-// run starts the instance and serves until SIGTERM or SIGINT.
-func (d *entryDaemon) run() error {
+// run starts the instance and serves until SIGTERM or SIGINT. hangups delivers SIGHUP.
+func (d *entryDaemon) run(hangups <-chan os.Signal) error {
 	d.journal.Started(version, d.self.Address, d.self.Nonce)
 	defer d.journal.Close()
-	stopReload := d.reloadOnHangup()
+	stopReload := d.reloadOnHangup(hangups)
 	defer stopReload()
 	d.entry.Start()
 	err := d.app.Run()
@@ -227,20 +228,30 @@
 	return balancer, usable - balancer
 }
 
+// notifyHangups returns a channel that delivers SIGHUP. It must be called before
+// anything that takes time, and stays in effect until the process exits, because the
+// default action of SIGHUP ends the process.
+func notifyHangups() <-chan os.Signal {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	return hangups
+}
+
 // reloadOnHangup loads and checks the settings file again on each SIGHUP and logs
 // whether it has changed. No change is applied to the running process; it takes effect
 // at the next start. stop ends this.
-func (d *entryDaemon) reloadOnHangup() (stop func()) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
+func (d *entryDaemon) reloadOnHangup(hangups <-chan os.Signal) (stop func()) {
+	stopped := make(chan struct{})
 	go func() {
-		for range signals {
-			loadedSettings, err := settings.LoadEntrySettings(d.settingsPath)
-			d.journal.Reloaded(err == nil && *loadedSettings != *d.settings, err)
+		for {
+			select {
+			case <-hangups:
+				loadedSettings, err := settings.LoadEntrySettings(d.settingsPath)
+				d.journal.Reloaded(err == nil && *loadedSettings != *d.settings, err)
+			case <-stopped:
+				return
+			}
 		}
 	}()
-	return func() {
-		signal.Stop(signals)
-		close(signals)
-	}
+	return func() { close(stopped) }
 }
--- a/cmd/poplarvalved/entry_test.go
+++ b/cmd/poplarvalved/entry_test.go
@@ -1,6 +1,10 @@
 package main
 
 import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -18,3 +22,31 @@
 	balancer, handOver := drainWaits(0)
 	assert.Equal(t, balancer+handOver, time.Duration(0))
 }
+
+// SIGHUP ended a process that was still reading its settings, before it served.
+func TestHangupDuringStartDoesNotEndProcess(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "poplarvalved")
+	output, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput()
+	assert.NilError(t, err, "%s", output)
+	// A pipe as the settings file holds the process at the start until it is written.
+	settingsPath := filepath.Join(t.TempDir(), "settings.ini")
+	assert.NilError(t, syscall.Mkfifo(settingsPath, 0o600))
+	command := exec.Command(program, "-settings", settingsPath, "entry")
+	assert.NilError(t, command.Start())
+	pipe, err := os.OpenFile(settingsPath, os.O_WRONLY, 0)
+	assert.NilError(t, err)
+	assert.NilError(t, command.Process.Signal(syscall.SIGHUP))
+	assert.NilError(t, pipe.Close())
+	_ = command.Wait() // The empty settings file is refused, which is not what is tested.
+	assert.Assert(t, command.ProcessState.Exited(), "the process has ended: %v", command.ProcessState)
+}
+
+// SIGHUP ended a process that had stopped to reload its settings, before its last
+// steps.
+func TestHangupDuringStopDoesNotEndProcess(t *testing.T) {
+	hangups := notifyHangups()
+	d := &entryDaemon{}
+	d.reloadOnHangup(hangups)()
+	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	assert.Equal(t, <-hangups, syscall.SIGHUP)
+}
