entry: answer each request that was read before the end of the process

http.Server.Shutdown drops a request that it reads while the shutdown begins: the connection ended without an answer, after the process had read all of the request. The listener of callers now ends connections between two requests, tells callers that the connection ends, and waits for the last answers before the server shuts down. Without Drain, TestRequestReadAtShutdownIsAnswered fails.

--- a/cmd/poplarvalved/daemon.go
+++ b/cmd/poplarvalved/daemon.go
@@ -142,12 +142,12 @@
 
 // newServer returns a server for an address. The request timeout of kratos is
 // disabled, because it would end the long-lived links between instances.
-func newServer(address netip.AddrPort) *khttp.Server {
-	server := khttp.NewServer(
+func newServer(address netip.AddrPort, options ...khttp.ServerOption) *khttp.Server {
+	server := khttp.NewServer(append(options,
 		khttp.Address(address.String()),
 		khttp.Timeout(0),
 		khttp.StrictSlash(false),
-	)
+	)...)
 	server.ReadHeaderTimeout = readHeaderTimeout
 	return server
 }
--- a/cmd/poplarvalved/entry.go
+++ b/cmd/poplarvalved/entry.go
@@ -14,10 +14,12 @@
 	"github.com/go-kratos/kratos/v2"
 	klog "github.com/go-kratos/kratos/v2/log"
 	"github.com/go-kratos/kratos/v2/transport"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
 
 	"poplarvalve/internal/connection/advice"
 	"poplarvalve/internal/connection/jobapi"
 	"poplarvalve/internal/connection/operator"
+	"poplarvalve/internal/connection/orderly"
 	"poplarvalve/internal/connection/peer"
 	"poplarvalve/internal/connection/workerlink"
 	"poplarvalve/internal/entry"
@@ -55,6 +57,9 @@
 	// handOverReserve is how long before the end of the grace period the instance
 	// stops waiting for the log to record the hand-over of its cells.
 	handOverReserve = time.Second
+	// exitReserve is how long before the end of the grace period the instance stops
+	// waiting for requests to be answered.
+	exitReserve = 200 * time.Millisecond
 )
 
 // entryDaemon is an entry instance for multi-step jobs with its servers for callers,
@@ -65,7 +70,9 @@
 	journal      *logging.Journal
 	entry        *entry.Entry
 	self         election.Holder
-	app          *kratos.App
+	// callers accepts the connections of callers.
+	callers *orderly.Listener
+	app     *kratos.App
 }
 
 // runEntry loads the settings and serves multi-step jobs until SIGTERM or SIGINT.
@@ -79,14 +86,19 @@
 		return fault.Startup(fault.Internal, err, "checking the clocks of the machine")
 	}
 	debug.SetMemoryLimit(int64(float64(loadedSettings.Memory) * memoryLimitShare * (1 << 20)))
-	return newEntryDaemon(settingsPath, loadedSettings).run(hangups)
+	callers, err := orderly.Listen(loadedSettings.CallerAddress.String())
+	if err != nil {
+		return fault.Startup(fault.Listen, err, "listening for callers")
+	}
+	return newEntryDaemon(settingsPath, loadedSettings, callers).run(hangups)
 }
 
-func newEntryDaemon(settingsPath string, s *settings.EntrySettings) *entryDaemon {
+func newEntryDaemon(settingsPath string, s *settings.EntrySettings, callers *orderly.Listener) *entryDaemon {
 	counters := metrics.NewEntryMetrics()
 	d := &entryDaemon{
 		settings:     s,
 		settingsPath: settingsPath,
+		callers:      callers,
 		journal:      logging.NewJournal(os.Stdout, s.LogLevel, s.Name, counters.LineDropped),
 		self:         election.Holder{Name: s.Name, Address: s.LinkAddress.String(), Nonce: newNonce()},
 	}
@@ -165,8 +177,9 @@
 
 func (d *entryDaemon) servers(counters *metrics.EntryMetrics) []transport.Server {
 	s := d.settings
-	callerServer := newServer(s.CallerAddress)
-	callerServer.HandlePrefix("/", platform.NewCallerHandler(d.entry))
+	callerServer := newServer(s.CallerAddress, khttp.Listener(d.callers))
+	callerServer.ConnState = d.callers.ConnState
+	callerServer.HandlePrefix("/", d.callers.Handler(platform.NewCallerHandler(d.entry)))
 	readinessServer := newServer(s.ReadyAddress)
 	readinessServer.HandlePrefix("/", platform.NewReadinessHandler(d.entry))
 	linkServer := newServer(s.LinkAddress)
@@ -204,8 +217,9 @@
 
 // drain hands over the cells that the instance leads. Meanwhile the servers keep
 // serving, because callers use the instance until the load balancer has noticed that
-// it accepts no new connections.
+// it accepts no new connections. Then it answers the last requests of callers.
 func (d *entryDaemon) drain(context.Context) error {
+	end := time.Now().Add(d.settings.Grace)
 	d.journal.Stopping("signal")
 	d.entry.Drain()
 	balancerWait, handOverWait := drainWaits(d.settings.Grace)
@@ -215,6 +229,11 @@
 	if err := d.entry.AwaitHandOver(ctx); err != nil {
 		d.journal.Retrying("hand-over", err)
 	}
+	ctx, cancel = context.WithDeadline(context.Background(), end.Add(-exitReserve))
+	defer cancel()
+	if err := d.callers.Drain(ctx); err != nil {
+		d.journal.Retrying("last answers", err)
+	}
 	return nil
 }
 
