test/soak: planned work, open connections, changing routes and workers

The soak now begins with planned work only: SIGTERM, restarts and SIGHUP in series and overlapping, routes that are added and dropped, workers whose capacity changes. Callers keep their connections open until the process is gone and report a request that was read and not answered. The faults that follow also crash workers, take them out of the registry, and add an odd entry to it. The emulated worker can crash, restart, enforce leases and forget acknowledged ends. SOAK_LARGE=1 runs a larger deployment.

--- a/test/fleet/worker.go
+++ b/test/fleet/worker.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -19,7 +20,8 @@
 	// RunDuration is the time that each run takes.
 	RunDuration time.Duration
 	server      *httptest.Server
-	startedAt   time.Time
+	// startedAt is when the current incarnation began.
+	startedAt atomic.Pointer[time.Time]
 
 	mu sync.Mutex
 	// fencingToken is the highest token of any order so far.
@@ -52,6 +54,92 @@
 	// adviser checks the tickets of starts. If it is nil, tickets are not
 	// checked.
 	adviser *Adviser
+	// cpuMillis is the CPU in the registered capacity, in thousandths of a core.
+	cpuMillis int
+	// crashed makes the worker close each connection without a response.
+	crashed bool
+	// maxLease is the longest lease that the worker grants. If it is 0, leases
+	// don't expire.
+	maxLease   time.Duration
+	leaseTimer *time.Timer
+	observer   Observer
+}
+
+// Observer is told what happens on a worker, in order. Its methods are called
+// with the worker locked.
+type Observer interface {
+	RunStarted(worker, task string, run int64)
+	RunEnded(worker, task string, run int64, outcome string)
+	// EndAcknowledged is called when an order acknowledges the end of a run.
+	EndAcknowledged(worker, task string, run int64)
+	// EndsVoid is called when the ends that nobody has acknowledged no longer
+	// count, because the worker has crashed or its lease has expired.
+	EndsVoid(worker string)
+}
+
+// ignoreEvents is the Observer of workers that have no other.
+type ignoreEvents struct{}
+
+func (ignoreEvents) RunStarted(string, string, int64)       {}
+func (ignoreEvents) RunEnded(string, string, int64, string) {}
+func (ignoreEvents) EndAcknowledged(string, string, int64)  {}
+func (ignoreEvents) EndsVoid(string)                        {}
+
+// Observe sets the worker's Observer.
+func (w *Worker) Observe(observer Observer) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.observer = observer
+}
+
+// EnforceLeases makes the worker end its runs when their lease expires, and grant
+// leases of at most maxLease.
+func (w *Worker) EnforceLeases(maxLease time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.maxLease = maxLease
+}
+
+// SetCPU sets the CPU of the capacity that the worker registers, in thousandths of
+// a core. It doesn't limit what the worker starts.
+func (w *Worker) SetCPU(millis int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cpuMillis = millis
+}
+
+// Crash ends all runs without a report. Until Restart, the worker closes each
+// connection without a response.
+func (w *Worker) Crash() {
+	w.mu.Lock()
+	w.crashed = true
+	w.observer.EndsVoid(w.ID)
+	for task, run := range w.runs {
+		run.timer.Stop()
+		delete(w.runs, task)
+		w.overlaps.addRuns(task, -1)
+		w.observer.RunEnded(w.ID, task, run.runID, "crashed")
+	}
+	w.mu.Unlock()
+	w.server.CloseClientConnections()
+}
+
+// begin sets the time at which the worker's incarnation began.
+func (w *Worker) begin() {
+	now := time.Now()
+	w.startedAt.Store(&now)
+}
+
+// Restart begins a new incarnation of a crashed worker, which knows nothing of the
+// one before.
+func (w *Worker) Restart() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.crashed = false
+	w.begin()
+	w.fencingToken, w.leaseEndMillis, w.lastEndNumber = 0, 0, 0
+	w.endedRuns = nil
+	w.highestRun = map[string]int64{}
 }
 
 // CheckTickets makes the worker reject starts without a ticket that the Adviser
@@ -102,9 +190,10 @@
 // NewWorker starts a worker on loopback whose runs take runDuration each. It
 // reports its runs to overlaps.
 func NewWorker(id, pool string, runDuration time.Duration, overlaps *OverlapDetector) *Worker {
-	w := &Worker{ID: id, Pool: pool, RunDuration: runDuration, startedAt: time.Now(), runs: map[string]*workerRun{},
+	w := &Worker{ID: id, Pool: pool, RunDuration: runDuration, runs: map[string]*workerRun{},
 		highestRun: map[string]int64{}, runEnded: make(chan struct{}), overlaps: overlaps,
-		Started: map[string]int{}, Done: map[string]int{}}
+		Started: map[string]int{}, Done: map[string]int{}, cpuMillis: 16000, observer: ignoreEvents{}}
+	w.begin()
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /-/run-start", w.serveStart)
 	mux.HandleFunc("POST /-/run-stop", w.serveStop)
@@ -173,11 +262,13 @@
 // RegistryEntry returns the JSON entry that the worker registers with the
 // platform.
 func (w *Worker) RegistryEntry() []byte {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	// The map holds only types that can be encoded.
 	encoded, _ := json.Marshal(map[string]any{
 		"service": w.Pool, "address": w.server.Listener.Addr().String(), "zone": "z1", "state": "ready",
-		"capacity": map[string]int{"cpu": 16000, "mem_mb": 64000}, "labels": []string{"a", "r1-1"},
-		"born": w.startedAt.UnixMilli(), "sequence": 1,
+		"capacity": map[string]int{"cpu": w.cpuMillis, "mem_mb": 64000}, "labels": []string{"a", "r1-1"},
+		"born": w.startedAt.Load().UnixMilli(), "sequence": 1,
 	})
 	return encoded
 }
@@ -196,7 +287,7 @@
 
 // clockMillis returns the worker's clock, in milliseconds since its start plus
 // 1000.
-func (w *Worker) clockMillis() int64 { return time.Since(w.startedAt).Milliseconds() + 1000 }
+func (w *Worker) clockMillis() int64 { return time.Since(*w.startedAt.Load()).Milliseconds() + 1000 }
 
 // acceptOrder decodes an order, checks the instance that it expects and its
 // fencing token, and records its lease end. If it refuses the order, it sends
@@ -219,15 +310,48 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.crashed {
+		panic(http.ErrAbortHandler) // Closes the connection without a response.
+	}
 	if order.Token < w.fencingToken {
 		writeJSON(rw, http.StatusConflict, map[string]any{"clock_ms": w.clockMillis(), "reason": "fence"})
 		return order, false
 	}
 	w.fencingToken = order.Token
-	w.leaseEndMillis = max(w.leaseEndMillis, order.LeaseUntil)
+	w.extendLease(order.LeaseUntil)
 	return order, true
 }
 
+// extendLease records a lease end, on the worker's clock. The caller must hold w.mu.
+func (w *Worker) extendLease(until int64) {
+	if w.maxLease == 0 {
+		w.leaseEndMillis = max(w.leaseEndMillis, until)
+		return
+	}
+	until = min(until, w.clockMillis()+w.maxLease.Milliseconds())
+	if until <= w.leaseEndMillis {
+		return
+	}
+	w.leaseEndMillis = until
+	if w.leaseTimer != nil {
+		w.leaseTimer.Stop()
+	}
+	w.leaseTimer = time.AfterFunc(time.Duration(until-w.clockMillis())*time.Millisecond, w.expireLease)
+}
+
+// expireLease ends all runs if the lease has expired.
+func (w *Worker) expireLease() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.crashed || w.clockMillis() < w.leaseEndMillis {
+		return
+	}
+	w.observer.EndsVoid(w.ID)
+	for task, run := range w.runs {
+		w.endRunLocked(task, run.runID, "lapsed")
+	}
+}
+
 // serveStart starts a run. A repeated order for the current run succeeds
 // without another effect. An order for another run of a task that is running,
 // or for a run up to the highest that has ended, is refused as old.
@@ -237,11 +361,20 @@
 		return
 	}
 	w.mu.Lock()
+	if w.crashed {
+		w.mu.Unlock()
+		panic(http.ErrAbortHandler) // Closes the connection without a response.
+	}
 	if w.adviser != nil && !w.adviser.acceptsTicket(order.Task, w.ID, order.Ticket) {
 		w.mu.Unlock()
 		writeJSON(rw, http.StatusConflict, map[string]any{"clock_ms": w.clockMillis(), "reason": "ticket"})
 		return
 	}
+	if w.maxLease > 0 && w.clockMillis() >= w.leaseEndMillis {
+		w.mu.Unlock()
+		writeJSON(rw, http.StatusConflict, map[string]any{"clock_ms": w.clockMillis(), "reason": "late"})
+		return
+	}
 	current := w.runs[order.Task]
 	refused := current != nil && current.runID != order.Run || current == nil && order.Run <= w.highestRun[order.Task]
 	if !refused && current == nil {
@@ -266,6 +399,7 @@
 func (w *Worker) startRun(order workerOrder) {
 	w.Started[order.Task]++
 	w.overlaps.addRuns(order.Task, 1)
+	w.observer.RunStarted(w.ID, order.Task, order.Run)
 	run := &workerRun{runID: order.Run}
 	run.timer = time.AfterFunc(w.RunDuration, func() { w.endRun(order.Task, order.Run, "done") })
 	w.runs[order.Task] = run
@@ -275,6 +409,11 @@
 func (w *Worker) endRun(task string, runID int64, outcome string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.endRunLocked(task, runID, outcome)
+}
+
+// endRunLocked is endRun for a caller that holds w.mu.
+func (w *Worker) endRunLocked(task string, runID int64, outcome string) {
 	run := w.runs[task]
 	if run == nil || run.runID != runID {
 		return
@@ -282,6 +421,7 @@
 	run.timer.Stop()
 	delete(w.runs, task)
 	w.overlaps.addRuns(task, -1)
+	w.observer.RunEnded(w.ID, task, runID, outcome)
 	w.highestRun[task] = max(w.highestRun[task], runID)
 	w.lastEndNumber++
 	w.endedRuns = append(w.endedRuns, []any{w.lastEndNumber, task, runID, outcome, ""})
@@ -314,6 +454,7 @@
 	if !accepted {
 		return
 	}
+	w.forgetEnds(order.LastSeen)
 	deadline := time.After(time.Duration(order.Wait) * time.Millisecond)
 	for waiting := order.Wait > 0; ; {
 		reply, endedCount, runEnded := w.leaseRenewalReply(order.LastSeen)
@@ -332,6 +473,22 @@
 	}
 }
 
+// forgetEnds drops the ended runs up to the last one that the caller has seen.
+func (w *Worker) forgetEnds(lastSeen int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for len(w.endedRuns) > 0 {
+		row := w.endedRuns[0]
+		if number, _ := row[0].(int64); number > lastSeen {
+			return
+		}
+		task, _ := row[1].(string)
+		runID, _ := row[2].(int64)
+		w.observer.EndAcknowledged(w.ID, task, runID)
+		w.endedRuns = w.endedRuns[1:]
+	}
+}
+
 // delayRenewal waits for the time that DelayRenewals has set, or until the caller has
 // given up.
 func (w *Worker) delayRenewal(r *http.Request) {
@@ -358,7 +515,7 @@
 			ended = append(ended, row)
 		}
 	}
-	return map[string]any{"clock_ms": w.clockMillis(), "born": w.startedAt.UnixMilli(), "running": running, "ended": ended},
+	return map[string]any{"clock_ms": w.clockMillis(), "born": w.startedAt.Load().UnixMilli(), "running": running, "ended": ended},
 		len(ended), w.runEnded
 }
 
--- /dev/null
+++ b/test/soak/history_test.go
@@ -0,0 +1,166 @@
+package soak
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// history records the runs on all workers and the capacity that the workers have
+// shown. It reports starts that a rule forbids. It implements fleet.Observer.
+type history struct {
+	disruptions *disruptions
+	report      func(format string, args ...any)
+	journal     func(format string, args ...any)
+
+	mu      sync.Mutex
+	order   int
+	running map[string]int
+	// slots holds, by worker, the numbers of tasks that the worker has had room for.
+	slots map[string][]shownSlots
+	tasks map[string]*taskHistory
+	// unacknowledged holds, by worker, the ends as done that nobody has acknowledged.
+	unacknowledged map[string][]*doneRun
+}
+
+// shownSlots is the room that a worker shows from a time on, in tasks.
+type shownSlots struct {
+	from  time.Time
+	slots int
+}
+
+type taskHistory struct {
+	// starts holds the place of each start in the order of all events.
+	starts []int
+	dones  []*doneRun
+}
+
+// doneRun is a run that ended as done.
+type doneRun struct {
+	run int64
+	// order is the place of the end in the order of all events.
+	order        int
+	acknowledged bool
+	// void is set if the end got lost with its worker, or the worker's lease
+	// expired, before it was acknowledged. Then the task may run again.
+	void bool
+}
+
+// capacityBound is how long a start may still rely on an earlier capacity.
+const capacityBound = 4*time.Second + workerHeartbeat
+
+// workerHeartbeat is the time between two registrations of a worker.
+const workerHeartbeat = time.Second
+
+func newHistory(d *disruptions, report, journal func(format string, args ...any)) *history {
+	return &history{disruptions: d, report: report, journal: journal, running: map[string]int{},
+		slots: map[string][]shownSlots{}, tasks: map[string]*taskHistory{}, unacknowledged: map[string][]*doneRun{}}
+}
+
+// showSlots records that a worker has shown room for a number of tasks.
+func (h *history) showSlots(worker string, slots int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.journal("%s shows room for %d tasks", worker, slots)
+	h.slots[worker] = append(h.slots[worker], shownSlots{time.Now(), slots})
+}
+
+// RunStarted implements fleet.Observer. It checks the worker's capacity.
+func (h *history) RunStarted(worker, task string, run int64) {
+	now := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.order++
+	h.running[worker]++
+	h.task(task).starts = append(h.task(task).starts, h.order)
+	h.journal("%s starts %s run %d; runs %d tasks", worker, task, run, h.running[worker])
+	bound := h.disruptions.beforeCalm(now, capacityBound)
+	allowed := 0
+	for i, shown := range h.slots[worker] {
+		if i+1 == len(h.slots[worker]) || h.slots[worker][i+1].from.After(bound) {
+			allowed = max(allowed, shown.slots)
+		}
+	}
+	if h.running[worker] > allowed {
+		h.report("the start of %s run %d brought the worker %s to %d tasks, while it has shown room for no more than %d in time",
+			task, run, worker, h.running[worker], allowed)
+	}
+}
+
+// RunEnded implements fleet.Observer.
+func (h *history) RunEnded(worker, task string, run int64, outcome string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.order++
+	h.running[worker]--
+	h.journal("%s ends %s run %d: %s", worker, task, run, outcome)
+	if outcome == "done" {
+		done := &doneRun{run: run, order: h.order}
+		h.task(task).dones = append(h.task(task).dones, done)
+		h.unacknowledged[worker] = append(h.unacknowledged[worker], done)
+	}
+}
+
+// EndAcknowledged implements fleet.Observer.
+func (h *history) EndAcknowledged(worker, task string, run int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.journal("%s: end of %s run %d acknowledged", worker, task, run)
+	for _, done := range h.task(task).dones {
+		if done.run == run {
+			done.acknowledged = true
+		}
+	}
+}
+
+// EndsVoid implements fleet.Observer.
+func (h *history) EndsVoid(worker string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.journal("%s: ends that are not acknowledged are void", worker)
+	for _, done := range h.unacknowledged[worker] {
+		done.void = !done.acknowledged
+	}
+	h.unacknowledged[worker] = nil
+}
+
+// task returns the history of a task. The caller must hold h.mu.
+func (h *history) task(id string) *taskHistory {
+	if h.tasks[id] == nil {
+		h.tasks[id] = &taskHistory{}
+	}
+	return h.tasks[id]
+}
+
+// wrongRuns returns what is wrong with the runs of a task of a completed job, or an
+// empty string. The task must have ended as done, and must not have started after
+// or beside an end as done that was acknowledged.
+func (h *history) wrongRuns(id string) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	task := h.task(id)
+	if len(task.dones) == 0 {
+		return fmt.Sprintf("task %s was not done; it started %d times", id, len(task.starts))
+	}
+	valid := 0
+	for _, done := range task.dones {
+		if done.void {
+			continue
+		}
+		valid++
+		if last := task.starts[len(task.starts)-1]; last > done.order {
+			return fmt.Sprintf("task %s started again after its run %d had ended as done", id, done.run)
+		}
+	}
+	if valid > 1 {
+		return fmt.Sprintf("task %s was done %d times instead of once", id, valid)
+	}
+	return ""
+}
+
+// started reports whether a task has started on any worker.
+func (h *history) started(id string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.task(id).starts) > 0
+}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -1,11 +1,9 @@
-// Package soak is a fault injection test of the real daemon. It runs several
-// instances as processes against an emulated platform, injects faults from
-// outside, and checks what callers and workers observe.
 package soak
 
 import (
 	"context"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -32,27 +30,54 @@
 }
 
 const (
-	instanceCount = 4
-	workerCount   = 5
-	// faultDuration is how long faults are injected and jobs submitted.
-	// completionTimeout bounds the time after that in which all jobs must
-	// complete.
+	// plannedDuration is how long there is planned work only, and faultDuration how
+	// long faults are injected after that, beside planned work. completionTimeout
+	// bounds the time after that in which all jobs must complete.
+	plannedDuration   = 10 * time.Second
 	faultDuration     = 15 * time.Second
 	completionTimeout = 40 * time.Second
 	// taskDuration is the run time of every task on a worker.
 	taskDuration = 300 * time.Millisecond
 )
 
-// manifest is the configuration of the deployment: one queue and one service.
-const manifest = `{"version":1,"routes":[{"name":"q","host":"h","path_prefix":"/j/","service":"p",
- "target_latency_ms":600,"attempts":5,"stretch":2.0}],"services":[{"name":"p"}],"limits":{"max_body_bytes":262144}}`
+// size is the size of a deployment.
+type size struct {
+	instances int
+	workers   int
+	// maxStopping is the number of instances that planned work stops at once.
+	maxStopping int
+	// submissionPause is the pause between two submissions.
+	submissionPause time.Duration
+}
+
+var (
+	usualSize = size{instances: 4, workers: 5, maxStopping: 2, submissionPause: 60 * time.Millisecond}
+	largeSize = size{instances: 8, workers: 24, maxStopping: 4, submissionPause: 25 * time.Millisecond}
+)
+
+// callerPauses holds, for each caller with an open connection to an instance, its
+// longest pause between two requests.
+var callerPauses = []time.Duration{2 * time.Millisecond, 50 * time.Millisecond, 200 * time.Millisecond}
 
-// Instances are killed, paused and restarted at random, their connections to
-// the log are reset, blocked or delayed, the log is down, and the log and a
-// worker lose responses. Despite that, no accepted job may be lost or
-// forgotten, and none of its tasks may be done twice or run twice at the same
-// time. The environment variables SOAK_FROM and SOAK_COUNT choose other seeds:
-// SOAK_COUNT of them from SOAK_FROM on.
+// smallJob is a job of one task, and usualJob one of four.
+const (
+	smallJob = `{"spec":"x","steps":[{"count":1,"cpu":1000,"mem_mb":100,"estimate_ms":300}]}`
+	usualJob = `{"spec":"x","steps":[{"count":3,"cpu":1000,"mem_mb":100,"estimate_ms":300},{"count":1,"cpu":1000,"mem_mb":100,"estimate_ms":300,"after":[0]}]}`
+)
+
+// At first there is planned work only: instances are shut down, restarted and told
+// to reload, one after the other and several at once, routes are added and dropped,
+// and workers change their capacity. No request on an open connection may remain
+// without an answer that a process has read. Then, beside the planned work, instances
+// are killed and paused at random, their connections to the log are reset, blocked or
+// delayed, the log is down, the log and a worker lose responses, workers crash, come
+// back and leave the registry, and another writer adds an odd entry to it. Despite
+// that, no accepted job may be lost or forgotten, none of its tasks may be done twice
+// or run twice at the same time, no worker may be filled beyond its capacity, and no
+// instance that reaches the log may act on an old configuration.
+//
+// The environment variables SOAK_FROM and SOAK_COUNT choose other seeds: SOAK_COUNT
+// of them from SOAK_FROM on. SOAK_LARGE=1 runs a large deployment, one seed at a time.
 func TestAcceptedJobsCompleteOnceUnderFaults(t *testing.T) {
 	program := buildDaemon(t)
 	seeds := append([]uint64{1}, regressionSeeds...)
@@ -63,10 +88,15 @@
 			seeds = append(seeds, seed)
 		}
 	}
+	large := os.Getenv("SOAK_LARGE") == "1"
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			if large {
+				runSeed(t, program, seed, largeSize)
+				return
+			}
 			t.Parallel()
-			runSeed(t, program, seed)
+			runSeed(t, program, seed, usualSize)
 		})
 	}
 }
@@ -82,147 +112,195 @@
 
 // deployment is one platform with its workers and instances on loopback.
 type deployment struct {
-	t      *testing.T
+	t    *testing.T
+	seed uint64
+	size size
+	// random chooses the faults of injectFault.
 	random *rand.Rand
 	// program is the path of the daemon, and dir the folder of settings and logs.
-	program   string
-	dir       string
-	log       *fleet.Log
-	overlaps  *fleet.OverlapDetector
-	workers   []*fleet.Worker
-	instances []*entryInstance
-	client    *http.Client
-}
-
-// entryInstance is one instance and the proxy through which it reaches the log.
-type entryInstance struct {
-	name  string
-	ip    string
-	proxy *proxy
-	// settingsPath is the path of the settings file.
-	settingsPath string
+	program       string
+	dir           string
+	log           *fleet.Log
+	overlaps      *fleet.OverlapDetector
+	history       *history
+	disruptions   *disruptions
+	configuration *configuration
+	workers       []*soakWorker
+	instances     []*entryInstance
+	client        *http.Client
+	startedAt     time.Time
 
 	mu sync.Mutex
-	// command is the running process, or nil.
-	command *exec.Cmd
+	// events is the file in which the test records what it does and sees.
+	events *os.File
+}
+
+// jobs holds the identifiers of submitted jobs.
+type jobs struct {
+	accepted []string
+	// refused holds the jobs of which every submission was refused.
+	refused []string
 }
 
-// runSeed starts a deployment, submits jobs while it injects the faults of the
-// seed, and checks the jobs.
-func runSeed(t *testing.T, program string, seed uint64) {
-	d := &deployment{t: t, random: rand.New(rand.NewPCG(seed, 7)), program: program, dir: t.TempDir(),
-		log: fleet.NewLog(), overlaps: fleet.NewOverlapDetector(), client: &http.Client{Timeout: 4 * time.Second}}
+// runSeed starts a deployment, submits jobs while it changes and disturbs the
+// deployment as the seed says, and checks the jobs.
+func runSeed(t *testing.T, program string, seed uint64, s size) {
+	t.Logf("seed %d", seed)
+	d := &deployment{t: t, seed: seed, size: s, random: rand.New(rand.NewPCG(seed, 7)), program: program, dir: t.TempDir(),
+		log: fleet.NewLog(), overlaps: fleet.NewOverlapDetector(), disruptions: &disruptions{},
+		client: &http.Client{Timeout: 4 * time.Second}, startedAt: time.Now()}
+	t.Cleanup(d.saveLogs)
 	t.Cleanup(d.log.Close)
-	d.log.AppendRecord("keyed.op", "config", []byte(manifest))
-	for i := range workerCount {
-		w := fleet.NewWorker(fmt.Sprint("i-", i), "p", taskDuration, d.overlaps)
-		t.Cleanup(w.Close)
-		d.workers = append(d.workers, w)
-		d.log.AppendRecord("keyed.servers", w.ID, w.RegistryEntry())
+	var err error
+	d.events, err = os.Create(filepath.Join(d.dir, "events.log"))
+	assert.NilError(t, err)
+	d.history = newHistory(d.disruptions, d.report, d.journal)
+	d.configuration = &configuration{d: d}
+	d.configuration.change(d.newRandom("first configuration"))
+	for i := range s.workers {
+		d.addWorker(i)
 	}
-	for i := range instanceCount {
-		d.instances = append(d.instances, d.addInstance(seed, i))
+	for i := range s.instances {
+		d.instances = append(d.instances, d.addInstance(i))
 	}
-	accepted := d.submitDuringFaults()
-	d.checkJobs(accepted)
+	d.checkJobs(d.submitDuringFaults())
 }
 
-// addInstance writes the settings of an instance and starts it. The address
-// depends on the seed, the index and the process identifier, so that
-// deployments don't collide.
-func (d *deployment) addInstance(seed uint64, index int) *entryInstance {
-	instance := &entryInstance{name: fmt.Sprint("n", index), ip: fmt.Sprintf("127.%d.%d.%d", 70+seed%50, os.Getpid()%250+1, index+1)}
-	instance.proxy = newProxy(d.t, d.log.Address())
-	instance.settingsPath = filepath.Join(d.dir, instance.name+".ini")
-	text := fmt.Sprintf(`[instance]
-name = %[1]s
-caller_address = %[2]s:8161
-ready_address = %[2]s:8162
-link_address = %[2]s:8163
-operator_address = %[2]s:8164
-[log]
-address = %[3]s
-[workers]
-max_lease_ms = 6000
-remote_factor = 2
-[jobs]
-keep_ended_s = 300
-[limits]
-memory_mb = 200
-cpu_share = 1
-grace_s = 5
-`, instance.name, instance.ip, instance.proxy.address())
-	assert.NilError(d.t, os.WriteFile(instance.settingsPath, []byte(text), 0o600))
-	d.startProcess(instance)
-	d.t.Cleanup(func() { d.endProcess(instance, syscall.SIGKILL) })
-	return instance
-}
-
-// startProcess starts the instance's process unless it is running.
-func (d *deployment) startProcess(instance *entryInstance) {
-	instance.mu.Lock()
-	defer instance.mu.Unlock()
-	if instance.command != nil {
-		return
-	}
-	logFile, err := os.OpenFile(filepath.Join(d.dir, instance.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	assert.NilError(d.t, err)
-	defer logFile.Close() // The process has its own copy of the descriptor.
-	command := exec.Command(d.program, "-settings", instance.settingsPath, "entry")
-	command.Stdout, command.Stderr = logFile, logFile
-	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	assert.NilError(d.t, command.Start())
-	instance.command = command
+// newRandom returns a source of random numbers for one purpose, so that the choices
+// for one purpose don't depend on the timing of others.
+func (d *deployment) newRandom(purpose string) *rand.Rand {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(purpose)) // Never returns an error.
+	return rand.New(rand.NewPCG(d.seed, hash.Sum64()))
 }
 
-// endProcess sends a signal to the instance's process, by its id, and waits for
-// its end. It holds the lock meanwhile, because a new process of the instance
-// could not listen on the addresses before the old one has ended.
-func (d *deployment) endProcess(instance *entryInstance, signal syscall.Signal) {
-	instance.mu.Lock()
-	defer instance.mu.Unlock()
-	if instance.command == nil {
-		return
-	}
-	_ = instance.command.Process.Signal(syscall.SIGCONT) // A paused process does not handle SIGTERM.
-	_ = instance.command.Process.Signal(signal)
-	_ = instance.command.Wait() // Wait returns an error for a killed process.
-	instance.command = nil
+// journal records an event.
+func (d *deployment) journal(format string, args ...any) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	// The file is only for reading after a failure.
+	_, _ = fmt.Fprintf(d.events, "%s %7.3f %s\n", time.Now().UTC().Format("15:04:05.000"), time.Since(d.startedAt).Seconds(), fmt.Sprintf(format, args...))
 }
 
-// signalProcess sends a signal to the instance's process if there is one.
-func (d *deployment) signalProcess(instance *entryInstance, signal syscall.Signal) {
-	instance.mu.Lock()
-	defer instance.mu.Unlock()
-	if instance.command != nil {
-		_ = instance.command.Process.Signal(signal) // Fails if the process has ended by itself.
-	}
+// report fails the test without ending it.
+func (d *deployment) report(format string, args ...any) {
+	d.t.Helper()
+	text := fmt.Sprintf(format, args...)
+	d.journal("FAILURE: %s", text)
+	d.t.Errorf("seed %d, after %.3f s: %s", d.seed, time.Since(d.startedAt).Seconds(), text)
 }
 
-// submitDuringFaults submits jobs for faultDuration while faults are injected. It
-// returns the identifiers of the accepted jobs after the last fault has ended.
-func (d *deployment) submitDuringFaults() []string {
-	ctx, cancel := context.WithTimeout(context.Background(), faultDuration)
+// submitDuringFaults submits jobs while there is planned work, and then also while
+// faults are injected. It returns the jobs after the last fault has ended.
+func (d *deployment) submitDuringFaults() (submitted jobs) {
+	ctx, cancel := context.WithTimeout(context.Background(), plannedDuration+faultDuration)
 	defer cancel()
-	var faults sync.WaitGroup
-	faults.Add(1)
-	go func() {
-		defer faults.Done()
+	var callers, work sync.WaitGroup
+	work.Go(func() { d.doPlannedWork(ctx.Done()) })
+	work.Go(func() { d.changeWorkerRooms(d.newRandom("rooms"), ctx.Done()) })
+	work.Go(func() {
+		random := d.newRandom("configuration")
+		for pause(random, ctx.Done(), 200*time.Millisecond, 1800*time.Millisecond) {
+			d.configuration.change(random)
+		}
+	})
+	work.Go(func() {
+		time.Sleep(plannedDuration)
+		d.journal("faults begin")
+		work.Go(func() { d.disturbWorkers(d.newRandom("workers"), ctx.Done()) })
 		for ctx.Err() == nil {
-			d.injectFault(&faults)
+			d.injectFault(&work)
 			time.Sleep(time.Duration(200+d.random.IntN(900)) * time.Millisecond)
 		}
-	}()
-	var accepted []string
+	})
+	persistentCallers, probers := d.startCallers(&callers, ctx.Done())
 	for number := 1; ctx.Err() == nil; number++ {
 		id := fmt.Sprintf("%016x", number)
-		if d.submit(ctx, id, number) {
-			accepted = append(accepted, id)
+		accepted, refused := d.submit(ctx, id, number)
+		if accepted {
+			submitted.accepted = append(submitted.accepted, id)
+		}
+		if refused {
+			submitted.refused = append(submitted.refused, id)
+		}
+		time.Sleep(d.size.submissionPause)
+	}
+	callers.Wait()
+	work.Wait()
+	requests := 0
+	for _, c := range persistentCallers {
+		requests += c.requests
+		submitted.accepted = append(submitted.accepted, c.accepted...)
+		submitted.refused = append(submitted.refused, c.refused...)
+	}
+	for _, p := range probers {
+		submitted.accepted = append(submitted.accepted, p.accepted...)
+		submitted.refused = append(submitted.refused, p.refused...)
+	}
+	d.t.Logf("%d requests on open connections", requests)
+	return submitted
+}
+
+// startCallers starts the callers that keep their connections open and those that
+// probe the changing routes. They end when stop is closed.
+func (d *deployment) startCallers(callers *sync.WaitGroup, stop <-chan struct{}) (persistent []*persistentCaller, probers []*routeProber) {
+	for _, instance := range d.instances {
+		for i, longestPause := range callerPauses {
+			c := &persistentCaller{d: d, instance: instance, name: fmt.Sprintf("c%04x%04x", instance.index, i),
+				random: d.newRandom(fmt.Sprint("caller ", instance.index, i)), pause: longestPause}
+			persistent = append(persistent, c)
+			callers.Go(func() { c.run(stop) })
+		}
+		p := &routeProber{d: d, instance: instance, random: d.newRandom(fmt.Sprint("prober ", instance.index))}
+		probers = append(probers, p)
+		callers.Go(func() { p.run(stop) })
+	}
+	return persistent, probers
+}
+
+// doPlannedWork shuts random instances down and starts them again, or tells them to
+// reload their settings, until stop is closed. Up to maxStopping instances are being
+// shut down or restarted at once.
+func (d *deployment) doPlannedWork(stop <-chan struct{}) {
+	random := d.newRandom("planned work")
+	var restarts sync.WaitGroup
+	defer restarts.Wait()
+	slots := make(chan struct{}, d.size.maxStopping)
+	for pause(random, stop, 200*time.Millisecond, 1200*time.Millisecond) {
+		instance := d.instances[random.IntN(len(d.instances))]
+		other := d.instances[random.IntN(len(d.instances))]
+		kind := random.IntN(4)
+		offTime := time.Duration(random.IntN(1000)) * time.Millisecond
+		logLevel := []string{"info", "debug"}[random.IntN(2)]
+		switch kind {
+		case 0, 1:
+			d.restart(&restarts, slots, instance, offTime)
+		case 2:
+			d.restart(&restarts, slots, instance, offTime)
+			if other != instance {
+				d.restart(&restarts, slots, other, offTime/2)
+			}
+		case 3:
+			d.writeSettings(instance, logLevel)
+			d.reload(instance)
 		}
-		time.Sleep(60 * time.Millisecond)
 	}
-	faults.Wait()
-	return accepted
+}
+
+// restart shuts an instance down and starts it again after a time, in a goroutine,
+// unless all slots are taken.
+func (d *deployment) restart(restarts *sync.WaitGroup, slots chan struct{}, instance *entryInstance, offTime time.Duration) {
+	select {
+	case slots <- struct{}{}:
+	default:
+		return
+	}
+	restarts.Go(func() {
+		defer func() { <-slots }()
+		d.endProcess(instance, syscall.SIGTERM)
+		time.Sleep(offTime)
+		d.startProcess(instance)
+	})
 }
 
 // injectFault starts one random fault and returns at once, so that faults
@@ -232,11 +310,10 @@
 	duration := time.Duration(300+d.random.IntN(2700)) * time.Millisecond
 	kind := d.random.IntN(8)
 	proxyFault := proxyMode(1 + d.random.IntN(int(proxyModeCount)-1))
-	faults.Add(1)
-	go func() {
-		defer faults.Done()
+	faults.Go(func() {
 		switch kind {
 		case 0, 1:
+			defer d.disruptions.start(instance.index)()
 			d.endProcess(instance, syscall.SIGKILL)
 			time.Sleep(duration / 4)
 			d.startProcess(instance)
@@ -244,42 +321,57 @@
 			d.endProcess(instance, syscall.SIGTERM)
 			d.startProcess(instance)
 		case 3:
-			d.signalProcess(instance, syscall.SIGSTOP)
+			defer d.disruptions.start(instance.index)()
+			p := instance.current()
+			d.signalProcess(instance, p, syscall.SIGSTOP)
 			time.Sleep(duration)
-			d.signalProcess(instance, syscall.SIGCONT)
+			d.signalProcess(instance, p, syscall.SIGCONT)
 		case 4:
+			defer d.disruptions.start(instance.index)()
+			d.journal("%s: the path to the log is in mode %d for %v", instance.name, proxyFault, duration)
 			instance.proxy.setMode(proxyFault)
 			time.Sleep(duration)
 			instance.proxy.setMode(passThrough)
 			instance.proxy.resetConnections()
 		case 5:
+			defer d.disruptions.start(instance.index)()
+			d.journal("%s: connections to the log are reset", instance.name)
 			instance.proxy.resetConnections()
 		case 6:
+			defer d.disruptions.start(everything)()
+			d.journal("the log and a worker lose responses")
 			d.log.LoseResponses(3)
-			d.workers[kind%workerCount].LoseResponses(2)
+			d.workers[kind%usualSize.workers].LoseResponses(2)
 		case 7:
+			defer d.disruptions.start(everything)()
+			d.journal("the log is down for %v", duration)
 			d.log.SetDown(true)
 			time.Sleep(duration)
 			d.log.SetDown(false)
 		}
-	}()
+	})
 }
 
 // submit sends a job to one instance after the other, at most twice to each,
-// until one accepts it or ctx ends. It reports whether the job was accepted.
-func (d *deployment) submit(ctx context.Context, id string, firstInstance int) bool {
-	body := `{"spec":"x","steps":[{"count":3,"cpu":1000,"mem_mb":100,"estimate_ms":300},{"count":1,"cpu":1000,"mem_mb":100,"estimate_ms":300,"after":[0]}]}`
-	for attempt := range 2 * instanceCount {
-		status, _ := d.sendRequest(ctx, d.instances[(firstInstance+attempt)%instanceCount], http.MethodPost, "/j/"+id, body)
-		if status == http.StatusOK {
-			return true
+// until one accepts it or ctx ends. It reports whether the job was accepted, and
+// whether every submission was refused.
+func (d *deployment) submit(ctx context.Context, id string, firstInstance int) (accepted, refused bool) {
+	refused = true
+	for attempt := range 2 * len(d.instances) {
+		status, _ := d.sendRequest(ctx, d.instances[(firstInstance+attempt)%len(d.instances)], http.MethodPost, "/j/"+id, usualJob)
+		switch status {
+		case http.StatusOK:
+			return true, false
+		case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusNotFound:
+		default:
+			refused = false
 		}
 		if ctx.Err() != nil {
-			return false
+			return false, refused
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
-	return false
+	return false, refused
 }
 
 // sendRequest sends a request to the caller address of an instance. The status
@@ -304,58 +396,78 @@
 
 // checkJobs ends all faults and waits until every accepted job is reported as
 // completed. It checks that each of their tasks was done exactly once and never
-// ran twice at the same time.
-func (d *deployment) checkJobs(accepted []string) {
+// ran twice at the same time, and that no refused job has run.
+func (d *deployment) checkJobs(submitted jobs) {
 	for _, instance := range d.instances {
-		d.signalProcess(instance, syscall.SIGCONT)
+		d.signalProcess(instance, instance.current(), syscall.SIGCONT)
 		instance.proxy.setMode(passThrough)
 		d.startProcess(instance)
 	}
 	d.log.SetDown(false)
+	d.journal("faults have ended")
 	deadline := time.Now().Add(completionTimeout)
-	for _, id := range accepted {
-		for {
-			status, answer := d.sendRequest(context.Background(), d.instances[len(id)%instanceCount], http.MethodGet, "/j/"+id, "")
-			if strings.Contains(answer, "completed") {
-				break
+	submitted.accepted = append(submitted.accepted, d.configuration.checkLastChange(d.newRandom("last change"))...)
+	for number, id := range submitted.accepted {
+		if !d.awaitCompletion(id, d.instances[number%len(d.instances)], deadline) {
+			break
+		}
+		tasks := []string{".0.0.0"}
+		if isUsualJob(id) {
+			tasks = []string{".0.0.0", ".0.0.1", ".0.0.2", ".0.1.0"}
+		}
+		for _, task := range tasks {
+			if wrong := d.history.wrongRuns(id + task); wrong != "" {
+				d.report("%s", wrong)
 			}
-			assert.Assert(d.t, status != http.StatusGone, "the accepted job %s is gone: its status request was answered with 410", id)
-			assert.Assert(d.t, time.Now().Before(deadline), "job %s is not completed in time; last status %d, last answer %s; logs in %s", id, status, answer, d.saveLogs())
-			time.Sleep(100 * time.Millisecond)
 		}
-		d.checkTasksDoneOnce(id)
 	}
-	assert.Equal(d.t, len(d.overlaps.OverlappingTasks()), 0, "tasks that ran twice at the same time: %v; logs in %s", d.overlaps.OverlappingTasks(), d.saveLogs())
-	d.t.Logf("%d jobs accepted", len(accepted))
+	for _, id := range submitted.refused {
+		if d.history.started(id + ".0.0.0") {
+			d.report("job %s runs, although every submission was refused", id)
+		}
+	}
+	if overlapping := d.overlaps.OverlappingTasks(); len(overlapping) > 0 {
+		d.report("tasks that ran twice at the same time: %v", overlapping)
+	}
+	d.t.Logf("%d jobs accepted, %d refused", len(submitted.accepted), len(submitted.refused))
 }
 
-// checkTasksDoneOnce checks that each of the four tasks of a job was done exactly
-// once on all workers together.
-func (d *deployment) checkTasksDoneOnce(id string) {
-	for _, task := range []string{".0.0.0", ".0.0.1", ".0.0.2", ".0.1.0"} {
-		done := 0
-		for _, w := range d.workers {
-			done += w.DoneCount(id + task)
+// isUsualJob reports whether the job has the tasks of usualJob. Only jobs that
+// submitDuringFaults submits by itself have them.
+func isUsualJob(id string) bool { return id[0] == '0' }
+
+// awaitCompletion waits until a job is reported as completed, and reports whether it
+// was before the deadline.
+func (d *deployment) awaitCompletion(id string, instance *entryInstance, deadline time.Time) bool {
+	for {
+		status, answer := d.sendRequest(context.Background(), instance, http.MethodGet, "/j/"+id, "")
+		switch {
+		case strings.Contains(answer, "completed"):
+			return true
+		case status == http.StatusGone:
+			d.report("the accepted job %s is gone: its status request was answered with 410", id)
+			return true
+		case strings.Contains(answer, "failed"):
+			d.report("the accepted job %s is reported as failed", id)
+			return true
+		case time.Now().After(deadline):
+			d.report("job %s is not completed in time; last status %d, last answer %s", id, status, answer)
+			return false
 		}
-		assert.Assert(d.t, done == 1, "task %s%s was done %d times instead of once; logs in %s", id, task, done, d.saveLogs())
+		time.Sleep(50 * time.Millisecond)
 	}
 }
 
-// saveLogs copies the logs to a new folder that is not deleted at the end of the
-// test, and returns its path.
-func (d *deployment) saveLogs() string {
-	folder, err := os.MkdirTemp("", "soak")
-	if err != nil {
-		return err.Error()
+// saveLogs copies the logs of a failed run to a new folder that is not deleted at the
+// end of the test, and prints its path and the seed.
+func (d *deployment) saveLogs() {
+	_ = d.events.Close() // The file is only for reading after a failure.
+	if !d.t.Failed() {
+		return
 	}
-	for _, instance := range d.instances {
-		content, err := os.ReadFile(filepath.Join(d.dir, instance.name+".log"))
-		if err == nil {
-			err = os.WriteFile(filepath.Join(folder, instance.name+".log"), content, 0o600)
-		}
-		if err != nil {
-			d.t.Log(err)
-		}
+	folder, err := os.MkdirTemp("", fmt.Sprintf("soak-seed-%d-", d.seed))
+	if err == nil {
+		err = os.CopyFS(folder, os.DirFS(d.dir))
 	}
-	return folder
+	d.t.Logf("seed %d failed; run it with SOAK_FROM=%d SOAK_COUNT=1; logs in %s (%v)", d.seed, d.seed, folder, err)
 }
--- /dev/null
+++ b/test/soak/workers_test.go
@@ -0,0 +1,139 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"poplarvalve/test/fleet"
+)
+
+const (
+	// maxLease is the longest lease that a worker grants.
+	maxLease = 6 * time.Second
+	// taskCPU is the CPU of each task, in thousandths of a core.
+	taskCPU = 1000
+	// maxSlots is the largest number of tasks that a worker has room for, and
+	// minSlots the smallest.
+	maxSlots = 16
+	minSlots = 2
+	// registryExpiry is the silence after which the platform removes the entry of a
+	// worker.
+	registryExpiry = 3 * workerHeartbeat
+)
+
+// soakWorker is a worker that crashes, leaves the registry and changes its room.
+type soakWorker struct {
+	*fleet.Worker
+	// mu is held while the worker has crashed or is not in the registry.
+	mu sync.Mutex
+}
+
+func (d *deployment) addWorker(index int) {
+	w := &soakWorker{Worker: fleet.NewWorker(fmt.Sprint("i-", index), "p", taskDuration, d.overlaps)}
+	d.t.Cleanup(w.Close)
+	w.Observe(d.history)
+	w.EnforceLeases(maxLease)
+	d.workers = append(d.workers, w)
+	d.changeSlots(w, maxSlots)
+}
+
+// changeSlots changes the room of a worker and its entry in the registry, unless the
+// worker is away.
+func (d *deployment) changeSlots(w *soakWorker, slots int) {
+	if !w.mu.TryLock() {
+		return
+	}
+	defer w.mu.Unlock()
+	d.history.showSlots(w.ID, slots)
+	w.SetCPU(slots * taskCPU)
+	d.log.AppendRecord("keyed.servers", w.ID, w.RegistryEntry())
+}
+
+// takeAway takes a worker out of use for a time, unless it is away already: leave is
+// called at the start and comeBack at the end. If the time is longer than
+// removeAfter, the worker's entry is removed from the registry after that.
+func (d *deployment) takeAway(w *soakWorker, duration, removeAfter time.Duration, leave, comeBack func()) {
+	if !w.mu.TryLock() {
+		return
+	}
+	defer w.mu.Unlock()
+	leave()
+	time.Sleep(min(duration, removeAfter))
+	if duration > removeAfter {
+		d.journal("%s: entry removed", w.ID)
+		d.log.AppendRecord("keyed.servers", w.ID, nil)
+		time.Sleep(duration - removeAfter)
+	}
+	comeBack()
+	d.journal("%s: entry %s", w.ID, w.RegistryEntry())
+	d.log.AppendRecord("keyed.servers", w.ID, w.RegistryEntry())
+}
+
+// changeWorkerRooms changes the room of random workers until stop is closed.
+func (d *deployment) changeWorkerRooms(random *rand.Rand, stop <-chan struct{}) {
+	for pause(random, stop, 100*time.Millisecond, 900*time.Millisecond) {
+		w := d.workers[random.IntN(len(d.workers))]
+		d.changeSlots(w, minSlots+random.IntN(maxSlots-minSlots+1))
+	}
+}
+
+// disturbWorkers crashes random workers, takes others out of the registry, and writes
+// one odd entry, until stop is closed. It returns when all workers are back.
+func (d *deployment) disturbWorkers(random *rand.Rand, stop <-chan struct{}) {
+	var disturbances sync.WaitGroup
+	defer disturbances.Wait()
+	oddEntry := oddEntries[random.IntN(len(oddEntries))]
+	oddEntryAt := time.Now().Add(time.Duration(random.Int64N(int64(faultDuration / 2))))
+	for pause(random, stop, 300*time.Millisecond, 1500*time.Millisecond) {
+		if oddEntry.value != "" && time.Now().After(oddEntryAt) {
+			d.journal("odd entry: %s", oddEntry.name)
+			d.log.AppendRecord("keyed.servers", fmt.Sprintf("odd-%x", random.Uint32()), []byte(oddEntry.value))
+			oddEntry.value = ""
+		}
+		w := d.workers[random.IntN(len(d.workers))]
+		duration := time.Duration(500+random.IntN(4500)) * time.Millisecond
+		crashes := random.IntN(2) == 0
+		disturbances.Go(func() {
+			if crashes {
+				d.takeAway(w, duration, registryExpiry, func() { d.journal("%s crashes for %v", w.ID, duration); w.Crash() }, w.Restart)
+				return
+			}
+			d.takeAway(w, duration, 0, func() { d.journal("%s leaves the registry for %v", w.ID, duration) }, func() {})
+		})
+	}
+}
+
+// oddEntry is a registry entry of another writer. It names no worker to use.
+type oddEntry struct{ name, value string }
+
+var oddEntries = []oddEntry{
+	{"bytes that can't be read", "\x00\xff\xfe{\"service\":\x80"},
+	{"deeply nested", `{"service":"p","labels":` + strings.Repeat("[", 200_000) + strings.Repeat("]", 200_000) + "}"},
+	{"port out of range", entryWith(`"127.0.0.1:99999"`, "16000")},
+	{"address that is none", entryWith(`"no address"`, "16000")},
+	{"capacity too large", entryWith(`"127.0.0.1:9"`, "9223372036854775807")},
+	{"number out of range", entryWith(`"127.0.0.1:9"`, "1e400")},
+	{"capacity of another type", entryWith(`"127.0.0.1:9"`, `"16000"`)},
+	{"service of another type", strings.Replace(entryWith(`"127.0.0.1:9"`, "16000"), `"p"`, `["p"]`, 1)},
+	{"unknown state", strings.Replace(entryWith(`"127.0.0.1:9"`, "16000"), "ready", "asleep", 1)},
+}
+
+// entryWith returns an entry of a ready worker with an address and a CPU capacity.
+func entryWith(address, cpu string) string {
+	return `{"service":"p","address":` + address + `,"zone":"z1","state":"ready","capacity":{"cpu":` + cpu +
+		`,"mem_mb":64000},"labels":["a","r1-1"],"born":1700000000000,"sequence":1}`
+}
+
+// pause waits for a random time between two bounds. It returns false when stop is
+// closed.
+func pause(random *rand.Rand, stop <-chan struct{}, shortest, longest time.Duration) bool {
+	select {
+	case <-stop:
+		return false
+	case <-time.After(shortest + time.Duration(random.Int64N(int64(longest-shortest)))):
+		return true
+	}
+}
