--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -100,7 +100,7 @@
 }
 
 // submissionInterval is the time between two submissions of a caller.
-const submissionInterval = 500 * time.Millisecond
+const submissionInterval = time.Second
 
 // exchange sends one request and returns the status of the answer, or 0 if there is
 // no complete answer. An answer that is missing although nothing but planned work
--- a/test/soak/routes_test.go
+++ b/test/soak/routes_test.go
@@ -132,7 +132,7 @@
 func (p *routeProber) probe(r route, number int) {
 	method, path, body := http.MethodGet, "/"+r.name+"/", ""
 	id := fmt.Sprintf("f%02x%013x", p.instance.index, number)
-	if p.random.IntN(3) == 0 {
+	if p.random.IntN(8) == 0 {
 		method, path, body = http.MethodPost, path+id, smallJob
 	}
 	process := p.instance.current()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -37,13 +37,16 @@
 	faultDuration     = 15 * time.Second
 	completionTimeout = 40 * time.Second
 	// taskDuration is the run time of every task on a worker.
-	taskDuration = 300 * time.Millisecond
+	taskDuration = 500 * time.Millisecond
 )
 
 // size is the size of a deployment.
 type size struct {
 	instances int
 	workers   int
+	// maxSlots is the largest number of tasks that a worker has room for. The jobs
+	// fill most of the room.
+	maxSlots int
 	// maxStopping is the number of instances that planned work stops at once.
 	maxStopping int
 	// submissionPause is the pause between two submissions.
@@ -51,8 +54,8 @@
 }
 
 var (
-	usualSize = size{instances: 4, workers: 5, maxStopping: 2, submissionPause: 60 * time.Millisecond}
-	largeSize = size{instances: 8, workers: 24, maxStopping: 4, submissionPause: 25 * time.Millisecond}
+	usualSize = size{instances: 4, workers: 5, maxSlots: 8, maxStopping: 2, submissionPause: 75 * time.Millisecond}
+	largeSize = size{instances: 8, workers: 24, maxSlots: 5, maxStopping: 4, submissionPause: 10 * time.Millisecond}
 )
 
 // callerPauses holds, for each caller with an open connection to an instance, its
@@ -61,8 +64,8 @@
 
 // smallJob is a job of one task, and usualJob one of four.
 const (
-	smallJob = `{"spec":"x","steps":[{"count":1,"cpu":1000,"mem_mb":100,"estimate_ms":300}]}`
-	usualJob = `{"spec":"x","steps":[{"count":3,"cpu":1000,"mem_mb":100,"estimate_ms":300},{"count":1,"cpu":1000,"mem_mb":100,"estimate_ms":300,"after":[0]}]}`
+	smallJob = `{"spec":"x","steps":[{"count":1,"cpu":1000,"mem_mb":100,"estimate_ms":500}]}`
+	usualJob = `{"spec":"x","steps":[{"count":3,"cpu":1000,"mem_mb":100,"estimate_ms":500},{"count":1,"cpu":1000,"mem_mb":100,"estimate_ms":500,"after":[0]}]}`
 )
 
 // At first there is planned work only: instances are shut down, restarted and told
@@ -404,6 +407,9 @@
 		d.startProcess(instance)
 	}
 	d.log.SetDown(false)
+	for _, w := range d.workers {
+		d.changeSlots(w, d.size.maxSlots)
+	}
 	d.journal("faults have ended")
 	deadline := time.Now().Add(completionTimeout)
 	submitted.accepted = append(submitted.accepted, d.configuration.checkLastChange(d.newRandom("last change"))...)
--- a/test/soak/workers_test.go
+++ b/test/soak/workers_test.go
@@ -15,9 +15,7 @@
 	maxLease = 6 * time.Second
 	// taskCPU is the CPU of each task, in thousandths of a core.
 	taskCPU = 1000
-	// maxSlots is the largest number of tasks that a worker has room for, and
-	// minSlots the smallest.
-	maxSlots = 16
+	// minSlots is the smallest number of tasks that a worker has room for.
 	minSlots = 2
 	// registryExpiry is the silence after which the platform removes the entry of a
 	// worker.
@@ -37,7 +35,7 @@
 	w.Observe(d.history)
 	w.EnforceLeases(maxLease)
 	d.workers = append(d.workers, w)
-	d.changeSlots(w, maxSlots)
+	d.changeSlots(w, d.size.maxSlots)
 }
 
 // changeSlots changes the room of a worker and its entry in the registry, unless the
@@ -72,11 +70,20 @@
 	d.log.AppendRecord("keyed.servers", w.ID, w.RegistryEntry())
 }
 
+// roomPeriod is the average time between two changes of a worker's room. It is longer
+// than capacityBound, so that a smaller room counts for a while.
+const roomPeriod = 7 * time.Second
+
 // changeWorkerRooms changes the room of random workers until stop is closed.
 func (d *deployment) changeWorkerRooms(random *rand.Rand, stop <-chan struct{}) {
-	for pause(random, stop, 100*time.Millisecond, 900*time.Millisecond) {
+	interval := roomPeriod / time.Duration(len(d.workers))
+	for pause(random, stop, interval/2, interval*3/2) {
 		w := d.workers[random.IntN(len(d.workers))]
-		d.changeSlots(w, minSlots+random.IntN(maxSlots-minSlots+1))
+		slots := minSlots + random.IntN(2)
+		if random.IntN(2) == 0 {
+			slots = d.size.maxSlots - random.IntN(2)
+		}
+		d.changeSlots(w, slots)
 	}
 }
 
