test/soak: workers that come back must be used again

Workers are also cut off for longer than a lease and come back as the same life. In the end, with no other change, all workers are cut off or crash and must start tasks once they are back.

--- a/test/fleet/worker.go
+++ b/test/fleet/worker.go
@@ -56,8 +56,8 @@
 	adviser *Adviser
 	// cpuMillis is the CPU in the registered capacity, in thousandths of a core.
 	cpuMillis int
-	// crashed makes the worker close each connection without a response.
-	crashed bool
+	// unreachable makes the worker close each connection without a response.
+	unreachable bool
 	// maxLease is the longest lease that the worker grants. If it is 0, leases
 	// don't expire.
 	maxLease   time.Duration
@@ -112,7 +112,10 @@
 // connection without a response.
 func (w *Worker) Crash() {
 	w.mu.Lock()
-	w.crashed = true
+	w.unreachable = true
+	if w.leaseTimer != nil {
+		w.leaseTimer.Stop()
+	}
 	w.observer.EndsVoid(w.ID)
 	for task, run := range w.runs {
 		run.timer.Stop()
@@ -124,6 +127,22 @@
 	w.server.CloseClientConnections()
 }
 
+// CutOff makes the worker close each connection without a response until Reconnect.
+// Its runs go on as long as their lease does.
+func (w *Worker) CutOff() {
+	w.mu.Lock()
+	w.unreachable = true
+	w.mu.Unlock()
+	w.server.CloseClientConnections()
+}
+
+// Reconnect ends CutOff.
+func (w *Worker) Reconnect() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.unreachable = false
+}
+
 // begin sets the time at which the worker's incarnation began.
 func (w *Worker) begin() {
 	now := time.Now()
@@ -135,7 +154,7 @@
 func (w *Worker) Restart() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.crashed = false
+	w.unreachable = false
 	w.begin()
 	w.fencingToken, w.leaseEndMillis, w.lastEndNumber = 0, 0, 0
 	w.endedRuns = nil
@@ -310,7 +329,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.crashed {
+	if w.unreachable {
 		panic(http.ErrAbortHandler) // Closes the connection without a response.
 	}
 	if order.Token < w.fencingToken {
@@ -343,7 +362,7 @@
 func (w *Worker) expireLease() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.crashed || w.clockMillis() < w.leaseEndMillis {
+	if w.clockMillis() < w.leaseEndMillis {
 		return
 	}
 	w.observer.EndsVoid(w.ID)
@@ -361,7 +380,7 @@
 		return
 	}
 	w.mu.Lock()
-	if w.crashed {
+	if w.unreachable {
 		w.mu.Unlock()
 		panic(http.ErrAbortHandler) // Closes the connection without a response.
 	}
--- a/test/soak/history_test.go
+++ b/test/soak/history_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 )
@@ -16,6 +17,8 @@
 	mu      sync.Mutex
 	order   int
 	running map[string]int
+	// starts counts the starts by worker.
+	starts map[string]int
 	// slots holds, by worker, the numbers of tasks that the worker has had room for.
 	slots map[string][]shownSlots
 	tasks map[string]*taskHistory
@@ -53,7 +56,7 @@
 const workerHeartbeat = time.Second
 
 func newHistory(d *disruptions, report, journal func(format string, args ...any)) *history {
-	return &history{disruptions: d, report: report, journal: journal, running: map[string]int{},
+	return &history{disruptions: d, report: report, journal: journal, running: map[string]int{}, starts: map[string]int{},
 		slots: map[string][]shownSlots{}, tasks: map[string]*taskHistory{}, unacknowledged: map[string][]*doneRun{}}
 }
 
@@ -72,6 +75,7 @@
 	defer h.mu.Unlock()
 	h.order++
 	h.running[worker]++
+	h.starts[worker]++
 	h.task(task).starts = append(h.task(task).starts, h.order)
 	h.journal("%s starts %s run %d; runs %d tasks", worker, task, run, h.running[worker])
 	bound := h.disruptions.beforeCalm(now, capacityBound)
@@ -158,6 +162,13 @@
 	return ""
 }
 
+// startsByWorker returns the number of starts so far by worker.
+func (h *history) startsByWorker() map[string]int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return maps.Clone(h.starts)
+}
+
 // started reports whether a task has started on any worker.
 func (h *history) started(id string) bool {
 	h.mu.Lock()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -77,7 +77,8 @@
 // back and leave the registry, and another writer adds an odd entry to it. Despite
 // that, no accepted job may be lost or forgotten, none of its tasks may be done twice
 // or run twice at the same time, no worker may be filled beyond its capacity, and no
-// instance that reaches the log may act on an old configuration.
+// instance that reaches the log may act on an old configuration. In the end, workers are
+// cut off or crash while nothing else happens, and must be used again when they are back.
 //
 // The environment variables SOAK_FROM and SOAK_COUNT choose other seeds: SOAK_COUNT
 // of them from SOAK_FROM on. SOAK_LARGE=1 runs a large deployment, one seed at a time.
@@ -411,8 +412,9 @@
 		d.changeSlots(w, d.size.maxSlots)
 	}
 	d.journal("faults have ended")
-	deadline := time.Now().Add(completionTimeout)
 	submitted.accepted = append(submitted.accepted, d.configuration.checkLastChange(d.newRandom("last change"))...)
+	submitted.accepted = append(submitted.accepted, d.checkWorkersReturn()...)
+	deadline := time.Now().Add(completionTimeout)
 	for number, id := range submitted.accepted {
 		if !d.awaitCompletion(id, d.instances[number%len(d.instances)], deadline) {
 			break
--- a/test/soak/workers_test.go
+++ b/test/soak/workers_test.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -50,22 +52,49 @@
 	d.log.AppendRecord("keyed.servers", w.ID, w.RegistryEntry())
 }
 
-// takeAway takes a worker out of use for a time, unless it is away already: leave is
-// called at the start and comeBack at the end. If the time is longer than
-// removeAfter, the worker's entry is removed from the registry after that.
-func (d *deployment) takeAway(w *soakWorker, duration, removeAfter time.Duration, leave, comeBack func()) {
+// absence is a way in which a worker is away for a time.
+type absence int
+
+const (
+	// crashed workers run nothing and come back as a new incarnation.
+	crashed absence = iota
+	// unlisted workers are missing in the registry only.
+	unlisted
+	// cutOff workers are silent and missing in the registry, and come back as the
+	// same incarnation.
+	cutOff
+	// absenceCount is the number of ways.
+	absenceCount
+)
+
+// takeAway takes a worker out of use for a time, unless it is away already.
+func (d *deployment) takeAway(w *soakWorker, kind absence, duration time.Duration) {
 	if !w.mu.TryLock() {
 		return
 	}
 	defer w.mu.Unlock()
-	leave()
+	d.journal("%s: absence of kind %d for %v", w.ID, kind, duration)
+	removeAfter := registryExpiry
+	switch kind {
+	case crashed:
+		w.Crash()
+	case unlisted:
+		removeAfter = 0
+	case cutOff:
+		w.CutOff()
+	}
 	time.Sleep(min(duration, removeAfter))
 	if duration > removeAfter {
 		d.journal("%s: entry removed", w.ID)
 		d.log.AppendRecord("keyed.servers", w.ID, nil)
 		time.Sleep(duration - removeAfter)
 	}
-	comeBack()
+	switch kind {
+	case crashed:
+		w.Restart()
+	case cutOff:
+		w.Reconnect()
+	}
 	d.journal("%s: entry %s", w.ID, w.RegistryEntry())
 	d.log.AppendRecord("keyed.servers", w.ID, w.RegistryEntry())
 }
@@ -102,14 +131,62 @@
 		}
 		w := d.workers[random.IntN(len(d.workers))]
 		duration := time.Duration(500+random.IntN(4500)) * time.Millisecond
-		crashes := random.IntN(2) == 0
-		disturbances.Go(func() {
-			if crashes {
-				d.takeAway(w, duration, registryExpiry, func() { d.journal("%s crashes for %v", w.ID, duration); w.Crash() }, w.Restart)
-				return
+		kind := absence(random.IntN(int(absenceCount)))
+		disturbances.Go(func() { d.takeAway(w, kind, duration) })
+	}
+}
+
+const (
+	// finalAbsence is how long workers are away in checkWorkersReturn. It is longer
+	// than a lease, so that the leader gives the workers up.
+	finalAbsence = maxLease + 2*time.Second
+	// finalJobPause is the pause between two jobs in submitUntilAllStart.
+	finalJobPause = 50 * time.Millisecond
+)
+
+// checkWorkersReturn cuts half of the workers off and crashes the others, and checks
+// that all of them are used again once they are back, while nothing else happens.
+// Before, each worker loses the response to a start, so that the leader has raised its
+// fencing token there. It returns the jobs that it submitted.
+func (d *deployment) checkWorkersReturn() (accepted []string) {
+	for _, w := range d.workers {
+		w.LoseResponses(1)
+	}
+	d.submitUntilAllStart(&accepted)
+	var absences sync.WaitGroup
+	for i, w := range d.workers {
+		kind := []absence{cutOff, crashed}[i%2]
+		absences.Go(func() { d.takeAway(w, kind, finalAbsence) })
+	}
+	absences.Wait()
+	d.submitUntilAllStart(&accepted)
+	return accepted
+}
+
+// submitUntilAllStart submits jobs until each worker has started a task, and appends
+// them to accepted. A worker that starts none in completionTimeout is a failure.
+func (d *deployment) submitUntilAllStart(accepted *[]string) {
+	startsBefore := d.history.startsByWorker()
+	deadline := time.Now().Add(completionTimeout)
+	for {
+		id := fmt.Sprintf("0%015x", 1<<40+len(*accepted))
+		if ok, _ := d.submit(context.Background(), id, len(*accepted)); ok {
+			*accepted = append(*accepted, id)
+		}
+		starts := d.history.startsByWorker()
+		unused := slices.DeleteFunc(slices.Clone(d.workers), func(w *soakWorker) bool { return starts[w.ID] > startsBefore[w.ID] })
+		if len(unused) == 0 {
+			return
+		}
+		if time.Now().After(deadline) {
+			var names []string
+			for _, w := range unused {
+				names = append(names, w.ID)
 			}
-			d.takeAway(w, duration, 0, func() { d.journal("%s leaves the registry for %v", w.ID, duration) }, func() {})
-		})
+			d.report("the workers %v are in the registry and get no task", names)
+			return
+		}
+		time.Sleep(finalJobPause)
 	}
 }
 
