entry: confine a panic in a call of the term to the term

An unexpected error while an order or a request for advice was sent ended the process, with all its cells, links and callers: these goroutines ran outside of the term's. They now belong to the term, which ends instead, and which waits for them when it ends.

TestPanicInCallOfTermEndsTermOnly failed before: panic: index out of range

--- a/internal/entry/contain_test.go
+++ b/internal/entry/contain_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"poplarvalve/internal/connection/advice"
 	"poplarvalve/internal/connection/cellcodec"
 	"poplarvalve/internal/process/boottime"
 	"poplarvalve/internal/process/fault"
@@ -42,6 +43,24 @@
 	assert.Assert(t, ctx.Err() != nil, "the goroutines of the term go on")
 }
 
+// panickingAdvice is an advice service whose client has a fault.
+type panickingAdvice struct{}
+
+func (panickingAdvice) AllowedWorkers(context.Context, cell.StepID, []cell.WorkerID) (advice.Answer, error) {
+	panic("index out of range")
+}
+
+// Guards against an unexpected error in a call for one step that ends the process.
+func TestPanicInCallOfTermEndsTermOnly(t *testing.T) {
+	l := testLeadership(t)
+	l.entry.options.Advice = panickingAdvice{}
+	ctx, cancel := context.WithCancel(context.Background())
+	l.cancel = cancel
+	l.applyEffects(ctx, cell.Effects{Advice: []cell.AdviceRequest{{Workers: []cell.WorkerID{"w"}}}})
+	l.goroutines.Wait()
+	assert.Equal(t, fault.KindOf(l.reason()), fault.Internal)
+}
+
 // Another instance may run another version or send a message that was damaged. A job
 // with impossible dependencies must be refused before it reaches the cell, where it
 // would end the term at each leader in turn.
--- a/internal/entry/effects.go
+++ b/internal/entry/effects.go
@@ -10,8 +10,8 @@
 )
 
 // applyEffects carries out the effects of the cell's decisions. It runs in the
-// cell's goroutine; orders to workers are sent in separate goroutines so that it
-// does not block.
+// cell's goroutine; orders to workers are sent in separate goroutines of the term so
+// that it does not block.
 func (l *leadership) applyEffects(ctx context.Context, effects cell.Effects) {
 	if effects.Write != nil {
 		l.writer.add(*effects.Write)
@@ -31,7 +31,7 @@
 		}
 	}
 	for _, request := range effects.Advice {
-		go l.requestAdvice(ctx, request)
+		l.spawn(func() { l.requestAdvice(ctx, request) })
 	}
 	for _, worker := range effects.Resolve {
 		if session := l.sessions[worker]; session != nil {
@@ -83,7 +83,7 @@
 			Outcome: cell.StartRefused, Refusal: cell.RefusedNotSent})
 		return
 	}
-	go session.Start(ctx, order)
+	l.spawn(func() { session.Start(ctx, order) })
 }
 
 // stopRun sends an order to stop a run, and logs a failure.
@@ -92,11 +92,11 @@
 	if session == nil {
 		return
 	}
-	go func() {
+	l.spawn(func() {
 		if err := session.Stop(ctx, order); err != nil && ctx.Err() == nil {
 			l.entry.options.Journal.Retrying("stop of "+taskName(order.Task), err)
 		}
-	}()
+	})
 }
 
 // throttle sends an order that limits the speed of a best-effort run. A failure is
@@ -106,11 +106,11 @@
 	if session == nil {
 		return
 	}
-	go func() {
+	l.spawn(func() {
 		if err := session.Throttle(ctx, order); err != nil && ctx.Err() == nil {
 			l.post(func(now time.Time, c *cell.Cell) { c.ThrottleFailed(order) })
 		}
-	}()
+	})
 }
 
 // logEffects records the orders and the decisions in the metrics and the log.
