--- a/internal/version/cell/crash_test.go
+++ b/internal/version/cell/crash_test.go
@@ -318,6 +318,20 @@
 	f.checkGivenUp(firstTaskID())
 }
 
+// Guards against copies that crash further workers while the crashes under their task
+// look like the loss of a rack.
+func TestTaskLostWithItsRackGetsNoCopy(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		f := newCrashFleet(t, 4)
+		f.runTime = time.Hour
+		f.submit(jobA, 1, func(s *jobspec.Step) { s.Speculative, s.EstimateMillis = true, 500 })
+		f.run(200 * time.Millisecond)
+		f.cell.jobs[jobA].occurrences[0].steps[0].tasks[0].lostWithRack = lost
+		f.run(probationPeriod - 100*time.Millisecond)
+		assert.Equal(t, f.events["copy started"] == 0, lost)
+	}
+}
+
 // Guards against jobs that are given up because their tasks shared a worker with the one
 // that crashed it.
 func TestTasksBesideTheCauseOfCrashesComplete(t *testing.T) {
--- a/internal/version/cell/schedule.go
+++ b/internal/version/cell/schedule.go
@@ -346,8 +346,8 @@
 func (c *Cell) startSpeculativeOrStop(now time.Time, r *run) {
 	t := r.task
 	if t.spec().Speculative {
-		if t.implicated() {
-			return // A second run could crash a second worker.
+		if t.implicated() || t.lostWithRack {
+			return // A second run could crash another worker.
 		}
 		w := c.findWorkerExcept(now, t, r.worker)
 		if w == nil {
