cell: don't take stale workers for a rack that is lost now

After all machines had lost power, a task was started three times more after its third crash (BUDGET): the first crash under the new leader implicated no task. The new leader had found many stored workers silent within the same second, which had been lost long before, and took the crash for the loss of their rack.

Only workers that have answered in the term count as lost at the moment at which they fall silent. TestWorkersLostBeforeTakeOverAreNoRackLoss fails without that: 0 stored crashes, want 1.

--- a/internal/version/cell/crash.go
+++ b/internal/version/cell/crash.go
@@ -45,6 +45,9 @@
 type lostWorker struct {
 	worker      *worker
 	silentSince time.Time
+	// answered is set if the worker had answered in this term before. Otherwise it may
+	// have been lost at any time.
+	answered bool
 	// judged is set once it is known whether the worker crashed.
 	judged bool
 }
@@ -55,7 +58,7 @@
 
 // recordLoss remembers a worker that became unresponsive.
 func (c *Cell) recordLoss(now time.Time, w *worker) {
-	c.lostWorkers[w.info.ID] = &lostWorker{worker: w, silentSince: now}
+	c.lostWorkers[w.info.ID] = &lostWorker{worker: w, silentSince: now, answered: w.renewed}
 }
 
 // forgetLosses drops the lost workers that were retained long enough.
@@ -119,7 +122,7 @@
 		c.addEvent(DecisionEvent{Event: "worker crashed", Worker: w.info.ID, Outcome: "while draining"})
 		return
 	}
-	if lost != nil && c.lostWithRack(lost) {
+	if lost != nil && lost.answered && c.lostWithRack(lost) {
 		suspects = excuseRackLoss(suspects)
 		if len(suspects) == 0 {
 			c.addEvent(DecisionEvent{Event: "worker crashed", Worker: w.info.ID, Outcome: "with its rack"})
@@ -254,7 +257,7 @@
 	rack := reference.worker.info.Rack
 	lostAddresses := map[string]bool{}
 	for _, lost := range c.lostWorkers {
-		if lost.worker.info.Rack == rack && lost.silentSince.Sub(reference.silentSince).Abs() <= rackLossWindow {
+		if lost.answered && lost.worker.info.Rack == rack && lost.silentSince.Sub(reference.silentSince).Abs() <= rackLossWindow {
 			lostAddresses[lost.worker.info.Address] = true
 		}
 	}
--- a/internal/version/cell/crash_test.go
+++ b/internal/version/cell/crash_test.go
@@ -332,6 +332,22 @@
 	}
 }
 
+// Guards against taking a crash after a change of leader for the loss of a rack, because
+// workers that were lost long before fall silent for the new leader at the same time.
+func TestWorkersLostBeforeTakeOverAreNoRackLoss(t *testing.T) {
+	f := newCrashFleet(t, 8)
+	f.run(time.Second)
+	for _, m := range f.machines[:5] {
+		f.crash(m)
+		m.downUntil = f.now.Add(time.Minute)
+	}
+	f.takeOver(2)
+	f.deadly[firstTaskID()] = true
+	f.submit(jobA, 1, nil)
+	f.run(f.downFor + time.Second)
+	assert.Equal(t, f.storedCrashes(firstTaskID()), 1)
+}
+
 // Guards against jobs that are given up because their tasks shared a worker with the one
 // that crashed it.
 func TestTasksBesideTheCauseOfCrashesComplete(t *testing.T) {
