cell: give up a task after three crashes, also if another has as many

Two crashes under a task allow to give it up, and implicated tasks run apart, so that a second task with as many crashes is rare. The limit is three crashes, or two if no other task explains the last one.

--- a/internal/version/cell/crash.go
+++ b/internal/version/cell/crash.go
@@ -22,12 +22,10 @@
 	// isolationWait is how long an implicated task waits for a worker without another
 	// implicated run.
 	isolationWait = time.Second
-	// crashLimit is the number of crashes after which a task is given up that has more of
-	// them than any other task on the last worker. isolatedCrashLimit applies if no other
-	// task explains the last crash, and sharedCrashLimit if another has as many.
+	// crashLimit is the number of crashes after which a task is given up.
+	// isolatedCrashLimit applies if no other task explains the last crash.
 	crashLimit         = 3
 	isolatedCrashLimit = 2
-	sharedCrashLimit   = 4
 	// confirmedCrashMinimum is the number of crashes, of those counted, for which the
 	// task must certainly have started. maxCrashes applies whether or not it had.
 	confirmedCrashMinimum = 2
@@ -224,24 +222,16 @@
 // fewer crashes, except for runs that are unproven: the worker has not answered a renewal
 // that was sent after their start.
 func blame(suspects []*run) (blamed []*run, limit int) {
-	most, mostCount := 0, 0
+	most := 0
 	for _, r := range suspects {
-		switch {
-		case r.task.crashes > most:
-			most, mostCount = r.task.crashes, 1
-		case r.task.crashes == most:
-			mostCount++
-		}
+		most = max(most, r.task.crashes)
 	}
 	for _, r := range suspects {
 		if r.task.crashes == most || r.unproven() {
 			blamed = append(blamed, r)
 		}
 	}
-	switch {
-	case mostCount > 1:
-		return blamed, sharedCrashLimit
-	case len(blamed) > 1:
+	if len(blamed) > 1 {
 		return blamed, crashLimit
 	}
 	return blamed, isolatedCrashLimit
--- a/internal/version/cell/crash_test.go
+++ b/internal/version/cell/crash_test.go
@@ -379,11 +379,11 @@
 		blamed   []int // indexes of suspects
 		limit    int
 	}{
-		"no task was implicated":      {[]suspect{{0, proven}, {0, unproven}}, []int{0, 1}, sharedCrashLimit},
+		"no task was implicated":      {[]suspect{{0, proven}, {0, unproven}}, []int{0, 1}, crashLimit},
 		"one explains all":            {[]suspect{{1, unproven}, {0, proven}, {0, proven}}, []int{0}, isolatedCrashLimit},
 		"an unproven one might, too":  {[]suspect{{1, unproven}, {0, unproven}, {0, proven}}, []int{0, 1}, crashLimit},
 		"the one with most crashes":   {[]suspect{{1, proven}, {2, proven}, {0, proven}}, []int{1}, isolatedCrashLimit},
-		"two have as many crashes":    {[]suspect{{2, proven}, {2, unproven}, {0, proven}}, []int{0, 1}, sharedCrashLimit},
+		"two have as many crashes":    {[]suspect{{2, proven}, {2, unproven}, {0, proven}}, []int{0, 1}, crashLimit},
 		"the only run on its worker":  {[]suspect{{0, unproven}}, []int{0}, isolatedCrashLimit},
 		"nothing ran":                 {nil, nil, isolatedCrashLimit},
 		"most crashes, one fresh run": {[]suspect{{2, proven}, {1, unproven}}, []int{0, 1}, crashLimit},
