--- a/internal/version/cell/besteffort.go
+++ b/internal/version/cell/besteffort.go
@@ -32,7 +32,7 @@
 		return w.load
 	}
 	l := &workerLoad{}
-	for r := range w.runs {
+	for _, r := range w.runs {
 		l.demand += r.demand()
 		if r.task.isService() {
 			l.services, _ = findOrAddSample(l.services, r.task.step)
@@ -89,7 +89,7 @@
 // worker on a service image, with all runs at full speed.
 func (c *Cell) bestEffortPressure(image string, w *worker) float64 {
 	total := 0.0
-	for r := range w.runs {
+	for _, r := range w.runs {
 		if r.task.spec().BestEffort {
 			total += c.runPressure(image, r)
 		}
--- a/internal/version/cell/cell.go
+++ b/internal/version/cell/cell.go
@@ -106,7 +106,8 @@
 			j.restoreProgress(record)
 		}
 	}
-	for _, j := range c.jobs {
+	for _, record := range jobs {
+		j := c.jobs[record.ID]
 		j.visibleState.Store(uint32(j.state))
 		c.advanceOccurrence(now, j)
 	}
@@ -119,8 +120,8 @@
 		c.restoreSuspects(record)
 	}
 	c.recoveryDeadline = now.Add(c.config.RecoveryWait)
-	for _, j := range c.jobs {
-		c.openSteps(now, j)
+	for _, record := range jobs {
+		c.openSteps(now, c.jobs[record.ID])
 	}
 }
 
@@ -223,7 +224,7 @@
 // Workers returns the workers that need a session, with their addresses.
 func (c *Cell) Workers() []WorkerInfo {
 	infos := make([]WorkerInfo, 0, len(c.workers))
-	for _, w := range c.workers {
+	for _, w := range c.sortedWorkers() {
 		infos = append(infos, w.info)
 	}
 	return infos
--- a/internal/version/cell/crash.go
+++ b/internal/version/cell/crash.go
@@ -92,7 +92,7 @@
 	delete(c.recovering, w.info.ID)
 	c.judgeCrash(now, w, w.crashSuspects())
 	w.earlierSuspects = nil
-	for r := range w.runs {
+	for _, r := range w.runs {
 		// The outcome of an order in flight is still to come.
 		if r.phase != starting {
 			c.recordLostRun(now, r, "worker replaced")
@@ -187,7 +187,7 @@
 // period when it last answered, including those that may have started.
 func (w *worker) crashSuspects() []*run {
 	suspects := slices.Clone(w.earlierSuspects)
-	for r := range w.runs {
+	for _, r := range w.runs {
 		if (r.hasStarted() || r.closedEarly) && !r.outlastedProbation() {
 			suspects = append(suspects, r)
 		}
--- a/internal/version/cell/health.go
+++ b/internal/version/cell/health.go
@@ -110,7 +110,7 @@
 // the worker from all others. Long-running tasks show nothing by their end.
 func (w *worker) isProbed(now time.Time) bool {
 	probed := false
-	for r := range w.runs {
+	for _, r := range w.runs {
 		if !r.orderedAt.After(w.health.lastFailure) || r.task.spec().LongRunning {
 			continue
 		}
--- a/internal/version/cell/liveness_test.go
+++ b/internal/version/cell/liveness_test.go
@@ -491,8 +491,8 @@
 	}
 	s.schedule(2*time.Second, s.watchLiveness)
 	s.advance(day + 500*time.Millisecond)
-	for id, job := range s.openJobs { // Tasks that crash their workers would go on for ever.
-		if job.Spec == "crash" {
+	for _, id := range slices.Sorted(maps.Keys(s.openJobs)) {
+		if s.openJobs[id].Spec == "crash" { // Such tasks would go on for ever.
 			s.requests++
 			if s.cell.Cancel(s.now, s.requests, id) {
 				s.canceled[id] = true
--- a/internal/version/cell/loadestimate_test.go
+++ b/internal/version/cell/loadestimate_test.go
@@ -135,7 +135,7 @@
 
 // bestEffortTask returns the task of a best-effort run on the worker, or nil.
 func (w *worker) bestEffortTask() *task {
-	for r := range w.runs {
+	for _, r := range w.runs {
 		if r.task.spec().BestEffort {
 			return r.task
 		}
--- a/internal/version/cell/observe.go
+++ b/internal/version/cell/observe.go
@@ -20,7 +20,7 @@
 // worker, and records the lowest tail of each image.
 func (c *Cell) observeServices(now time.Time, w *worker) []serviceSample {
 	var samples []serviceSample
-	for r := range w.runs {
+	for _, r := range w.runs {
 		if !r.hasUsableTail(now) {
 			continue
 		}
@@ -74,7 +74,7 @@
 func (w *worker) bestEffortUsage() []imageUsage {
 	var usage []imageUsage
 next:
-	for r := range w.runs {
+	for _, r := range w.runs {
 		if !r.isRunningBestEffort() || r.measurement <= 0 {
 			continue
 		}
--- a/internal/version/cell/place.go
+++ b/internal/version/cell/place.go
@@ -148,7 +148,7 @@
 func (w *worker) serviceMixScore(t *task) float64 {
 	otherImages := map[string]bool{}
 	score := 0.0
-	for r := range w.runs {
+	for _, r := range w.runs {
 		image := r.task.spec().Image
 		switch {
 		case !r.task.isService():
--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -38,7 +38,7 @@
 			listed[r] = true
 		}
 	}
-	for r := range w.runs {
+	for _, r := range w.runs {
 		if !listed[r] {
 			c.handleUnlistedRun(now, r, report)
 		}
@@ -107,7 +107,7 @@
 func (c *Cell) handleRestart(now time.Time, w *worker, incarnation int64) {
 	c.addEvent(DecisionEvent{Event: "worker restarted", Worker: w.info.ID})
 	c.judgeCrash(now, w, w.crashSuspects())
-	for r := range w.runs {
+	for _, r := range w.runs {
 		// A start order in flight may still arrive at the new incarnation. A
 		// report under a higher token resolves it.
 		if r.phase == running || r.phase == stopping {
--- a/internal/version/cell/reserve.go
+++ b/internal/version/cell/reserve.go
@@ -71,7 +71,7 @@
 		}
 		c.totals.capacity += w.info.Capacity.CPU
 		c.totals.free += w.info.Capacity.CPU
-		for r := range w.runs {
+		for _, r := range w.runs {
 			if r.task.spec().LongRunning {
 				c.totals.free -= r.size.CPU
 			} else {
--- a/internal/version/cell/schedule.go
+++ b/internal/version/cell/schedule.go
@@ -293,7 +293,7 @@
 // sendPlanned orders the start of a planned run. It gives up the run if its task needs
 // none any more, or if the worker can't take it any more.
 func (c *Cell) sendPlanned(now time.Time, r *run, order StartOrder) {
-	if _, kept := r.worker.runs[r]; !kept || r.phase != planned {
+	if r.phase != planned || !slices.Contains(r.worker.runs, r) {
 		return
 	}
 	t, w := r.task, r.worker
@@ -314,8 +314,8 @@
 // stalled runs so that their tasks start elsewhere, and relocates throttled
 // best-effort runs.
 func (c *Cell) handleSlowRuns(now time.Time) {
-	for _, w := range c.workers {
-		for r := range w.runs {
+	for _, w := range c.sortedWorkers() {
+		for _, r := range w.runs {
 			if r.phase == running && c.isSlow(now, r) {
 				c.startSpeculativeOrStop(now, r)
 			}
--- a/internal/version/cell/simulation_test.go
+++ b/internal/version/cell/simulation_test.go
@@ -1106,3 +1106,22 @@
 	}
 	b.ReportMetric(float64(s.starts)/float64(b.N), "starts/op")
 }
+
+// A seed must repeat, or a day that fails once could not be traced.
+func TestSimulationRepeats(t *testing.T) {
+	traceOf := func() []string {
+		s := newSimulation(t, 1, 12)
+		s.lossRate = 0.03
+		s.startTerm()
+		s.advance(time.Second)
+		for range 4 {
+			s.submit(longRunningJob(s.random), 0)
+		}
+		s.submitJobs(10*time.Second, 3)
+		s.schedule(5*time.Second, func() { s.crash(s.workers[2], 3*time.Second) })
+		s.schedule(8*time.Second, s.startTerm)
+		s.advance(20 * time.Second)
+		return s.trace
+	}
+	assert.DeepEqual(t, traceOf(), traceOf())
+}
--- a/internal/version/cell/throttle.go
+++ b/internal/version/cell/throttle.go
@@ -94,7 +94,7 @@
 		w.bestEffort.adaptBudget(over)
 	}
 	throttles := c.throttles(now, samples, w)
-	for r := range w.runs {
+	for _, r := range w.runs {
 		if r.isRunningBestEffort() {
 			c.setThrottle(now, r, c.limitThrottle(now, throttles[r], r, w))
 		}
@@ -152,7 +152,7 @@
 // work.
 func (c *Cell) throttles(now time.Time, samples []serviceSample, w *worker) map[*run]int {
 	throttles := map[*run]int{}
-	for r := range w.runs {
+	for _, r := range w.runs {
 		if r.isRunningBestEffort() {
 			throttles[r] = 100
 		}
@@ -178,7 +178,7 @@
 		return
 	}
 	slices.SortFunc(byPressure, func(a, b *run) int {
-		return cmp.Compare(c.pressurePerCore(image, b), c.pressurePerCore(image, a))
+		return cmp.Or(cmp.Compare(c.pressurePerCore(image, b), c.pressurePerCore(image, a)), a.orderedAt.Compare(b.orderedAt), cmp.Compare(a.number, b.number))
 	})
 	for _, r := range byPressure {
 		fullPressure := c.runPressure(image, r)
--- a/internal/version/cell/tick.go
+++ b/internal/version/cell/tick.go
@@ -8,7 +8,7 @@
 func (c *Cell) Tick(now time.Time) {
 	c.openDueJobs(now)
 	c.saveLearned(now)
-	for _, w := range c.workers {
+	for _, w := range c.sortedWorkers() {
 		c.expireLeases(now, w)
 	}
 	c.repeatStops(now)
@@ -29,7 +29,7 @@
 	if len(w.runs) > 0 {
 		w.recordSuspects()
 	}
-	for r := range w.runs {
+	for _, r := range w.runs {
 		c.recordLostRun(now, r, "lease over")
 	}
 	if !w.registered {
@@ -46,11 +46,11 @@
 const stopRepeatPause = time.Second
 
 func (c *Cell) repeatStops(now time.Time) {
-	for _, w := range c.workers {
+	for _, w := range c.sortedWorkers() {
 		if w.unresponsive {
 			continue
 		}
-		for r := range w.runs {
+		for _, r := range w.runs {
 			if r.phase == stopping && now.Sub(r.stopOrderedAt) > stopRepeatPause {
 				c.stopRun(now, r)
 			}
--- a/internal/version/cell/worker.go
+++ b/internal/version/cell/worker.go
@@ -19,7 +19,9 @@
 	hasUnknownRuns bool
 	// reserved is the total size of the runs, in whatever phase they are.
 	reserved Size
-	runs     map[*run]struct{}
+	// runs is replaced, not modified, when a run is removed, so that a loop over it may
+	// remove runs.
+	runs []*run
 	// leaseUntil is the time by which the leases of all runs on the worker have
 	// expired.
 	leaseUntil   time.Time
@@ -54,7 +56,7 @@
 }
 
 func newWorker(info WorkerInfo) *worker {
-	return &worker{info: info, runs: map[*run]struct{}{}}
+	return &worker{info: info}
 }
 
 // usable reports whether new runs may be started on the worker.
@@ -90,7 +92,7 @@
 func (w *worker) addRun(r *run) {
 	r.worker = w
 	w.load = nil
-	w.runs[r] = struct{}{}
+	w.runs = append(w.runs, r)
 	w.reserved = w.reserved.plus(r.size)
 	if r.implicated {
 		w.implicatedRuns++
@@ -103,10 +105,11 @@
 // removeRun removes a run from the worker and from its task, and releases the
 // reserved size. It does nothing if the worker does not have the run.
 func (w *worker) removeRun(r *run) {
-	if _, found := w.runs[r]; !found {
+	index := slices.Index(w.runs, r)
+	if index < 0 {
 		return
 	}
-	delete(w.runs, r)
+	w.runs = slices.Concat(w.runs[:index], w.runs[index+1:])
 	w.load = nil
 	w.reserved = w.reserved.minus(r.size)
 	if r.implicated {
@@ -120,7 +123,7 @@
 
 // hasStartInFlight reports whether the outcome of a start order is not known yet.
 func (w *worker) hasStartInFlight() bool {
-	for r := range w.runs {
+	for _, r := range w.runs {
 		if r.phase == starting {
 			return true
 		}
@@ -130,7 +133,7 @@
 
 // findRun returns the run with that task and number, or nil.
 func (w *worker) findRun(id TaskID, number int64) *run {
-	for r := range w.runs {
+	for _, r := range w.runs {
 		if r.number == number && r.task.id() == id {
 			return r
 		}
