--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -220,7 +220,7 @@
 	persistentCallers, probers := d.startCallers(&callers, ctx.Done())
 	for number := 1; ctx.Err() == nil; number++ {
 		id := fmt.Sprintf("%016x", number)
-		accepted, refused := d.submit(ctx, id, number)
+		accepted, refused := d.submit(ctx, id, number, usualJob)
 		if accepted {
 			submitted.accepted = append(submitted.accepted, id)
 		}
@@ -359,10 +359,10 @@
 // submit sends a job to one instance after the other, at most twice to each,
 // until one accepts it or ctx ends. It reports whether the job was accepted, and
 // whether every submission was refused.
-func (d *deployment) submit(ctx context.Context, id string, firstInstance int) (accepted, refused bool) {
+func (d *deployment) submit(ctx context.Context, id string, firstInstance int, body string) (accepted, refused bool) {
 	refused = true
 	for attempt := range 2 * len(d.instances) {
-		status, _ := d.sendRequest(ctx, d.instances[(firstInstance+attempt)%len(d.instances)], http.MethodPost, "/j/"+id, usualJob)
+		status, _ := d.sendRequest(ctx, d.instances[(firstInstance+attempt)%len(d.instances)], http.MethodPost, "/j/"+id, body)
 		switch status {
 		case http.StatusOK:
 			return true, false
@@ -419,11 +419,7 @@
 		if !d.awaitCompletion(id, d.instances[number%len(d.instances)], deadline) {
 			break
 		}
-		tasks := []string{".0.0.0"}
-		if isUsualJob(id) {
-			tasks = []string{".0.0.0", ".0.0.1", ".0.0.2", ".0.1.0"}
-		}
-		for _, task := range tasks {
+		for _, task := range d.tasksOf(id) {
 			if wrong := d.history.wrongRuns(id + task); wrong != "" {
 				d.report("%s", wrong)
 			}
@@ -440,9 +436,20 @@
 	d.t.Logf("%d jobs accepted, %d refused", len(submitted.accepted), len(submitted.refused))
 }
 
-// isUsualJob reports whether the job has the tasks of usualJob. Only jobs that
-// submitDuringFaults submits by itself have them.
-func isUsualJob(id string) bool { return id[0] == '0' }
+// tasksOf returns the tasks of a job, without the job's identifier. The first digit of
+// the identifier tells the kind of job.
+func (d *deployment) tasksOf(id string) (tasks []string) {
+	switch id[0] {
+	case '0':
+		return []string{".0.0.0", ".0.0.1", ".0.0.2", ".0.1.0"}
+	case wideJobPrefix:
+		for index := range d.wideJobTasks() {
+			tasks = append(tasks, fmt.Sprint(".0.0.", index))
+		}
+		return tasks
+	}
+	return []string{".0.0.0"}
+}
 
 // awaitCompletion waits until a job is reported as completed, and reports whether it
 // was before the deadline.
--- a/test/soak/workers_test.go
+++ b/test/soak/workers_test.go
@@ -140,8 +140,8 @@
 	// finalAbsence is how long workers are away in checkWorkersReturn. It is longer
 	// than a lease, so that the leader gives the workers up.
 	finalAbsence = maxLease + 2*time.Second
-	// finalJobPause is the pause between two jobs in submitUntilAllStart.
-	finalJobPause = 50 * time.Millisecond
+	// wideJobPause is the pause between two jobs in submitUntilAllStart.
+	wideJobPause = time.Second
 )
 
 // checkWorkersReturn cuts half of the workers off and crashes the others, and checks
@@ -163,16 +163,25 @@
 	return accepted
 }
 
-// submitUntilAllStart submits jobs until each worker has started a task, and appends
-// them to accepted. A worker that starts none in completionTimeout is a failure.
+// wideJobPrefix begins the identifiers of wide jobs.
+const wideJobPrefix = 'd'
+
+// wideJobTasks returns the number of tasks in a wide job: twice as many as all workers
+// have room for, so that none of them may remain unused.
+func (d *deployment) wideJobTasks() int { return 2 * d.size.workers * d.size.maxSlots }
+
+// submitUntilAllStart submits wide jobs until each worker has started a task, and
+// appends them to accepted. A worker that starts none in completionTimeout is a failure.
 func (d *deployment) submitUntilAllStart(accepted *[]string) {
 	startsBefore := d.history.startsByWorker()
 	deadline := time.Now().Add(completionTimeout)
 	for {
-		id := fmt.Sprintf("0%015x", 1<<40+len(*accepted))
-		if ok, _ := d.submit(context.Background(), id, len(*accepted)); ok {
+		id := fmt.Sprintf("%c%015x", wideJobPrefix, len(*accepted))
+		body := fmt.Sprintf(`{"spec":"x","steps":[{"count":%d,"cpu":1000,"mem_mb":100,"estimate_ms":500}]}`, d.wideJobTasks())
+		if ok, _ := d.submit(context.Background(), id, len(*accepted), body); ok {
 			*accepted = append(*accepted, id)
 		}
+		time.Sleep(wideJobPause)
 		starts := d.history.startsByWorker()
 		unused := slices.DeleteFunc(slices.Clone(d.workers), func(w *soakWorker) bool { return starts[w.ID] > startsBefore[w.ID] })
 		if len(unused) == 0 {
@@ -186,7 +195,6 @@
 			d.report("the workers %v are in the registry and get no task", names)
 			return
 		}
-		time.Sleep(finalJobPause)
 	}
 }
 
