cell: test parts of the crash count that no test guarded

TestCrashesAreCountedAcrossLeaders passed without the stored count, without its restoration and without the stored worker of the current run: its loop waited for the count to exceed the one stored before, which a single leader reached by itself. It now ends each leader as soon as that leader has noticed a crash, and a second test ends each leader before it does. TestTaskThatOutlastsProbationIsCleared passed if the mark of the run stayed, because its run was stopped as stalled; its task is now long-running.

New tests for parts that could be removed without a failing test: runs that have outlasted the probation period implicate nothing, an implicated task gets no copy, and a refusal as another incarnation ends the runs at once.

--- a/internal/version/cell/crash_test.go
+++ b/internal/version/cell/crash_test.go
@@ -466,10 +466,10 @@
 	assert.Equal(t, f.crashes[firstTaskID()], 1)
 	for epoch := int64(2); epoch < 12; epoch++ {
 		f.takeOver(epoch)
+		noticed := f.events["worker crashed"]
 		for range 200 {
-			counted := f.storedCrashes(firstTaskID())
 			f.run(100 * time.Millisecond)
-			if f.storedCrashes(firstTaskID()) > counted {
+			if f.events["worker crashed"] > noticed {
 				break
 			}
 		}
@@ -477,6 +477,73 @@
 	f.checkGivenUp(firstTaskID())
 }
 
+// Guards against a task that starts anew with each leader if each ends between the crash
+// and its notice: the worker of the current run must be stored.
+func TestCrashesThatOnlyTheNextLeaderNoticesCount(t *testing.T) {
+	f := newCrashFleet(t, 8)
+	f.deadly[firstTaskID()] = true
+	f.submit(jobA, 1, nil)
+	for epoch := int64(2); epoch < 12; epoch++ {
+		for range 200 {
+			f.run(100 * time.Millisecond)
+			if f.crashes[firstTaskID()] >= int(epoch) {
+				break
+			}
+		}
+		f.takeOver(epoch)
+	}
+	f.checkGivenUp(firstTaskID())
+	assert.Assert(t, f.crashes[firstTaskID()] >= 3, "a leader has noticed two crashes")
+}
+
+// Guards against tasks that are kept apart, or given up, although their runs had lasted
+// for long when their worker crashed.
+func TestCrashUnderLastingRunImplicatesNoTask(t *testing.T) {
+	f := newCrashFleet(t, 2)
+	f.runTime = time.Hour
+	f.submit(jobA, 4, func(s *jobspec.Step) { s.LongRunning = true })
+	for range 3 {
+		f.run(f.downFor + 2*probationPeriod)
+		f.crash(f.machines[0])
+		f.crash(f.machines[1])
+	}
+	f.run(f.downFor + time.Second)
+	assert.Equal(t, f.events["worker crashed"], 6)
+	assert.Equal(t, f.events["task implicated"], 0)
+	assert.Equal(t, f.state(jobA), Running)
+}
+
+// Guards against runs that wait for their leases although another worker has answered at
+// the address of theirs.
+func TestRefusalOfOtherIncarnationEndsRuns(t *testing.T) {
+	f := newCrashFleet(t, 2)
+	f.runTime = time.Hour
+	f.submit(jobA, 1, nil)
+	f.run(time.Second)
+	id := f.cell.jobs[jobA].occurrences[0].steps[0].tasks[0].runs[0].worker.info.ID
+	f.cell.MarkUnresponsive(f.now, id, f.now.Add(crashLease))
+	f.cell.MarkReplaced(f.now, id)
+	assert.Equal(t, len(f.cell.TakeEffects(f.now).Starts), 1)
+}
+
+// Guards against a second run of an implicated task, which could crash a second worker.
+func TestImplicatedTaskGetsNoCopy(t *testing.T) {
+	f := newCrashFleet(t, 2)
+	f.runTime = time.Hour
+	later := f.machines[1]
+	f.machines = f.machines[:1]
+	f.submit(jobA, 1, func(s *jobspec.Step) { s.Speculative, s.EstimateMillis = true, 100 })
+	f.run(200 * time.Millisecond)
+	f.crash(f.machines[0])
+	f.run(f.downFor + 200*time.Millisecond)
+	assert.Equal(t, f.storedCrashes(firstTaskID()), 1)
+	f.machines = append(f.machines, later)
+	f.run(probationPeriod / 2)
+	assert.Equal(t, f.starts[firstTaskID()], 2)
+	f.run(probationPeriod)
+	assert.Equal(t, f.starts[firstTaskID()], 3, "the task is cleared and its run is slow")
+}
+
 // Guards against a crash that the next leader can't count because the run was started
 // before the crash under the run before it was known.
 func TestRunStartedBeforeVerdictIsStoredAsSuspect(t *testing.T) {
@@ -570,7 +637,7 @@
 func TestTaskThatOutlastsProbationIsCleared(t *testing.T) {
 	f := newCrashFleet(t, 4)
 	f.runTime = time.Hour
-	f.submit(jobA, 1, nil)
+	f.submit(jobA, 1, func(s *jobspec.Step) { s.LongRunning = true })
 	f.run(time.Second)
 	for _, m := range f.machines {
 		if len(m.running) > 0 {
@@ -581,6 +648,7 @@
 	assert.Equal(t, len(f.stored.progress[jobA].Crashes), 1)
 	f.run(probationPeriod)
 	assert.Equal(t, len(f.stored.progress[jobA].Crashes), 0)
+	assert.Equal(t, f.starts[firstTaskID()], 2)
 	for _, w := range f.cell.workers {
 		assert.Equal(t, w.implicatedRuns, 0)
 	}
