cell: keep one failure of a long-running task, not all of them

The stored record of a job grew with each failure of its long-running tasks, which have no limit of attempts, and was written again at each. The list of workers on which a task failed grew likewise.

Failing before: cell_test.go:403: assertion failed: 100 (int) != 1 (int)

A long-running task keeps its newest failure, so that its highest run number is stored as before, and each worker is listed once.

--- a/internal/version/cell/cell_test.go
+++ b/internal/version/cell/cell_test.go
@@ -387,3 +387,21 @@
 	c.ApplyReport(now, resolved)
 	assert.DeepEqual(t, c.TakeEffects(now).Stops, []StopOrder{{order.Worker, order.Task, order.Run}})
 }
+
+// Guards against a stored record that grows with each failure of a long-running task, which
+// has no limit of attempts: one too large for the log would end every term.
+func TestRecordOfFailingLongRunningTaskDoesNotGrow(t *testing.T) {
+	record := testRecord(3)
+	record.Job.Steps[0].LongRunning = true
+	c := newRestoredCell(record)
+	for n := range 100 {
+		now := testStart.Add(time.Duration(n) * time.Second)
+		report := newReport(testWorker, now)
+		report.Ended = []RunEnd{{Number: int64(n + 1), Task: firstTaskID(), Run: int64(n + 1), Reason: EndFailed}}
+		c.ApplyReport(now, report)
+	}
+	task := c.jobs[jobA].progressRecord().Tasks[0]
+	assert.Equal(t, len(task.FailedRuns), 1)
+	assert.Equal(t, task.LastRun, int64(100))
+	assert.Equal(t, len(c.jobs[jobA].findTask(firstTaskID()).failedWorkers), 1)
+}
--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -200,7 +200,7 @@
 		return
 	case EndFailed:
 		t.countFailure(end.Run)
-		t.failedWorkers = append(t.failedWorkers, w.info.ID)
+		t.recordFailedWorker(w)
 		if !t.spec().LongRunning && len(t.failedRuns) >= max(1, t.job().terms.Attempts) {
 			c.addEvent(DecisionEvent{Event: "job failed", Task: t.id(), Run: end.Run, Worker: w.info.ID})
 			c.endJob(now, t.job(), Failed)
@@ -212,13 +212,24 @@
 }
 
 // countFailure counts the failure of a run once, however often its end is
-// listed.
+// listed. It keeps only the newest failure of a long-running task, which has no limit of
+// them.
 func (t *task) countFailure(run int64) {
+	if t.spec().LongRunning {
+		t.failedRuns = []int64{run}
+		return
+	}
 	if !slices.Contains(t.failedRuns, run) {
 		t.failedRuns = append(t.failedRuns, run)
 	}
 }
 
+func (t *task) recordFailedWorker(w *worker) {
+	if !slices.Contains(t.failedWorkers, w.info.ID) {
+		t.failedWorkers = append(t.failedWorkers, w.info.ID)
+	}
+}
+
 func (c *Cell) completeTask(now time.Time, t *task) {
 	if t.spec().LongRunning {
 		c.requeue(now, t)
--- a/internal/version/cell/schedule.go
+++ b/internal/version/cell/schedule.go
@@ -362,6 +362,6 @@
 	}
 	c.addEvent(DecisionEvent{Event: "run stalled", Task: t.id(), Run: r.number, Worker: r.worker.info.ID, Age: now.Sub(r.progressAt)})
 	r.worker.health.recordFault(now)
-	t.failedWorkers = append(t.failedWorkers, r.worker.info.ID)
+	t.recordFailedWorker(r.worker)
 	c.stopRun(now, r)
 }
