--- a/internal/entry/registry.go
+++ b/internal/entry/registry.go
@@ -120,9 +120,8 @@
 	return decoded, err
 }
 
-// withoutFutureStarts makes a start after now unknown. A cell would take all reports of
-// such a worker for late ones of an earlier start; with an unknown start, the first
-// report says when the worker has started.
+// withoutFutureStarts makes a start after now unknown. The first report of the worker then
+// says when it has started.
 func withoutFutureStarts(now time.Time, infos []cell.WorkerInfo) []cell.WorkerInfo {
 	for i := range infos {
 		if infos[i].Incarnation > now.UnixMilli() {
--- a/internal/version/cell/advice.go
+++ b/internal/version/cell/advice.go
@@ -107,9 +107,9 @@
 
 // workersToAsk returns at most maxWorkersPerCall workers to ask about, none of them with
 // a valid ticket or unsuitable for the task: steps that can't be placed would otherwise
-// take the calls that other steps wait for. Workers with an expired ticket come first, since the policy is known to allow them,
-// followed by workers that the service has not judged yet, those with most free
-// CPU first.
+// take the calls that other steps wait for. Workers with an expired ticket come first,
+// since the policy is known to allow them, followed by workers that the service has not
+// judged yet, those with most free CPU first.
 func (c *Cell) workersToAsk(now time.Time, t *task) []WorkerID {
 	var expired, unjudged []WorkerID
 	for _, w := range c.sortedWorkers() {
--- a/internal/version/cell/crash_test.go
+++ b/internal/version/cell/crash_test.go
@@ -36,6 +36,9 @@
 	stored          storedState
 	// listedWhileDown keeps a worker listed while its machine is down.
 	listedWhileDown bool
+	// missedFirst, unless nil, makes each worker miss its first lease renewal, and holds
+	// those that have.
+	missedFirst map[WorkerID]bool
 	// heldWrites keeps writes from being stored while it is set.
 	heldWrites bool
 	// lateAnswers makes workers answer starts so late that a crash comes first.
@@ -148,6 +151,10 @@
 
 func (f *crashFleet) renew(id WorkerID) {
 	m := f.machine(id)
+	if m != nil && f.missedFirst != nil && !f.missedFirst[id] {
+		f.missedFirst[id] = true
+		m = nil
+	}
 	if m == nil {
 		f.cell.MarkUnresponsive(f.now, id, time.Time{})
 		return
@@ -306,6 +313,17 @@
 	f.checkGivenUp(firstTaskID())
 }
 
+// Guards against a crash that is not counted because the first lease renewal of the next
+// worker at the address got no answer.
+func TestCrashCountsIfSuccessorMissesARenewal(t *testing.T) {
+	f := newCrashFleet(t, 8)
+	f.missedFirst = map[WorkerID]bool{}
+	f.deadly[firstTaskID()] = true
+	f.submit(jobA, 1, nil)
+	f.run(60 * time.Second)
+	f.checkGivenUp(firstTaskID())
+}
+
 // Guards against tasks that crash half of the workers of a rack together and are taken
 // for the loss of the rack each time.
 func TestTasksThatCrashTheirWorkersTogetherAreGivenUp(t *testing.T) {
@@ -523,6 +541,7 @@
 	id := f.cell.jobs[jobA].occurrences[0].steps[0].tasks[0].runs[0].worker.info.ID
 	f.cell.MarkUnresponsive(f.now, id, f.now.Add(crashLease))
 	f.cell.MarkReplaced(f.now, id)
+	f.store(f.cell.TakeEffects(f.now).Write)
 	assert.Equal(t, len(f.cell.TakeEffects(f.now).Starts), 1)
 }
 
--- a/internal/version/cell/tick.go
+++ b/internal/version/cell/tick.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// Tick does the work that depends on time alone: it opens due occurrences,
-// expires leases, repeats stop orders that had no effect, forgets lost workers and ended jobs,
+// Tick does the work that depends on time alone: it opens due occurrences, expires
+// leases, repeats stop orders that had no effect, forgets lost workers and ended jobs,
 // stores the learned estimates, handles slow runs and reports tasks that wait.
 func (c *Cell) Tick(now time.Time) {
 	c.openDueJobs(now)
--- a/internal/version/cell/types.go
+++ b/internal/version/cell/types.go
@@ -11,8 +11,7 @@
 //     the worker's capacity;
 //   - a job is shown as accepted, completed, failed or canceled only after that
 //     state has been stored;
-//   - a task that crashes the workers that start it is given up with its job, and
-//     a task that only ran beside it is not.
+//   - a task that crashes the workers that start it is given up with its job.
 //
 // The first two guarantees hold across terms: before the next leader starts
 // tasks of earlier terms, it either renews the lease of every worker under its
