cell: start no copy of a run whose worker has not answered since its start

Cause: a copy was withheld from implicated tasks only. A worker that has not answered since the start may have crashed under the task, and the copy would crash the next one.

Change: a run gets a copy once its worker has answered a renewal sent after its start.

Evidence: TestRunGetsNoCopyBeforeItsWorkerHasAnswered fails before (2 starts, wanted 1).

--- a/internal/version/cell/crash_test.go
+++ b/internal/version/cell/crash_test.go
@@ -783,3 +783,42 @@
 		}
 	}
 }
+
+// Guards against a copy that crashes a second worker before the crash of the first is
+// known.
+func TestRunGetsNoCopyBeforeItsWorkerHasAnswered(t *testing.T) {
+	f := newCrashFleet(t, 4)
+	f.downFor = time.Minute
+	f.deadly[firstTaskID()] = true
+	f.submit(jobA, 1, func(s *jobspec.Step) { s.Speculative, s.EstimateMillis = true, 500 })
+	f.run(crashLease - 200*time.Millisecond)
+	assert.Equal(t, f.starts[firstTaskID()], 1)
+}
+
+// Guards against crashes that are excused, time and again, as the loss of a rack although
+// other crashes under the task were counted.
+func TestCrashOfImplicatedTaskCountsBesideALostRack(t *testing.T) {
+	f := newCrashFleet(t, 8)
+	for n, m := range f.machines {
+		m.info.Rack = fmt.Sprint("r", n/4)
+	}
+	f.deadly[firstTaskID()] = true
+	f.submit(jobA, 1, nil)
+	for f.crashes[firstTaskID()] < 2 {
+		f.run(100 * time.Millisecond)
+	}
+	counted := f.storedCrashes(firstTaskID())
+	assert.Equal(t, counted, 1)
+	f.loseRack(f.cell.jobs[jobA].occurrences[0].steps[0].tasks[0].runs[0].worker.info.Rack)
+	f.run(f.downFor + 500*time.Millisecond)
+	assert.Equal(t, f.storedCrashes(firstTaskID()), counted+1)
+}
+
+// loseRack ends the workers of a rack that are up.
+func (f *crashFleet) loseRack(rack string) {
+	for _, m := range f.machines {
+		if m.info.Rack == rack && !m.down(f.now) {
+			f.crash(m)
+		}
+	}
+}
--- a/internal/version/cell/schedule.go
+++ b/internal/version/cell/schedule.go
@@ -348,7 +348,7 @@
 func (c *Cell) startSpeculativeOrStop(now time.Time, r *run) {
 	t := r.task
 	if t.spec().Speculative {
-		if t.implicated() || t.lostWithRack {
+		if t.implicated() || t.lostWithRack || r.unproven() {
 			return // A second run could crash another worker.
 		}
 		w := c.findWorkerExcept(now, t, r.worker)
