cell: count a crash of an implicated task beside a lost rack

Cause: the loss of a rack excuses each task once, also one under which workers have crashed before.

Change: implicated tasks are not excused.

Evidence: TestCrashOfImplicatedTaskCountsBesideALostRack fails before (1 crash, wanted 2).

--- a/internal/version/cell/crash.go
+++ b/internal/version/cell/crash.go
@@ -170,7 +170,8 @@
 		c.addEvent(DecisionEvent{Event: "worker crashed", Worker: w.info.ID, Outcome: "while draining"})
 		return
 	}
-	if lost != nil && lost.answered && c.lostWithRack(lost) {
+	withRack := lost != nil && lost.answered && c.lostWithRack(lost)
+	if withRack {
 		suspects = excuseRackLoss(suspects)
 		if len(suspects) == 0 {
 			c.addEvent(DecisionEvent{Event: "worker crashed", Worker: w.info.ID, Outcome: "with its rack"})
@@ -179,6 +180,9 @@
 	}
 	c.effects.CrashedWorkers++
 	blamed, limit := blame(suspects)
+	if withRack {
+		limit = crashLimit
+	}
 	c.addEvent(DecisionEvent{Event: "worker crashed", Worker: w.info.ID, Outcome: fmt.Sprintf("%d tasks implicated", len(blamed))})
 	for _, r := range blamed {
 		c.implicate(now, r, limit)
@@ -186,16 +190,17 @@
 }
 
 // excuseRackLoss leaves out the runs whose tasks are lost with a rack for the first time
-// since a run of theirs outlasted the probation period. Tasks that crash many workers of
-// a rack together look like the loss of the rack, but do so again when they are restarted.
-func excuseRackLoss(suspects []*run) (again []*run) {
+// since a run of theirs outlasted the probation period, and are not implicated. Tasks that
+// crash many workers of a rack together look like the loss of the rack, but do so again
+// when they are restarted.
+func excuseRackLoss(suspects []*run) (counted []*run) {
 	for _, r := range suspects {
-		if r.task.lostWithRack {
-			again = append(again, r)
+		if r.task.lostWithRack || r.task.implicated() {
+			counted = append(counted, r)
 		}
 		r.task.lostWithRack = true
 	}
-	return again
+	return counted
 }
 
 // implicate counts a crash under a task, and gives the task up at the limit.
