cell: give up a task one uncertain crash earlier after a change of leader

Change: for a job of an earlier term the limit that holds without a certain start is four, since a leader that has ended may have known of one more crash.

Evidence: TestTaskIsGivenUpInTimeIfAnEarlierLeaderCountedNothing fails before (6 starts, at most 5 wanted).

--- a/internal/version/cell/crash.go
+++ b/internal/version/cell/crash.go
@@ -221,7 +221,7 @@
 	}
 	c.markChanged(t.job())
 	outcome := fmt.Sprintf("%d workers crashed", t.crashes)
-	if t.crashes < maxCrashes && (t.crashes < limit || t.confirmedCrashes < confirmedCrashMinimum) {
+	if t.crashes < t.uncertainCrashLimit() && (t.crashes < limit || t.confirmedCrashes < confirmedCrashMinimum) {
 		c.addEvent(DecisionEvent{Event: "task implicated", Task: t.id(), Run: r.number, Worker: r.worker.info.ID, Outcome: outcome})
 		return
 	}
@@ -230,6 +230,15 @@
 	c.endJob(now, t.job(), Failed)
 }
 
+// uncertainCrashLimit returns the number of crashes after which the task is given up even
+// if it has certainly started for none. A leader that has ended may have known of one more.
+func (t *task) uncertainCrashLimit() int {
+	if t.job().fromEarlierTerm {
+		return maxCrashes - 1
+	}
+	return maxCrashes
+}
+
 // hasStarted reports whether the worker has accepted or listed the run.
 func (r *run) hasStarted() bool { return r.phase == running || r.phase == stopping }
 
--- a/internal/version/cell/crash_test.go
+++ b/internal/version/cell/crash_test.go
@@ -822,3 +822,18 @@
 		}
 	}
 }
+
+// Guards against a start too many of a task whose first crash was known only to a leader
+// that has ended, and none of whose later crashes is certain.
+func TestTaskIsGivenUpInTimeIfAnEarlierLeaderCountedNothing(t *testing.T) {
+	f := newCrashFleet(t, 12)
+	f.deadly[firstTaskID()] = true
+	f.submit(jobA, 1, nil)
+	for f.crashes[firstTaskID()] == 0 {
+		f.run(100 * time.Millisecond)
+	}
+	f.takeOver(2)
+	f.lateAnswers = true
+	f.run(time.Minute)
+	f.checkGivenUp(firstTaskID())
+}
