cell: store the incarnation of a worker that has restarted

After a change of leader, a worker that had restarted under its ID in the term before counted as crashed: the stored entry kept its first incarnation, so its first answer looked like a restart, its runs were given up and, being suspects, their tasks implicated. Callers could see a job of harmless tasks delayed, and with it an innocent task on the way to being given up.

Change: the entry is stored with the new incarnation, in the same order as the runs that the worker gets afterwards.

Evidence: TestRestartBeforeTakeOverIsNoCrashUnderLaterRuns fails before (1 task implicated, none wanted). Found by reading.

--- a/internal/version/cell/crash_test.go
+++ b/internal/version/cell/crash_test.go
@@ -837,3 +837,22 @@
 	f.run(time.Minute)
 	f.checkGivenUp(firstTaskID())
 }
+
+// Guards against crashes that the next leader sees where there was none, because it knows
+// an earlier incarnation of a worker than the one that got the run.
+func TestRestartBeforeTakeOverIsNoCrashUnderLaterRuns(t *testing.T) {
+	f := newCrashFleet(t, 1)
+	f.keepIDs, f.runTime = true, time.Hour
+	f.run(time.Second)
+	f.crash(f.machines[0])
+	f.run(f.downFor + time.Second)
+	f.submit(jobA, 1, nil)
+	f.run(200 * time.Millisecond)
+	f.cell.MarkUnresponsive(f.now, f.machines[0].info.ID, time.Time{})
+	f.step()
+	assert.Equal(t, len(f.stored.progress[jobA].Suspects), 1)
+	f.takeOver(2)
+	f.run(time.Second)
+	assert.Equal(t, f.events["task implicated"], 0)
+	assert.Equal(t, f.starts[firstTaskID()], 1)
+}
--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -119,6 +119,7 @@
 	}
 	c.effects.Resolve = append(c.effects.Resolve, w.info.ID)
 	w.info.Incarnation = incarnation
+	c.write.Workers = append(c.write.Workers, w.info)
 	w.lastEndNumber = 0
 	w.renewed = false
 	w.health = health{}
