--- a/internal/version/cell/crash.go
+++ b/internal/version/cell/crash.go
@@ -284,6 +284,7 @@
 		}
 		w.earlierSuspects = append(w.earlierSuspects, r)
 		t.suspects = append(t.suspects, r)
+		c.addEvent(DecisionEvent{Event: "run suspect", Task: t.id(), Run: r.number, Worker: w.info.ID, Outcome: "stored by an earlier leader"})
 	}
 }
 
--- a/internal/version/cell/dump.go
+++ b/internal/version/cell/dump.go
@@ -14,6 +14,7 @@
 		FillBudget           float64
 		FailuresInARow       int
 		ImplicatedRuns       int
+		SuspectRuns          int
 	}
 	var workers []workerState
 	for _, w := range c.workers {
@@ -21,6 +22,7 @@
 			Worker: w.info.ID, Listed: w.registered, Held: w.renewed, Silent: w.unresponsive, Draining: w.info.Draining,
 			Used: w.reserved, Capacity: w.info.Capacity, Runs: len(w.runs), HeardMillis: now.Sub(w.lastResponse).Milliseconds(),
 			FillBudget: w.bestEffort.budgetShare(), FailuresInARow: w.health.failures, ImplicatedRuns: w.implicatedRuns,
+			SuspectRuns: len(w.crashSuspects()),
 		})
 	}
 	states := map[string]int{}
--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -91,6 +91,7 @@
 	w.unresponsive = true
 	c.recordLoss(now, w)
 	for _, r := range w.crashSuspects() {
+		c.addEvent(DecisionEvent{Event: "run suspect", Task: r.task.id(), Run: r.number, Worker: id, Outcome: "worker silent", Age: now.Sub(r.orderedAt)})
 		c.addSuspect(r)
 	}
 	c.addEvent(DecisionEvent{Event: "worker silent", Worker: id, Age: now.Sub(w.lastResponse)})
