cell: keep measures until a tail is clearly below its target

A tail that stays about its target is reported below it in some of the reports, since the figures are rough. Each such report started the measures against the best-effort tasks from the beginning, so that the task could stay over its target past the bound of HARM. It also let best-effort tasks return beside a task whose users alone nearly bring it to its target.

Cause: a single figure below the target cleared the time over the target. Now the time runs on until a figure is below 0.92 of the target.

--- a/internal/version/cell/observe.go
+++ b/internal/version/cell/observe.go
@@ -61,13 +61,14 @@
 	}
 }
 
-// recordTail records whether the run's last tail is over its target.
+// recordTail records whether the run's last tail is over its target. A tail between
+// relievedShare and overTargetShare leaves that as it was.
 func (r *run) recordTail(now time.Time) {
 	share := float64(r.measurement) / r.task.spec().LatencyTargetMillis
 	switch {
-	case r.phase != running || share < overTargetShare:
+	case r.phase != running || share < relievedShare:
 		r.overSince = time.Time{}
-	case r.overSince.IsZero():
+	case share >= overTargetShare && r.overSince.IsZero():
 		r.overSince = now
 	}
 }
--- a/internal/version/cell/throttle.go
+++ b/internal/version/cell/throttle.go
@@ -36,6 +36,10 @@
 	// covers the last half second, and reports that follow each other sooner repeat
 	// it: they must neither count as further evidence nor cut the budget again.
 	figurePeriod = 400 * time.Millisecond
+	// relievedShare is the share of its target below which the tail of a task that
+	// was over it counts as relieved. Figures are rough: a tail that stays over its
+	// target may be reported a few percent lower.
+	relievedShare = 0.92
 	// throttleAllAfter is how long reports must show the tail of a task over its
 	// target before all best-effort runs on the worker are throttled to
 	// minThrottlePercent, and preemptAfter before they are stopped. A report
--- a/internal/version/cell/throttle_test.go
+++ b/internal/version/cell/throttle_test.go
@@ -228,6 +228,18 @@
 	assert.Assert(t, s.now.Sub(since) <= harmBound-harmLag, "stopped after %v", s.now.Sub(since))
 }
 
+// A tail that stays about its target is reported below it in some of the reports, which
+// must not start the measures from the beginning.
+func TestTailAroundTargetIsRelieved(t *testing.T) {
+	s := newSharedWorker(t, 1, 2)
+	since := s.now.Add(800 * time.Millisecond)
+	for i := 0; len(s.stopped) < 2 && s.now.Sub(since) < harmBound; i++ {
+		s.report(800*time.Millisecond, sharedTarget+1-3*(i%2))
+	}
+	assert.Equal(t, len(s.stopped), 2)
+	assert.Assert(t, s.now.Sub(since) <= harmBound-harmLag, "stopped after %v", s.now.Sub(since))
+}
+
 // A new leader must not wait for the warm-up of service tasks that an earlier leader
 // started before it takes measures.
 func TestNewLeaderRelievesTaskOverTarget(t *testing.T) {
@@ -239,3 +251,23 @@
 	}
 	assert.Assert(t, s.now.Sub(since) <= harmBound-harmLag, "stopped after %v", s.now.Sub(since))
 }
+
+// If the users of a service task alone nearly bring it to its target, best-effort tasks
+// must not return to its worker as soon as those there have been stopped.
+func TestNoBestEffortTaskReturnsBesideLoadNearTarget(t *testing.T) {
+	s := newSharedWorker(t, 1, 1)
+	for range 4 {
+		s.report(800*time.Millisecond, 60)
+	}
+	assert.Equal(t, len(s.stopped), 1)
+	job := &jobspec.Job{Steps: []jobspec.Step{{Count: 1, CPUMillis: 1000, EstimateMillis: 1000, BestEffort: true, Image: "mild"}}}
+	s.cell.Submit(s.now, 1, "00000000000000bb", job, QueueTerms{Queue: "q", Pool: "pool", Attempts: 3})
+	s.cell.MarkStored(s.now, s.cell.TakeEffects(s.now).Write.Number)
+	for range 5 {
+		s.report(800*time.Millisecond, 43)
+	}
+	assert.Equal(t, len(s.starts), 0)
+	s.report(800*time.Millisecond, 20)
+	s.wait(100 * time.Millisecond)
+	assert.Equal(t, len(s.starts), 1)
+}
