cell: escalate against a tail over its target between reports

While the next report of a worker was late, a throttle order had failed, or a start had been in flight when the best-effort runs were stopped, a service task stayed over its target until the next report or longer.

Cause: all measures were taken when a report came. Tick now repeats and escalates them, 0.4 s later than a report would, so that a report that shows their effect usually comes first. It takes none on an unresponsive worker: what its next report shows decides there, with the time that has passed.

--- a/internal/version/cell/throttle.go
+++ b/internal/version/cell/throttle.go
@@ -50,6 +50,9 @@
 	// preemptMaxPercent is the progress up to which a run is stopped after
 	// preemptAfter. A run closer to its end may finish.
 	preemptMaxPercent = 97
+	// reportGrace is how much longer the measures wait for a report that shows
+	// whether the last ones have helped.
+	reportGrace = 400 * time.Millisecond
 	// relocateBelowPercent is the throttle below which a task is moved to a
 	// worker on which it can run at full speed.
 	relocateBelowPercent = 50
@@ -102,6 +105,23 @@
 	}
 }
 
+// relieveServices repeats and escalates the measures against tails over their
+// target on workers whose next report is late, and against best-effort runs that
+// have been started since the last one.
+func (c *Cell) relieveServices(now time.Time) {
+	for _, w := range c.sortedWorkers() {
+		overFor := w.bestEffort.overTargetFor(now) - reportGrace
+		if overFor < throttleAllAfter || w.unresponsive {
+			continue
+		}
+		for _, r := range w.runs {
+			if r.isRunningBestEffort() {
+				c.setThrottle(now, r, c.limitThrottle(now, minThrottlePercent, r, overFor))
+			}
+		}
+	}
+}
+
 // limitThrottle returns the throttle of a run, given the one that the learned
 // pressures allow. Once a tail has been over its target for throttleAllAfter,
 // every best-effort run gets minThrottlePercent, whatever was learned about it;
--- a/internal/version/cell/throttle_test.go
+++ b/internal/version/cell/throttle_test.go
@@ -240,6 +240,49 @@
 	assert.Assert(t, s.now.Sub(since) <= harmBound-harmLag, "stopped after %v", s.now.Sub(since))
 }
 
+// A task can be over its target while the next report of its worker is late.
+func TestLateReportDoesNotDelayRelief(t *testing.T) {
+	s := newSharedWorker(t, 1, 2)
+	s.report(800*time.Millisecond, 90)
+	s.wait(throttleAllAfter + reportGrace)
+	assert.Equal(t, s.throttled(), 2)
+	assert.Equal(t, len(s.stopped), 0)
+	s.wait(harmBound - harmLag - throttleAllAfter - reportGrace)
+	assert.Equal(t, len(s.stopped), 2)
+}
+
+// A throttle order that failed must be repeated before the next report.
+func TestFailedThrottleOrderIsRepeatedWithoutReport(t *testing.T) {
+	s := newSharedWorker(t, 1, 1)
+	s.report(800*time.Millisecond, 90)
+	s.report(throttleAllAfter, 90)
+	assert.Equal(t, s.throttled(), 1)
+	s.cell.ThrottleFailed(ThrottleOrder{testWorker, TaskID{Job: jobA, Step: 1}, 1, minThrottlePercent})
+	clear(s.orders)
+	s.wait(reportGrace + 100*time.Millisecond)
+	assert.Equal(t, s.throttled(), 1)
+}
+
+// The start of a best-effort task that was in flight when the others were stopped must
+// not keep the tail over its target.
+func TestStartInFlightIsStoppedBesideTailOverTarget(t *testing.T) {
+	s := newSharedWorker(t, 1, 1)
+	job := &jobspec.Job{Steps: []jobspec.Step{{Count: 1, CPUMillis: 1000, EstimateMillis: 1000, BestEffort: true, Image: "mild"}}}
+	s.cell.Submit(s.now, 1, "00000000000000bb", job, QueueTerms{Queue: "q", Pool: "pool", Attempts: 3})
+	s.cell.MarkStored(s.now, s.cell.TakeEffects(s.now).Write.Number)
+	s.takeEffects()
+	assert.Equal(t, len(s.starts), 1)
+	s.report(500*time.Millisecond, 90)
+	s.report(800*time.Millisecond, 90)
+	s.report(800*time.Millisecond, 90)
+	s.stopped = map[int]bool{}
+	start := s.starts[0]
+	s.cell.ApplyStartResult(s.now, StartResult{Worker: testWorker, Task: start.Task, Run: start.Run, Outcome: StartAccepted})
+	s.wait(reportGrace + 200*time.Millisecond)
+	assert.Equal(t, len(s.stopped), 1)
+	assert.Equal(t, len(s.starts), 1, "another start beside the task over its target")
+}
+
 // A new leader must not wait for the warm-up of service tasks that an earlier leader
 // started before it takes measures.
 func TestNewLeaderRelievesTaskOverTarget(t *testing.T) {
--- a/internal/version/cell/tick.go
+++ b/internal/version/cell/tick.go
@@ -3,8 +3,9 @@
 import "time"
 
 // Tick does the work that depends on time alone: it opens due occurrences, expires
-// leases, repeats stop orders that had no effect, forgets lost workers and ended jobs,
-// stores the learned estimates, handles slow runs and reports tasks that wait.
+// leases, repeats stop orders that had no effect, relieves service tasks over their target,
+// forgets lost workers and ended jobs, stores the learned estimates, handles slow runs and
+// reports tasks that wait.
 func (c *Cell) Tick(now time.Time) {
 	c.openDueJobs(now)
 	c.saveLearned(now)
@@ -12,6 +13,7 @@
 		c.expireLeases(now, w)
 	}
 	c.repeatStops(now)
+	c.relieveServices(now)
 	c.forgetLosses(now)
 	c.forgetEndedJobs(now)
 	c.handleSlowRuns(now)
