cell: stop nearly finished best-effort runs beside a tail over its target

A best-effort run past 97 percent was never stopped for the service task that it disturbs. It was throttled to 3 percent instead, so that it didn't end either and stayed beside the task past the bound of HARM.

Cause: the exemption had no end. Now it ends 0.2 s after the other runs are stopped.

--- a/internal/version/cell/throttle.go
+++ b/internal/version/cell/throttle.go
@@ -48,8 +48,9 @@
 	throttleAllAfter = 500 * time.Millisecond
 	preemptAfter     = 1600 * time.Millisecond
 	// preemptMaxPercent is the progress up to which a run is stopped after
-	// preemptAfter. A run closer to its end may finish.
+	// preemptAfter. A run closer to its end may finish until preemptAllAfter.
 	preemptMaxPercent = 97
+	preemptAllAfter   = 1800 * time.Millisecond
 	// reportGrace is how much longer the measures wait for a report that shows
 	// whether the last ones have helped.
 	reportGrace = 400 * time.Millisecond
@@ -127,7 +128,7 @@
 // every best-effort run gets minThrottlePercent, whatever was learned about it;
 // after preemptAfter, the run is preempted.
 func (c *Cell) limitThrottle(now time.Time, throttle int, r *run, overFor time.Duration) int {
-	if overFor >= preemptAfter && r.percent <= preemptMaxPercent {
+	if overFor >= preemptAllAfter || overFor >= preemptAfter && r.percent <= preemptMaxPercent {
 		c.addEvent(DecisionEvent{Event: "run displaced", Task: r.task.id(), Run: r.number, Worker: r.worker.info.ID, Age: overFor})
 		c.stopRun(now, r)
 		return minThrottlePercent
--- a/internal/version/cell/throttle_test.go
+++ b/internal/version/cell/throttle_test.go
@@ -283,6 +283,18 @@
 	assert.Equal(t, len(s.starts), 1, "another start beside the task over its target")
 }
 
+// A run at 98 percent that is throttled to the minimum doesn't end, and disturbs the
+// task beside it for as long as it is left there.
+func TestNearlyFinishedRunIsStoppedBesideTailOverTarget(t *testing.T) {
+	s := newSharedWorker(t, 1, 1)
+	s.fills[0].Percent = 98
+	since := s.now.Add(800 * time.Millisecond)
+	for len(s.stopped) < 1 && s.now.Sub(since) < harmBound {
+		s.report(800*time.Millisecond, 90)
+	}
+	assert.Assert(t, s.now.Sub(since) <= harmBound-harmLag, "stopped after %v", s.now.Sub(since))
+}
+
 // A new leader must not wait for the warm-up of service tasks that an earlier leader
 // started before it takes measures.
 func TestNewLeaderRelievesTaskOverTarget(t *testing.T) {
