cell: start tasks at once whose last worker has answered since a change of leader

Cause: tasks of earlier terms waited for every worker that doesn't answer, up to the recovery deadline, even if their only run was seen on another worker and ended there, and even if their step was opened only in this term.

A worker that lists a run after the last moment at which an earlier leader may start tasks (4 s after its last renewal, plus the time of an order in flight) shows that no other run exists. If that was the first run, no earlier leader knew the task as done, so that none has opened the steps after it. Speculative tasks, members of gangs that were not all seen, and runs that an earlier leader could still hear of wait as before.

--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -178,6 +178,7 @@
 	workerLease := min(options.Limits.MaxLease, workerlink.LeaseDuration)
 	l.cell = cell.New(cell.Config{
 		Epoch:             l.term.Epoch,
+		EarlierAuthority:  startAuthorityPeriod - election.TermLease + recoveryMargin,
 		RecoveryWait:      startAuthorityPeriod - election.TermLease + workerLease + recoveryMargin,
 		MaxEarlierLease:   workerLease + recoveryMargin,
 		EndedJobRetention: options.Limits.EndedJobRetention,
--- a/internal/version/cell/cell.go
+++ b/internal/version/cell/cell.go
@@ -27,6 +27,8 @@
 	// not answered in this term.
 	recovering       map[WorkerID]bool
 	recoveryDeadline time.Time
+	// authorityEnd is when no earlier leader starts tasks any more.
+	authorityEnd time.Time
 	// registryRead is set once the registry has been read in this term.
 	registryRead bool
 
@@ -120,6 +122,7 @@
 		c.restoreSuspects(record)
 	}
 	c.recoveryDeadline = now.Add(c.config.RecoveryWait)
+	c.authorityEnd = now.Add(c.config.EarlierAuthority)
 	for _, record := range jobs {
 		c.openSteps(now, c.jobs[record.ID])
 	}
--- a/internal/version/cell/job.go
+++ b/internal/version/cell/job.go
@@ -74,6 +74,12 @@
 	runs       []*run
 	readySince time.Time
 	queued     bool
+	// located is set once it is known that nothing an earlier leader ordered of the
+	// task runs on a worker that has not answered in this term.
+	located bool
+	// notDoneEarlier is set once it is known that no earlier leader that could still
+	// start tasks has learned of a successful end of the task.
+	notDoneEarlier bool
 	// failedWorkers lists the workers on which the task failed or stalled.
 	failedWorkers []WorkerID
 	// crashes is the number of workers that crashed under the task since a run of it
--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -327,6 +327,7 @@
 	if reported.Percent != r.percent {
 		r.progressAt = now
 	}
+	c.recordSighting(r)
 	r.percent = reported.Percent
 	r.measurement = reported.Measurement
 	c.endProbation(r)
--- a/internal/version/cell/schedule.go
+++ b/internal/version/cell/schedule.go
@@ -24,7 +24,10 @@
 			continue
 		}
 		s.opened = true
+		untouched := s.unopenedEarlier()
 		for _, t := range s.tasks {
+			t.located = t.located || untouched
+			t.notDoneEarlier = t.notDoneEarlier || untouched
 			c.requeue(now, t)
 		}
 	}
@@ -72,6 +75,40 @@
 	return c.registryRead && len(c.recovering) == 0 || !now.Before(c.recoveryDeadline)
 }
 
+// mayRunElsewhere reports whether a worker that has not answered in this term may have
+// a run of the task, or of another member of its gang.
+func (c *Cell) mayRunElsewhere(now time.Time, t *task) bool {
+	if !t.job().fromEarlierTerm || c.recoveryDone(now) {
+		return false
+	}
+	if t.spec().Gang {
+		return slices.ContainsFunc(t.step.tasks, func(member *task) bool { return !member.located })
+	}
+	return !t.located
+}
+
+// recordSighting notes that a worker has listed a run after the time at which an earlier
+// leader could have started another. Since a task has one run at a time, no other worker
+// has one then. Neither holds for speculative tasks. A first run that is still running
+// also shows that the task was never done: a later one may have been started while the
+// successful end of the first was not known.
+func (c *Cell) recordSighting(r *run) {
+	t := r.task
+	if t.spec().Speculative || t.done || r.worker.lastReportSent.Before(c.authorityEnd) {
+		return
+	}
+	t.located = true
+	t.notDoneEarlier = t.notDoneEarlier || r.number == 1
+}
+
+// unopenedEarlier reports whether no earlier leader has started a task of the step,
+// because one of the tasks that it depends on was not done.
+func (s *step) unopenedEarlier() bool {
+	return slices.ContainsFunc(s.spec.DependsOn, func(earlier int) bool {
+		return slices.ContainsFunc(s.occurrence.steps[earlier].tasks, func(t *task) bool { return t.notDoneEarlier })
+	})
+}
+
 // startReadyTasks starts the ready tasks that can be placed.
 func (c *Cell) startReadyTasks(now time.Time) {
 	if len(c.readyTasks) == 0 || c.startsPaused {
@@ -81,14 +118,13 @@
 		c.rankReady(now)
 	}
 	c.measureCapacity(now)
-	recovered := c.recoveryDone(now)
 	stillWaiting := c.readyTasks[:0]
 	for _, t := range c.readyTasks {
 		if t.done || len(t.runs) > 0 || t.job().state.IsFinal() {
 			t.queued = false // It is done or has a run by now, or its job ended.
 			continue
 		}
-		if t.job().fromEarlierTerm && !recovered || now.Before(t.step.retryAt) || !c.startTask(now, t) {
+		if c.mayRunElsewhere(now, t) || now.Before(t.step.retryAt) || !c.startTask(now, t) {
 			t.step.postpone(now)
 			stillWaiting = append(stillWaiting, t)
 		}
--- a/internal/version/cell/simulation_test.go
+++ b/internal/version/cell/simulation_test.go
@@ -320,7 +320,7 @@
 	s.addFault("new leader")
 	s.schedule(testRecoveryWait-startWithin, func() { s.addFault("recovery of the new leader ends") })
 	s.epoch += 3
-	c := New(Config{Epoch: s.epoch, RecoveryWait: testRecoveryWait, EndedJobRetention: time.Minute,
+	c := New(Config{Epoch: s.epoch, RecoveryWait: testRecoveryWait, EarlierAuthority: testRecoveryWait - testLease - testLeaseMargin, EndedJobRetention: time.Minute,
 		MaxEarlierLease: testLease + testLeaseMargin, RemoteFactor: 2})
 	var jobs []JobRecord
 	for _, id := range slices.Sorted(maps.Keys(s.stored.jobs)) {
--- a/internal/version/cell/types.go
+++ b/internal/version/cell/types.go
@@ -438,6 +438,9 @@
 	// RecoveryWait is the longest time that tasks from earlier terms wait for
 	// workers that do not answer.
 	RecoveryWait time.Duration
+	// EarlierAuthority is the longest time for which an earlier leader may still
+	// start tasks.
+	EarlierAuthority time.Duration
 	// MaxEarlierLease is the longest time for which a worker may keep running
 	// what an earlier leader started.
 	MaxEarlierLease time.Duration
--- a/internal/version/cell/waiting.go
+++ b/internal/version/cell/waiting.go
@@ -92,7 +92,7 @@
 	if c.startsPaused {
 		return "starts are paused"
 	}
-	if t.job().fromEarlierTerm && !c.recoveryDone(now) {
+	if c.mayRunElsewhere(now, t) {
 		return fmt.Sprintf("%d workers may still run tasks of an earlier term", len(c.recovering))
 	}
 	var counts [obstacleCount]int
