cell: do not wait for workers that are stored as idle after a change of leader

Cause: each new leader waited up to the recovery deadline for a worker that never answers, although an earlier leader had already given up everything there or had never used it: one that is listed but out of reach, or that an odd entry of the registry names.

The record of a worker now says that it is idle: from its first listing in a term until its first answer, and again once its leases are over. A worker that answers is usable only when the record that clears the mark is stored. Renewals need no such wait, as nothing runs there. The removal of a record and a new record of the same worker in one write were encoded in the wrong order; the record is kept now. A worker is no longer forgotten before the registry was read.

A record without the mark means that the worker may be in use, so that records of earlier versions keep their meaning.

Test: TestNextLeaderDoesNotWaitForWorkerWithoutRuns fails without the mark in expireLeases (8 tasks started instead of 16).

--- a/internal/version/cell/cell.go
+++ b/internal/version/cell/cell.go
@@ -116,7 +116,9 @@
 	for _, info := range workers {
 		c.workers[info.ID] = newWorker(info)
 		c.workersChanged = true
-		c.recovering[info.ID] = true
+		if !info.Idle {
+			c.recovering[info.ID] = true
+		}
 	}
 	for _, record := range progress {
 		c.restoreSuspects(record)
@@ -154,13 +156,15 @@
 func (c *Cell) registerWorker(now time.Time, info WorkerInfo) {
 	w := c.workers[info.ID]
 	if w == nil {
+		// An earlier leader may have used a worker that was listed before this term.
+		info.Idle = c.registryRead
 		w = newWorker(info)
 		c.workers[info.ID] = w
 		c.workersChanged = true
-		if !c.registryRead {
+		if !info.Idle {
 			c.recovering[info.ID] = true
 		}
-		c.write.Workers = append(c.write.Workers, info)
+		c.storeWorker(w)
 	}
 	if !w.registered || w.info.Draining != info.Draining {
 		c.addEvent(DecisionEvent{Event: "worker listed", Worker: info.ID, Outcome: drainState(info.Draining)})
@@ -169,15 +173,51 @@
 	// what the new incarnation runs: an order that was sent to the earlier
 	// incarnation may still arrive there.
 	info.Incarnation = w.info.Incarnation
+	info.Idle = w.info.Idle
 	if info.Address != w.info.Address {
 		c.workersChanged = true
 		w.moved = true
 	}
-	if !info.Equal(w.info) {
-		c.write.Workers = append(c.write.Workers, info)
-	}
+	changed := !info.Equal(w.info)
 	w.registered = true
 	w.info = info
+	if changed {
+		c.storeWorker(w)
+	}
+}
+
+// storeWorker stores the record of a worker. It takes the place of a removal that was not
+// written yet.
+func (c *Cell) storeWorker(w *worker) {
+	id := w.info.ID
+	c.write.RemovedWorkers = slices.DeleteFunc(c.write.RemovedWorkers, func(removed WorkerID) bool { return removed == id })
+	c.write.Workers = append(c.write.Workers, w.info)
+}
+
+// markIdle lets the next leader start tasks without waiting for a worker on which nothing
+// runs.
+func (c *Cell) markIdle(w *worker) {
+	if !w.info.Idle {
+		w.info.Idle = true
+		c.storeWorker(w)
+	}
+}
+
+// markInUse makes an idle worker usable as soon as the next leader would wait for it.
+func (c *Cell) markInUse(w *worker) {
+	if !w.info.Idle {
+		return
+	}
+	w.info.Idle = false
+	c.storeWorker(w)
+	c.write.Urgent = true
+	number := c.lastWrite + 1
+	w.inUseWrite = number
+	c.afterWrite(func(time.Time) {
+		if w.inUseWrite == number {
+			w.inUseWrite = 0
+		}
+	})
 }
 
 func drainState(draining bool) string {
--- a/internal/version/cell/recovery_test.go
+++ b/internal/version/cell/recovery_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -17,7 +18,10 @@
 	c := New(Config{Epoch: 5, RecoveryWait: 8 * time.Second, EarlierAuthority: testAuthority, MaxEarlierLease: testLease,
 		EndedJobRetention: time.Minute, RemoteFactor: 1})
 	workers = append(workers, testInfo(testWorker), testInfo(otherWorker))
-	c.Restore(testStart, []JobRecord{record}, nil, workers)
+	c.Restore(testStart, []JobRecord{record}, nil, slices.Clone(workers))
+	for i := range workers {
+		workers[i].Idle = false // The registry doesn't know it.
+	}
 	c.UpdateWorkers(testStart, workers)
 	c.MarkUnresponsive(testStart, otherWorker, time.Time{})
 	return c
@@ -87,3 +91,75 @@
 	c := newRecoveringCell(record)
 	assert.Equal(t, len(sightAndEnd(c, testAuthority, 2, EndStopped)), 0)
 }
+
+// Guards against tasks that wait after each change of leader for a worker that never
+// answers, such as one that an odd registry entry names.
+func TestNextLeaderDoesNotWaitForWorkerWithoutRuns(t *testing.T) {
+	f := newCrashFleet(t, 2)
+	f.listedWhileDown = true
+	f.machines[1].downUntil = f.now.Add(time.Hour)
+	f.run(crashLease + time.Second)
+	f.submit(jobA, 20, nil) // The other worker holds 8.
+	f.run(200 * time.Millisecond)
+	f.takeOver(2)
+	f.run(1500 * time.Millisecond)
+	assert.Equal(t, len(f.starts), 16)
+}
+
+// Guards against two runs of a task: a worker that the next leader doesn't wait for must
+// get no start.
+func TestWorkerStoredAsIdleGetsNoStartUntilThatIsCleared(t *testing.T) {
+	idle := testInfo(otherWorker)
+	idle.Idle = true
+	c := New(Config{Epoch: 5, RecoveryWait: 8 * time.Second, MaxEarlierLease: testLease, EndedJobRetention: time.Minute, RemoteFactor: 1})
+	c.Restore(testStart, []JobRecord{testRecord(3)}, nil, []WorkerInfo{idle})
+	c.UpdateWorkers(testStart, []WorkerInfo{testInfo(otherWorker)})
+	assert.Assert(t, c.TakeEffects(testStart).Write == nil)
+	c.ApplyReport(testStart, newReport(otherWorker, testStart))
+	effects := c.TakeEffects(testStart)
+	assert.Equal(t, len(effects.Starts), 0)
+	assert.Assert(t, effects.Write != nil && effects.Write.Urgent)
+	assert.Equal(t, effects.Write.Workers[0].Idle, false)
+	c.MarkStored(testStart, effects.Write.Number)
+	assert.Equal(t, len(c.TakeEffects(testStart.Add(retryPause)).Starts), 1)
+}
+
+// Guards against a start on a worker whose newest record says that it is idle, since an
+// older record that it is in use was stored late.
+func TestLateStoredRecordDoesNotMakeIdleWorkerUsable(t *testing.T) {
+	c := New(Config{Epoch: 5, MaxEarlierLease: testLease, EndedJobRetention: time.Minute, RemoteFactor: 1})
+	c.Restore(testStart, []JobRecord{testRecord(3)}, nil, nil)
+	c.UpdateWorkers(testStart, nil)
+	c.UpdateWorkers(testStart, []WorkerInfo{testInfo(testWorker)})
+	c.ApplyReport(testStart, newReport(testWorker, testStart))
+	inUse := c.TakeEffects(testStart).Write
+	c.MarkUnresponsive(testStart, testWorker, time.Time{})
+	now := testStart.Add(testLease)
+	c.Tick(now)
+	idle := c.TakeEffects(now).Write
+	assert.Equal(t, idle.Workers[0].Idle, true)
+	c.ApplyReport(now, newReport(testWorker, now))
+	inUseAgain := c.TakeEffects(now).Write
+	now = now.Add(retryPause)
+	c.MarkStored(now, inUse.Number)
+	assert.Equal(t, len(c.TakeEffects(now).Starts), 0)
+	now = now.Add(retryPause)
+	c.MarkStored(now, inUseAgain.Number)
+	assert.Equal(t, len(c.TakeEffects(now).Starts), 1)
+}
+
+// Guards against a worker whose record is removed although it is listed again, so that
+// the next leader doesn't know it.
+func TestRecordOfWorkerThatIsListedAgainIsKept(t *testing.T) {
+	c := New(Config{Epoch: 5, MaxEarlierLease: testLease, EndedJobRetention: time.Minute, RemoteFactor: 1})
+	infos := []WorkerInfo{testInfo(testWorker)}
+	c.UpdateWorkers(testStart, infos)
+	c.MarkUnresponsive(testStart, testWorker, time.Time{})
+	c.TakeEffects(testStart)
+	c.UpdateWorkers(testStart, nil)
+	c.Tick(testStart)
+	c.UpdateWorkers(testStart, infos)
+	write := c.TakeEffects(testStart).Write
+	assert.Equal(t, len(write.RemovedWorkers), 0)
+	assert.Equal(t, len(write.Workers), 1)
+}
--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -66,6 +66,7 @@
 		w.leaseUntil = leaseUntil
 	}
 	w.earlierSuspects = nil
+	c.markInUse(w)
 	delete(c.recovering, w.info.ID)
 }
 
--- a/internal/version/cell/tick.go
+++ b/internal/version/cell/tick.go
@@ -19,7 +19,8 @@
 }
 
 // expireLeases gives up the runs on an unresponsive worker once their leases
-// have expired, and removes the worker if it is no longer registered. A start order
+// have expired. It then marks the worker as idle, or removes it if it is no longer
+// registered. A start order
 // whose outcome is not known yet may have granted a later lease, so it waits for that
 // outcome.
 func (c *Cell) expireLeases(now time.Time, w *worker) {
@@ -32,7 +33,9 @@
 	for _, r := range w.runs {
 		c.recordLostRun(now, r, "lease over")
 	}
-	if !w.registered {
+	if w.registered {
+		c.markIdle(w)
+	} else if c.registryRead {
 		delete(c.workers, w.info.ID)
 		c.workersByID = nil
 		c.workersChanged = true
--- a/internal/version/cell/types.go
+++ b/internal/version/cell/types.go
@@ -104,12 +104,16 @@
 	// Incarnation identifies the incarnation of the worker: it is the Unix time
 	// in milliseconds at which the incarnation started, or 0 if that is unknown.
 	Incarnation int64 `cbor:"9,keyasint,omitempty"`
+	// Idle is not part of the registry's entry. It is stored while nothing runs on the
+	// worker, and until it is cleared in the log, nothing is started there.
+	Idle bool `cbor:"10,keyasint,omitempty"`
 }
 
 // Equal reports whether two registry entries are equal in every field.
 func (w WorkerInfo) Equal(other WorkerInfo) bool {
 	return w.ID == other.ID && w.Address == other.Address && w.Pool == other.Pool && w.Zone == other.Zone && w.Rack == other.Rack &&
-		w.Capacity == other.Capacity && w.Draining == other.Draining && w.Incarnation == other.Incarnation && slices.Equal(w.Labels, other.Labels)
+		w.Capacity == other.Capacity && w.Draining == other.Draining && w.Incarnation == other.Incarnation &&
+		w.Idle == other.Idle && slices.Equal(w.Labels, other.Labels)
 }
 
 // RunReport is one run that a worker reports as running.
--- a/internal/version/cell/waiting.go
+++ b/internal/version/cell/waiting.go
@@ -22,6 +22,7 @@
 	obstacleUnlisted
 	obstacleNotRenewed
 	obstacleUnresponsive
+	obstacleNotStored
 	obstacleDraining
 	obstacleUnknownRuns
 	obstacleRefused
@@ -34,7 +35,7 @@
 	obstacleCount
 )
 
-var obstacleNames = [obstacleCount]string{"available", "unlisted", "not renewed", "unresponsive", "draining",
+var obstacleNames = [obstacleCount]string{"available", "unlisted", "not renewed", "unresponsive", "not stored as in use", "draining",
 	"unknown runs", "refused a start", "other pool or label", "full", "no ticket", "excluded", "unsuitable", "reserved for short tasks"}
 
 func (o obstacle) String() string { return obstacleNames[o] }
@@ -49,6 +50,8 @@
 		return obstacleNotRenewed
 	case w.unresponsive:
 		return obstacleUnresponsive
+	case !w.storedInUse():
+		return obstacleNotStored
 	case w.info.Draining:
 		return obstacleDraining
 	case w.hasUnknownRuns:
--- a/internal/version/cell/worker.go
+++ b/internal/version/cell/worker.go
@@ -50,6 +50,9 @@
 	moved bool
 	// lastStartAt is when the last start on the worker was ordered.
 	lastStartAt time.Time
+	// inUseWrite is the number of the write that stores that the worker is no longer
+	// idle, or 0 if it is stored.
+	inUseWrite uint64
 	// load caches the totals over the runs; it is nil if they have to be
 	// computed again.
 	load *workerLoad
@@ -61,9 +64,12 @@
 
 // usable reports whether new runs may be started on the worker.
 func (w *worker) usable(now time.Time) bool {
-	return w.registered && w.renewed && !w.unresponsive && !w.info.Draining && !w.hasUnknownRuns && !now.Before(w.startsBlockedUntil)
+	return w.registered && w.renewed && !w.unresponsive && w.storedInUse() && !w.info.Draining && !w.hasUnknownRuns && !now.Before(w.startsBlockedUntil)
 }
 
+// storedInUse reports whether the next leader would wait for the worker.
+func (w *worker) storedInUse() bool { return !w.info.Idle && w.inUseWrite == 0 }
+
 // replaced reports whether another worker has taken the worker's place.
 func (w *worker) replaced() bool { return !w.replacedAt.IsZero() }
 
