entry: count the authority of earlier leaders from the claim

Cause: the claim was taken to come 1.5 s after the last renewal of the earlier leader. That doesn't hold if its port refuses connections or its renewals are stalled, nor for a leader that reads that it still holds its term after the reply of a renewal was lost: it counts that as a renewal. A sighting of a run now counts from 4.5 s after the claim instead of 3 s. The recovery wait still assumes the 1.5 s.

--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -177,8 +177,10 @@
 	}
 	workerLease := min(options.Limits.MaxLease, workerlink.LeaseDuration)
 	l.cell = cell.New(cell.Config{
-		Epoch:             l.term.Epoch,
-		EarlierAuthority:  startAuthorityPeriod - election.TermLease + recoveryMargin,
+		Epoch: l.term.Epoch,
+		// An earlier leader may have renewed its term, or read that it still holds it,
+		// just before the claim.
+		EarlierAuthority:  startAuthorityPeriod + recoveryMargin,
 		RecoveryWait:      startAuthorityPeriod - election.TermLease + workerLease + recoveryMargin,
 		MaxEarlierLease:   workerLease + recoveryMargin,
 		EndedJobRetention: options.Limits.EndedJobRetention,
