entry: start nothing after a worker has refused a renewal as fenced

Cause: an earlier leader that doesn't reach the log acts for 4 s after its last renewal. Workers that follow the next leader refuse its renewals as fenced, it takes them for lost, and as soon as their leases are over by its own count it starts their tasks on a worker that only it reaches, while they go on running.

The first such refusal of each worker now pauses starts until a renewal of the term that was sent later has succeeded. Leases are renewed meanwhile, since a worker may also refuse a renewal that an order with a newer token has overtaken.

--- a/internal/entry/contain_test.go
+++ b/internal/entry/contain_test.go
@@ -25,6 +25,7 @@
 		events:   make(chan event, maxQueuedEvents),
 		ended:    make(chan struct{}),
 		sessions: map[cell.WorkerID]*openSession{},
+		fencedBy: map[cell.WorkerID]bool{},
 	}
 	l.lastRenewal.Store(&now)
 	return l
--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -53,6 +53,11 @@
 	lastRenewal atomic.Pointer[boottime.Moment]
 	// renewalRequests requests a renewal before the next one is due.
 	renewalRequests chan struct{}
+	// fenceRefusals counts the workers that refused a lease renewal as fenced, and
+	// refusalsChecked those of them that the last renewal of the term has followed.
+	fenceRefusals, refusalsChecked atomic.Int64
+	// fencedBy holds these workers. The cell's goroutine owns it.
+	fencedBy map[cell.WorkerID]bool
 	// renewalEndOffset is the log offset that follows the newest renewal.
 	renewalEndOffset atomic.Int64
 
@@ -85,6 +90,7 @@
 		ended:    make(chan struct{}),
 		cancel:   cancel,
 		sessions: map[cell.WorkerID]*openSession{},
+		fencedBy: map[cell.WorkerID]bool{},
 
 		lastToken:       heldTerm.Epoch * workerlink.TokensPerTerm,
 		renewalRequests: make(chan struct{}, 1),
@@ -265,7 +271,7 @@
 // is known or another instance should lead.
 func (l *leadership) tick() {
 	now := time.Now()
-	l.cell.SetStartsEnabled(l.sinceRenewal() < startAuthorityPeriod)
+	l.cell.SetStartsEnabled(l.sinceRenewal() < startAuthorityPeriod && !l.mayBeReplaced())
 	if !l.Authorized() {
 		l.requestRenewal()
 	}
@@ -351,8 +357,13 @@
 func (l *leadership) RenewalUnanswered(worker cell.WorkerID, leaseUntil time.Time, err error) {
 	l.entry.options.Journal.Retrying("lease renewal of worker "+string(worker), err)
 	var refused *workerlink.RefusedError
-	replaced := errors.As(err, &refused) && refused.Reason == cell.RefusedOtherIncarnation
+	errors.As(err, &refused)
+	replaced := refused != nil && refused.Reason == cell.RefusedOtherIncarnation
+	fenced := refused != nil && refused.Reason == cell.RefusedFenced
 	l.post(func(now time.Time, c *cell.Cell) {
+		if fenced {
+			l.recordFenceRefusal(worker)
+		}
 		c.MarkUnresponsive(now, worker, leaseUntil)
 		if replaced {
 			c.MarkReplaced(now, worker)
--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -9,6 +9,7 @@
 	"poplarvalve/internal/connection/term"
 	"poplarvalve/internal/process/boottime"
 	"poplarvalve/internal/process/store"
+	"poplarvalve/internal/version/cell"
 	"poplarvalve/internal/version/election"
 )
 
@@ -33,6 +34,25 @@
 	return l.lastRenewal.Load().Suspended() < suspensionTolerance
 }
 
+// recordFenceRefusal pauses starts until the term is renewed: a worker that refuses an
+// order as fenced may follow a later leader. Only the first refusal of each worker counts,
+// so that a worker that refuses all orders does not stop the others.
+func (l *leadership) recordFenceRefusal(worker cell.WorkerID) {
+	if l.fencedBy[worker] {
+		return
+	}
+	l.fencedBy[worker] = true
+	l.fenceRefusals.Add(1)
+	l.cell.SetStartsEnabled(false)
+	l.requestRenewal()
+}
+
+// mayBeReplaced reports whether a worker has refused an order as fenced since the last
+// renewal of the term was sent.
+func (l *leadership) mayBeReplaced() bool {
+	return l.fenceRefusals.Load() != l.refusalsChecked.Load()
+}
+
 // requestRenewal requests a renewal at once. It does not block.
 func (l *leadership) requestRenewal() {
 	select {
@@ -68,12 +88,14 @@
 			return
 		}
 		renewalSent := boottime.Now()
+		refusals := l.fenceRefusals.Load()
 		heldTerm.LargestCPUShare = max(l.entry.options.CPUShare, l.entry.leaders.largestCPUShare())
 		next, err := l.tryRenew(ctx, heldTerm)
 		if err == nil {
 			heldTerm = next
 			l.renewalEndOffset.Store(heldTerm.EndOffset)
 			l.lastRenewal.Store(&renewalSent)
+			l.refusalsChecked.Store(refusals)
 			// Other instances compare the newest record in the log with the one
 			// that the leader reported, to tell a leader that still renews from
 			// one that has ended.
