cell: simulate an earlier leader that acts beside the next one

It now can act for 2.5 s beside the next one, and only it reaches some of the workers for up to 12 s. It starts nothing more once a worker has refused it as fenced.

Test: TestNothingRunsTwiceBesideEarlierLeader.

--- a/internal/version/cell/liveness_test.go
+++ b/internal/version/cell/liveness_test.go
@@ -453,6 +453,19 @@
 	},
 }
 
+// besideEarlierLeader is a kind of fault that a seed does not choose.
+const besideEarlierLeader = "beside"
+
+// Guards against an earlier leader that cannot reach the log any more and, beside the next
+// one, starts a task that runs or is done.
+func TestNothingRunsTwiceBesideEarlierLeader(t *testing.T) {
+	for kind, seeds := range map[string][]uint64{"crash": {2, 7, 34, 35, 94}, "loss": {12, 32, 35}, "cut": {19, 29}} {
+		for _, seed := range seeds {
+			t.Run(fmt.Sprintf("%s, seed %d", kind, seed), func(t *testing.T) { testLiveness(t, seed, besideEarlierLeader+","+kind) })
+		}
+	}
+}
+
 // A task that could run must be started soon, whatever faults have come before, and all
 // jobs must end.
 func TestStartableTasksStart(t *testing.T) {
@@ -497,6 +510,10 @@
 	perSecond := 1 + r.IntN(3)
 	s.every(day, 500/perSecond, 1500/perSecond, func() { s.submitAny() })
 	for _, kind := range kinds {
+		if kind == besideEarlierLeader {
+			s.every(day, 5000, 16000, s.startTermBesideEarlier)
+			continue
+		}
 		faultKinds[kind](s, day)
 	}
 	s.schedule(2*time.Second, s.watchLiveness)
--- a/internal/version/cell/simulation_test.go
+++ b/internal/version/cell/simulation_test.go
@@ -61,6 +61,11 @@
 	// heldOrdersReachNextIncarnation lets a new incarnation carry out orders that were
 	// sent to the last one and arrive late.
 	heldOrdersReachNextIncarnation bool
+	// earlier is the earlier leader while it still acts beside the present one, or nil.
+	// earlierSessions are its sessions, and earlierRenewal is its last renewal.
+	earlier         *Cell
+	earlierSessions map[WorkerID]*simSession
+	earlierRenewal  time.Time
 	// trace records all decisions; it is printed when a check fails.
 	trace []string
 }
@@ -135,6 +140,9 @@
 	// heldAnswers answer the lease renewals that wait for an end.
 	heldAnswers []func()
 	crashed     bool
+	// hiddenUntil is until when the present leader does not reach the worker; an earlier
+	// one does.
+	hiddenUntil time.Time
 	// cut is set while no message passes between the worker and the leader or the
 	// registry.
 	cut bool
@@ -166,6 +174,22 @@
 	return total
 }
 
+// reachedBy reports whether messages pass between the worker and a leader.
+func (s *simulation) reachedBy(w *simWorker, c *Cell) bool {
+	return w.reachable() && (c == s.earlier || !s.now.Before(w.hiddenUntil))
+}
+
+// acts reports whether a cell is that of the present leader or of an earlier one that
+// still acts.
+func (s *simulation) acts(c *Cell) bool { return c == s.cell || c == s.earlier }
+
+func (s *simulation) sessionsOf(c *Cell) map[WorkerID]*simSession {
+	if c == s.earlier {
+		return s.earlierSessions
+	}
+	return s.sessions
+}
+
 // simSession is the leader's session with a worker.
 type simSession struct {
 	cell   *Cell
@@ -220,6 +244,10 @@
 	testBusyWait     = 800 * time.Millisecond
 	testIdleWait     = 1400 * time.Millisecond
 	testHeartbeat    = 600 * time.Millisecond
+	// testTermLease is the least time between the last renewal of a leader and the claim
+	// of the next one; testAuthorityPeriod is how long a leader starts tasks after it.
+	testTermLease       = 1500 * time.Millisecond
+	testAuthorityPeriod = 4 * time.Second
 	// testTokensPerTerm is the number of fencing tokens of a term.
 	testTokensPerTerm = 100_000
 )
@@ -318,6 +346,7 @@
 // startTerm begins a term from the stored state.
 func (s *simulation) startTerm() {
 	s.addFault("new leader")
+	s.earlier = nil
 	s.schedule(testRecoveryWait-startWithin, func() { s.addFault("recovery of the new leader ends") })
 	s.epoch += 3
 	c := New(Config{Epoch: s.epoch, RecoveryWait: testRecoveryWait, EarlierAuthority: testRecoveryWait - testLease - testLeaseMargin, EndedJobRetention: time.Minute,
@@ -347,14 +376,48 @@
 	s.tick(c)
 }
 
+// startTermBesideEarlier begins a term while the earlier leader, which reaches the log no
+// more, acts until its authority ends. Only that one reaches some of the workers.
+func (s *simulation) startTermBesideEarlier() {
+	earlier, sessions := s.cell, s.sessions
+	s.startTerm()
+	s.earlier, s.earlierSessions = earlier, sessions
+	s.earlierRenewal = s.now.Add(-testTermLease)
+	s.schedule(testAuthorityPeriod-testTermLease, func() {
+		if s.earlier == earlier {
+			s.earlier = nil
+		}
+	})
+	for _, w := range s.someWorkers() {
+		hidden := s.millis(1000, 12000)
+		w.hiddenUntil = s.now.Add(hidden)
+		s.schedule(hidden, func() { s.addFault("the leader reaches %s", w.info.ID) })
+		// Until then, a lease may hold.
+		s.schedule(hidden+4*time.Second, func() { s.addFault("leases that were prolonged for %s end", w.info.ID) })
+	}
+}
+
+// pauseStartsIfEarlier handles a renewal that was refused as fenced: a leader starts
+// nothing more until it has renewed its term, which the earlier one can't.
+func (s *simulation) pauseStartsIfEarlier(c *Cell) {
+	if c == s.earlier {
+		s.earlierRenewal = s.now.Add(-testAuthorityPeriod)
+		c.SetStartsEnabled(false)
+	}
+}
+
 func (s *simulation) tick(c *Cell) {
-	if c != s.cell {
+	if !s.acts(c) {
 		return
 	}
-	if !s.storeDown {
+	if !s.storeDown && c == s.cell {
 		s.lastRenewal = s.now
 	}
-	c.SetStartsEnabled(s.now.Sub(s.lastRenewal) < 4*time.Second)
+	renewal := s.lastRenewal
+	if c == s.earlier {
+		renewal = s.earlierRenewal
+	}
+	c.SetStartsEnabled(s.now.Sub(renewal) < testAuthorityPeriod)
 	c.Tick(s.now)
 	s.applyEffects(c)
 	s.schedule(100*time.Millisecond, func() { s.tick(c) })
@@ -390,7 +453,7 @@
 
 // renewLease sends a lease renewal to a worker, and the next one after its answer.
 func (s *simulation) renewLease(session *simSession, wait time.Duration) {
-	if session.closed || session.cell != s.cell {
+	if session.closed || !s.acts(session.cell) {
 		return
 	}
 	w, token, sent := session.worker, session.token, s.now
@@ -402,7 +465,7 @@
 	session.renewals++
 	number := session.renewals
 	answer := func(report Report, ok bool) {
-		if session.closed || session.cell != s.cell {
+		if session.closed || !s.acts(session.cell) {
 			return
 		}
 		if number != session.renewals {
@@ -440,11 +503,14 @@
 		}
 	})
 	s.schedule(arrival, func() {
-		if !w.reachable() {
+		if !s.reachedBy(w, session.cell) {
 			return
 		}
 		if token < w.token {
-			s.schedule(returnDelayOrZero(returnDelay), func() { answer(Report{}, false) })
+			s.schedule(returnDelayOrZero(returnDelay), func() {
+				s.pauseStartsIfEarlier(session.cell)
+				answer(Report{}, false)
+			})
 			return
 		}
 		w.token = token
@@ -454,7 +520,7 @@
 		incarnation := w.incarnation
 		answered := false
 		respond := func() {
-			if answered || w.incarnation != incarnation || !w.reachable() {
+			if answered || w.incarnation != incarnation || !s.reachedBy(w, session.cell) {
 				return
 			}
 			answered = true
@@ -541,7 +607,7 @@
 }
 
 func (s *simulation) deliverReport(c *Cell, report Report) {
-	if c == s.cell {
+	if s.acts(c) {
 		c.ApplyReport(s.now, report)
 		s.applyEffects(c)
 	}
@@ -596,7 +662,7 @@
 		}
 	}
 	for _, id := range effects.Resolve {
-		if session := s.sessions[id]; session != nil && !session.closed {
+		if session := s.sessionsOf(c)[id]; session != nil && !session.closed {
 			session.token++
 			session.renewals++ // The renewal under way is abandoned.
 			s.schedule(0, func() { s.renewLease(session, 0) })
@@ -652,7 +718,7 @@
 	result := AdviceResult{Step: request.Step, Workers: request.Workers, Sent: s.now, Tickets: map[WorkerID]string{}}
 	result.Failed = s.random.Float64() < s.lossRate
 	s.schedule(s.adviceBusyUntil.Sub(s.now)+s.randomDelay(), func() {
-		if c != s.cell {
+		if !s.acts(c) {
 			return
 		}
 		if !result.Failed {
@@ -671,7 +737,7 @@
 // sendStart delivers a start order to its worker. Some orders are late or lost, and
 // some answers are lost.
 func (s *simulation) sendStart(c *Cell, order StartOrder) {
-	session := s.sessions[order.Worker]
+	session := s.sessionsOf(c)[order.Worker]
 	if session == nil || session.closed {
 		c.ApplyStartResult(s.now, StartResult{Worker: order.Worker, Task: order.Task, Run: order.Run, Outcome: StartRefused, Refusal: RefusedNotSent})
 		return
@@ -692,7 +758,7 @@
 	}
 	answered := false
 	answer := func(outcome StartOutcome, reason Refusal) {
-		if answered || c != s.cell {
+		if answered || !s.acts(c) {
 			return
 		}
 		answered = true
@@ -706,7 +772,7 @@
 	}
 	incarnation := w.incarnation
 	s.schedule(arrival, func() {
-		if !w.reachable() || w.incarnation != incarnation && !s.heldOrdersReachNextIncarnation {
+		if !s.reachedBy(w, c) || w.incarnation != incarnation && !s.heldOrdersReachNextIncarnation {
 			return // The connection on which the order was sent ended with the process.
 		}
 		outcome, reason := StartAccepted, Refusal("")
@@ -722,7 +788,7 @@
 		}
 		if returnDelay >= 0 {
 			s.schedule(returnDelay, func() {
-				if w.reachable() && w.incarnation == incarnation {
+				if s.reachedBy(w, c) && w.incarnation == incarnation {
 					answer(outcome, reason)
 				}
 			})
@@ -866,13 +932,13 @@
 }
 
 func (s *simulation) sendStop(c *Cell, order StopOrder) {
-	session := s.sessions[order.Worker]
+	session := s.sessionsOf(c)[order.Worker]
 	if session == nil || session.closed || s.random.Float64() < s.lossRate/2 {
 		return
 	}
 	token, w := session.token, session.worker
 	s.schedule(s.randomDelay(), func() {
-		if !w.reachable() || token < w.token {
+		if !s.reachedBy(w, c) || token < w.token {
 			return
 		}
 		w.highestRun[order.Task] = max(w.highestRun[order.Task], order.Run)
