Merge shorter waits after a change of leader

In the tests of the recovery a start of a restored task appears once its run is stored; they store the write first, as the other tests of restored cells do.

--- /dev/null
+++ b/internal/version/cell/recovery_test.go
@@ -0,0 +1,166 @@
+package cell
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"poplarvalve/internal/process/jobspec"
+)
+
+const testAuthority = 3 * time.Second
+
+// newRecoveringCell returns a cell of a later term whose otherWorker never answers. An
+// earlier leader may start tasks for testAuthority.
+func newRecoveringCell(record JobRecord, workers ...WorkerInfo) *Cell {
+	c := New(Config{Epoch: 5, RecoveryWait: 8 * time.Second, EarlierAuthority: testAuthority, MaxEarlierLease: testLease,
+		EndedJobRetention: time.Minute, RemoteFactor: 1})
+	workers = append(workers, testInfo(testWorker), testInfo(otherWorker))
+	c.Restore(testStart, []JobRecord{record}, nil, slices.Clone(workers))
+	for i := range workers {
+		workers[i].Idle = false // The registry doesn't know it.
+	}
+	c.UpdateWorkers(testStart, workers)
+	c.MarkUnresponsive(testStart, otherWorker, time.Time{})
+	return c
+}
+
+// sightAndEnd lets testWorker list a run of the first task at one time and its end half a
+// second later. It returns the starts that follow.
+func sightAndEnd(c *Cell, at time.Duration, run int64, reason EndReason) []StartOrder {
+	now := testStart.Add(at)
+	c.ApplyReport(now, newReport(testWorker, now, RunReport{Task: firstTaskID(), Run: run}))
+	c.TakeEffects(now)
+	now = now.Add(500 * time.Millisecond)
+	report := newReport(testWorker, now)
+	report.Ended = []RunEnd{{Number: 1, Task: firstTaskID(), Run: run, Reason: reason}}
+	c.ApplyReport(now, report)
+	return takeStarts(c, now)
+}
+
+// Guards against a task that waits for silent workers although its only run has ended.
+func TestTaskWhoseLastWorkerHasAnsweredStartsAtOnce(t *testing.T) {
+	c := newRecoveringCell(testRecord(3))
+	starts := sightAndEnd(c, testAuthority, 2, EndStopped)
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Task, firstTaskID())
+}
+
+// Guards against two runs of a task: until its authority ends, an earlier leader may learn
+// of the end and start the task on a worker that only it reaches.
+func TestTaskSeenWhileEarlierLeaderActsWaitsForSilentWorkers(t *testing.T) {
+	c := newRecoveringCell(testRecord(3))
+	assert.Equal(t, len(sightAndEnd(c, testAuthority-time.Millisecond, 2, EndStopped)), 0)
+	now := testStart.Add(8 * time.Second)
+	assert.Equal(t, len(takeStarts(c, now)), 1)
+}
+
+// Guards against a step that waits for silent workers although no earlier leader has
+// started any task of it, and against two runs of its tasks where that isn't certain.
+func TestStepThatNoEarlierLeaderOpenedStartsAtOnce(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		sightedAt   time.Duration
+		run         int64
+		speculative bool
+		starts      int
+	}{
+		{"first run seen after the authority of earlier leaders", testAuthority, 1, false, 1},
+		{"an earlier leader may have learned of the end", testAuthority - time.Millisecond, 1, false, 0},
+		{"an earlier run may have been reported as done", testAuthority, 2, false, 0},
+		{"another run may have been reported as done", testAuthority, 1, true, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			record := testRecord(3)
+			record.Job.Steps[0].Speculative = test.speculative
+			record.Job.Steps = append(record.Job.Steps, jobspec.Step{Count: 1, CPUMillis: 5000, MemoryMB: 100, DependsOn: []int{0}})
+			c := newRecoveringCell(record)
+			assert.Equal(t, len(sightAndEnd(c, test.sightedAt, test.run, EndSucceeded)), test.starts)
+		})
+	}
+}
+
+// Guards against a gang of which one member starts while another may still run.
+func TestGangWaitsForSilentWorkersOfAllMembers(t *testing.T) {
+	record := testRecord(3)
+	record.Job.Steps[0].Gang = true
+	record.Job.Steps[0].Count = 2
+	record.Job.Steps[0].CPUMillis = 2000
+	c := newRecoveringCell(record)
+	assert.Equal(t, len(sightAndEnd(c, testAuthority, 2, EndStopped)), 0)
+}
+
+// Guards against tasks that wait after each change of leader for a worker that never
+// answers, such as one that an odd registry entry names.
+func TestNextLeaderDoesNotWaitForWorkerWithoutRuns(t *testing.T) {
+	f := newCrashFleet(t, 2)
+	f.listedWhileDown = true
+	f.machines[1].downUntil = f.now.Add(time.Hour)
+	f.run(crashLease + time.Second)
+	f.submit(jobA, 20, nil) // The other worker holds 8.
+	f.run(200 * time.Millisecond)
+	f.takeOver(2)
+	f.run(1500 * time.Millisecond)
+	assert.Equal(t, len(f.starts), 16)
+}
+
+// Guards against two runs of a task: a worker that the next leader doesn't wait for must
+// get no start.
+func TestWorkerStoredAsIdleGetsNoStartUntilThatIsCleared(t *testing.T) {
+	idle := testInfo(otherWorker)
+	idle.Idle = true
+	c := New(Config{Epoch: 5, RecoveryWait: 8 * time.Second, MaxEarlierLease: testLease, EndedJobRetention: time.Minute, RemoteFactor: 1})
+	c.Restore(testStart, []JobRecord{testRecord(3)}, nil, []WorkerInfo{idle})
+	c.UpdateWorkers(testStart, []WorkerInfo{testInfo(otherWorker)})
+	assert.Assert(t, c.TakeEffects(testStart).Write == nil)
+	c.ApplyReport(testStart, newReport(otherWorker, testStart))
+	effects := c.TakeEffects(testStart)
+	assert.Equal(t, len(effects.Starts), 0)
+	assert.Equal(t, len(effects.Write.Progress), 0, "a start is planned")
+	assert.Assert(t, effects.Write != nil && effects.Write.Urgent)
+	assert.Equal(t, effects.Write.Workers[0].Idle, false)
+	c.MarkStored(testStart, effects.Write.Number)
+	assert.Equal(t, len(takeStarts(c, testStart.Add(retryPause))), 1)
+}
+
+// Guards against a start on a worker whose newest record says that it is idle, since an
+// older record that it is in use was stored late.
+func TestLateStoredRecordDoesNotMakeIdleWorkerUsable(t *testing.T) {
+	c := New(Config{Epoch: 5, MaxEarlierLease: testLease, EndedJobRetention: time.Minute, RemoteFactor: 1})
+	c.Restore(testStart, []JobRecord{testRecord(3)}, nil, nil)
+	c.UpdateWorkers(testStart, nil)
+	c.UpdateWorkers(testStart, []WorkerInfo{testInfo(testWorker)})
+	c.ApplyReport(testStart, newReport(testWorker, testStart))
+	inUse := c.TakeEffects(testStart).Write
+	c.MarkUnresponsive(testStart, testWorker, time.Time{})
+	now := testStart.Add(testLease)
+	c.Tick(now)
+	idle := c.TakeEffects(now).Write
+	assert.Equal(t, idle.Workers[0].Idle, true)
+	c.ApplyReport(now, newReport(testWorker, now))
+	inUseAgain := c.TakeEffects(now).Write
+	now = now.Add(retryPause)
+	c.MarkStored(now, inUse.Number)
+	assert.Equal(t, len(takeStarts(c, now)), 0)
+	now = now.Add(retryPause)
+	c.MarkStored(now, inUseAgain.Number)
+	assert.Equal(t, len(takeStarts(c, now)), 1)
+}
+
+// Guards against a worker whose record is removed although it is listed again, so that
+// the next leader doesn't know it.
+func TestRecordOfWorkerThatIsListedAgainIsKept(t *testing.T) {
+	c := New(Config{Epoch: 5, MaxEarlierLease: testLease, EndedJobRetention: time.Minute, RemoteFactor: 1})
+	infos := []WorkerInfo{testInfo(testWorker)}
+	c.UpdateWorkers(testStart, infos)
+	c.MarkUnresponsive(testStart, testWorker, time.Time{})
+	c.TakeEffects(testStart)
+	c.UpdateWorkers(testStart, nil)
+	c.Tick(testStart)
+	c.UpdateWorkers(testStart, infos)
+	write := c.TakeEffects(testStart).Write
+	assert.Equal(t, len(write.RemovedWorkers), 0)
+	assert.Equal(t, len(write.Workers), 1)
+}
--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -66,6 +66,7 @@
 		w.leaseUntil = leaseUntil
 	}
 	c.dropEarlierSuspects(w)
+	c.markInUse(w)
 	delete(c.recovering, w.info.ID)
 }
 
@@ -120,7 +121,7 @@
 	}
 	c.effects.Resolve = append(c.effects.Resolve, w.info.ID)
 	w.info.Incarnation = incarnation
-	c.write.Workers = append(c.write.Workers, w.info)
+	c.storeWorker(w)
 	w.lastEndNumber = 0
 	w.renewed = false
 	w.health = health{}
@@ -333,6 +334,7 @@
 	if reported.Percent != r.percent {
 		r.progressAt = now
 	}
+	c.recordSighting(r)
 	r.percent = reported.Percent
 	r.measurement = reported.Measurement
 	c.endProbation(r)
