--- a/internal/version/cell/types.go
+++ b/internal/version/cell/types.go
@@ -16,7 +16,8 @@
 // The first two guarantees hold across terms: before the next leader starts
 // tasks of earlier terms, it either renews the lease of every worker under its
 // own, higher fencing token, or waits until the leases of unresponsive workers
-// have expired. A Cell must be used by one goroutine at a time, except that any
+// have expired. It does not wait for workers that are stored as idle, nor with
+// tasks that can run on no unresponsive worker. A Cell must be used by one goroutine at a time, except that any
 // goroutine may call Lookup.
 package cell
 
