cell: let no task that keeps off a worker hold the rest of its step

Callers saw tasks wait for up to 1.5 s although a worker had room for them.

Cause: a task that can't be placed postpones its whole step for 30 ms, and the next pass tries that task first again. A task that has failed on a worker keeps off it for 1.5 s, an implicated task keeps off workers with an implicated run for 1 s. If such a worker was the only one with room, the other tasks of the step, which may use it, were never tried meanwhile.

Such a task now postpones only itself. The members of a gang are placed together, so that they still postpone their step. What the task keeps off ends with its wait, after which it postpones the step like any other.

--- a/internal/version/cell/job.go
+++ b/internal/version/cell/job.go
@@ -73,7 +73,10 @@
 	checkpoint string
 	runs       []*run
 	readySince time.Time
-	queued     bool
+	// retryAt is the end of the pause after the task could not be placed for a reason that
+	// only it has.
+	retryAt time.Time
+	queued  bool
 	// failedWorkers lists the workers on which the task failed or stalled.
 	failedWorkers []WorkerID
 	// crashes is the number of workers that crashed under the task since a run of it
