cell: let the wait of a task go on after a start without effect

Callers saw a task wait without end although the worker on which it had failed once had room: it was offered again and again to another worker that refused it. A refused long-running task never came before short ones.

Cause: a refused start made the task ready anew, and with that the waits that count from there began again: 1.5 s for another worker than the one on which it failed, 1 s for a worker of its own if it is implicated, 4 s until a long-running task is overdue. A worker that refuses a start is tried again after 0.3 s, so that none of the waits ended. A start that did not arrive and a planned start that is given up did the same.

A task whose run has certainly never started now stays ready since the time before that start; a second run of a task has no such time.

--- a/internal/version/cell/job.go
+++ b/internal/version/cell/job.go
@@ -112,6 +112,9 @@
 	phase     runPhase
 	size      Size
 	orderedAt time.Time
+	// readySince is since when the task had been ready when the run was ordered, or zero
+	// for a second run.
+	readySince time.Time
 	// runningSince is when the cell learned that the worker has the run. Every
 	// report on a lease renewal sent later lists the run or its end.
 	runningSince time.Time
--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -152,6 +152,7 @@
 	case inDoubt:
 		if report.Token > r.startToken {
 			c.recordLostRun(now, r, "start did not arrive")
+			c.requeueUnstarted(now, r)
 		}
 	case running, stopping:
 		if r.runningSince.Before(report.Sent) {
@@ -394,7 +395,7 @@
 	default:
 		w.startsBlockedUntil = now.Add(refusalPause)
 	}
-	c.requeue(now, t)
+	c.requeueUnstarted(now, r)
 }
 
 // refusalPause is how long a worker that refused a start gets no other. The
--- a/internal/version/cell/schedule.go
+++ b/internal/version/cell/schedule.go
@@ -65,6 +65,16 @@
 	c.needsRanking = true
 }
 
+// requeueUnstarted makes the task of a run ready again that never started. What the task
+// waits for it has waited for all the while.
+func (c *Cell) requeueUnstarted(now time.Time, r *run) {
+	t := r.task
+	c.requeue(now, t)
+	if t.queued && !r.readySince.IsZero() {
+		t.readySince = r.readySince
+	}
+}
+
 // recoveryDone reports whether tasks of earlier terms may be started: every
 // worker that may have runs of those terms has answered, or the recovery wait
 // is over.
@@ -278,6 +288,9 @@
 // crash under it.
 func (c *Cell) orderStart(now time.Time, t *task, w *worker, number int64) {
 	r := &run{task: t, number: number, phase: starting, size: t.size(), orderedAt: now, throttle: 100, implicated: t.implicated()}
+	if len(t.runs) == 0 {
+		r.readySince = t.readySince
+	}
 	c.recordTrial(now, t, w)
 	t.queued = false
 	t.lastRun = number
@@ -323,7 +336,7 @@
 	t, w := r.task, r.worker
 	if t.done || t.job().state.IsFinal() || !w.usable(now) || !w.info.Capacity.canHold(w.reserved) {
 		c.removeRun(r)
-		c.requeue(now, t)
+		c.requeueUnstarted(now, r)
 		return
 	}
 	r.phase = starting
