cell: offer a task elsewhere after a start that did not arrive

Callers saw a task wait for as long as a worker answered lease renewals but no start, although other workers had room.

Cause: the task returned to the worker with the best score, and a start that did not arrive left that score as it was. So the same worker was chosen again, 0.7 s for each attempt. With a pause of the worker instead, as after a refusal, two such workers would still take turns.

A start that did not arrive now counts like a failed run when a worker is chosen for that task: it keeps off the worker for up to 1.5 s, and after that prefers any other. The worker's health stays as it is, since the order may have been lost on its way.

--- a/internal/version/cell/job.go
+++ b/internal/version/cell/job.go
@@ -77,7 +77,8 @@
 	// only it has.
 	retryAt time.Time
 	queued  bool
-	// failedWorkers lists the workers on which the task failed or stalled.
+	// failedWorkers lists the workers on which the task failed or stalled, or at which a
+	// start of it did not arrive.
 	failedWorkers []WorkerID
 	// crashes is the number of workers that crashed under the task since a run of it
 	// last outlasted the probation period. For confirmedCrashes of them it is certain
--- a/internal/version/cell/refused_test.go
+++ b/internal/version/cell/refused_test.go
@@ -84,3 +84,20 @@
 		})
 	}
 }
+
+// Guards against a task whose start never arrives and that is offered to the same workers
+// again and again while others have room.
+func TestTaskWhoseStartsDoNotArriveIsOfferedElsewhere(t *testing.T) {
+	c, orders := newCellWithOneWorker(t)
+	endRuns(c, testStart, orders, EndSucceeded, EndSucceeded)
+	mute := []WorkerID{testWorker, otherWorker}
+	infos := []WorkerInfo{testInfo(testWorker), testInfo(otherWorker), testInfo("w3")}
+	c.UpdateWorkers(testStart, infos)
+	c.ApplyReport(testStart, newReport("w3", testStart))
+	const next = jobspec.ID("00000000000000bb")
+	spec := testSpec()
+	c.Submit(testStart, 2, next, &spec, QueueTerms{Queue: "q", Pool: "pool", Attempts: 3, Stretch: 2})
+	m := &muteWorkers{cell: c, workers: mute, outcome: StartUnknown, token: 2}
+	waited := m.waitForStart(t, testStart)
+	assert.Assert(t, waited <= time.Second, "started after %v", waited)
+}
--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -153,6 +153,7 @@
 		if report.Token > r.startToken {
 			c.recordLostRun(now, r, "start did not arrive")
 			c.requeueUnstarted(now, r)
+			r.task.recordFailedWorker(r.worker)
 		}
 	case running, stopping:
 		if r.runningSince.Before(report.Sent) {
