--- a/internal/version/cell/job.go
+++ b/internal/version/cell/job.go
@@ -73,10 +73,7 @@
 	checkpoint string
 	runs       []*run
 	readySince time.Time
-	// retryAt is the end of the pause after the task could not be placed for a reason that
-	// only it has.
-	retryAt time.Time
-	queued  bool
+	queued     bool
 	// failedWorkers lists the workers on which the task failed or stalled, or at which a
 	// start of it did not arrive.
 	failedWorkers []WorkerID
--- a/internal/version/cell/refused_test.go
+++ b/internal/version/cell/refused_test.go
@@ -56,7 +56,7 @@
 // Guards against a task that waits anew for another worker than the one on which it failed,
 // each time it is refused there.
 func TestRefusedTaskReturnsToWorkerOnWhichItFailed(t *testing.T) {
-	c, orders := newCellWithOneWorker(t)
+	c, orders := newCellWithOneWorker(t, 2)
 	c.UpdateWorkers(testStart, []WorkerInfo{testInfo(testWorker), testInfo(otherWorker)})
 	failed := testStart.Add(time.Second)
 	endRuns(c, failed, orders, EndFailed, EndSucceeded)
@@ -70,7 +70,7 @@
 func TestLongRunningTaskThatIsNotStartedBecomesOverdue(t *testing.T) {
 	for name, outcome := range map[string]StartOutcome{"refused": StartRefused, "unanswered": StartUnknown} {
 		t.Run(name, func(t *testing.T) {
-			c, orders := newCellWithOneWorker(t)
+			c, orders := newCellWithOneWorker(t, 2)
 			endRuns(c, testStart, orders, EndSucceeded, EndSucceeded)
 			const lasting = jobspec.ID("00000000000000bb")
 			spec := jobspec.Job{Steps: []jobspec.Step{{Count: 1, CPUMillis: 1000, MemoryMB: 100, LongRunning: true}}}
@@ -88,7 +88,7 @@
 // Guards against a task whose start never arrives and that is offered to the same workers
 // again and again while others have room.
 func TestTaskWhoseStartsDoNotArriveIsOfferedElsewhere(t *testing.T) {
-	c, orders := newCellWithOneWorker(t)
+	c, orders := newCellWithOneWorker(t, 2)
 	endRuns(c, testStart, orders, EndSucceeded, EndSucceeded)
 	mute := []WorkerID{testWorker, otherWorker}
 	infos := []WorkerInfo{testInfo(testWorker), testInfo(otherWorker), testInfo("w3")}
--- a/internal/version/cell/schedule.go
+++ b/internal/version/cell/schedule.go
@@ -98,8 +98,8 @@
 			t.queued = false // It is done or has a run by now, or its job ended.
 			continue
 		}
-		if t.job().fromEarlierTerm && !recovered || t.isPostponed(now) || !c.startTask(now, t) {
-			t.postpone(now)
+		if t.job().fromEarlierTerm && !recovered || now.Before(t.step.retryAt) || !c.startTask(now, t) {
+			t.step.postpone(now)
 			stillWaiting = append(stillWaiting, t)
 		}
 	}
@@ -112,34 +112,10 @@
 // would cause an attempt to place all waiting tasks.
 const retryPause = 30 * time.Millisecond
 
-func (t *task) isPostponed(now time.Time) bool {
-	return now.Before(t.step.retryAt) || now.Before(t.retryAt)
-}
-
-// postpone begins the pause after a task could not be placed. It is a pause of the step,
-// unless other tasks of the step may be placed where this one may not.
-func (t *task) postpone(now time.Time) {
-	if t.isPostponed(now) {
-		return
-	}
-	if t.waitsForOtherPlace(now) {
-		t.retryAt = now.Add(retryPause)
-		return
-	}
-	t.step.retryAt = now.Add(retryPause)
-}
-
-// waitsForOtherPlace reports whether the task keeps off some workers because of what its
-// own earlier runs did there or elsewhere. The members of a gang are placed together.
-func (t *task) waitsForOtherPlace(now time.Time) bool {
-	wait := time.Duration(0)
-	if t.implicated() {
-		wait = isolationWait
-	}
-	if len(t.failedWorkers) > 0 {
-		wait = max(wait, otherWorkerWait)
+func (s *step) postpone(now time.Time) {
+	if !now.Before(s.retryAt) {
+		s.retryAt = now.Add(retryPause)
 	}
-	return !t.spec().Gang && now.Sub(t.readySince) < wait
 }
 
 // rankReady sorts the ready tasks: first by priority, then overdue long-running
