cell: simulate workers that answer renewals but get no start

Extends the simulation by such workers, which no kind of fault covered. A task must start within 3 s elsewhere, gangs and best-effort tasks included.

--- a/internal/version/cell/liveness_test.go
+++ b/internal/version/cell/liveness_test.go
@@ -139,7 +139,7 @@
 	used, capacity, places := 0, 0, 0
 	step := StepID{Job: record.ID, Step: index}
 	for _, w := range s.workers {
-		if !w.reachable() || w.listed == nil || w.listed.Draining || w.sick {
+		if !w.reachable() || w.listed == nil || w.listed.Draining || w.sick || w.mute {
 			continue
 		}
 		// CPU that best-effort runs use is not free for other best-effort tasks.
@@ -473,6 +473,25 @@
 	}
 }
 
+// Guards against tasks that are offered again and again to workers that answer lease
+// renewals but get no start order.
+func TestStartableTasksStartBesideMuteWorkers(t *testing.T) {
+	for seed := uint64(1); seed <= 6; seed++ {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			s := newSimulation(t, seed, 10)
+			s.startTerm()
+			s.advance(time.Second)
+			for _, w := range s.someWorkers()[:1] {
+				w.mute = true
+			}
+			s.every(20*time.Second, 200, 800, s.submitAny)
+			s.schedule(2*time.Second, s.watchLiveness)
+			s.advance(60 * time.Second)
+			s.checkAllEnded()
+		})
+	}
+}
+
 // testLiveness runs one simulated day with the given kinds of faults, separated by
 // commas, or with some that the seed chooses.
 func testLiveness(t *testing.T, seed uint64, faults string) {
--- a/internal/version/cell/simulation_test.go
+++ b/internal/version/cell/simulation_test.go
@@ -144,6 +144,8 @@
 	guardsCapacity bool
 	// sick is set while all runs fail.
 	sick bool
+	// mute is set while no start order arrives.
+	mute bool
 	gone bool
 }
 
@@ -690,6 +692,9 @@
 			arrival = -1
 		}
 	}
+	if w.mute {
+		arrival = -1
+	}
 	answered := false
 	answer := func(outcome StartOutcome, reason Refusal) {
 		if answered || c != s.cell {
