cell: reserve only its size for a run of a completed occurrence

Callers saw no task start on a worker with room while it listed a run of a job that was completed already, such as a second run that the next leader finds. If the stop order had no effect, that lasted until the run ended.

Cause: the tasks of a complete occurrence are not kept, so that the run counted as unknown, and a worker with unknown runs gets no start, because their size is not known. The job is kept for a while, and its size is in it.

Such a run is now adopted as one of a done task: it is stopped, the stop is repeated, and its size stays reserved until it ends. Only a run of a job that is not known any more blocks its worker. Jobs are kept for much longer than a lease lasts, so that such a run should not exist. Its stop is sent again at each report, which had no test.

--- a/internal/version/cell/job.go
+++ b/internal/version/cell/job.go
@@ -216,6 +216,21 @@
 	return tasks[id.Index]
 }
 
+// findCompletedTask returns a done task that stands for the one with that ID, whose
+// occurrence is complete and not kept any more, or nil if the job has no such task.
+func (j *job) findCompletedTask(id TaskID) *task {
+	if id.Occurrence < 0 || id.Occurrence >= j.nextOccurrence || id.Step < 0 || id.Step >= len(j.spec.Steps) {
+		return nil
+	}
+	s := newStep(&occurrence{job: j, number: id.Occurrence}, id.Step)
+	if id.Index < 0 || id.Index >= len(s.tasks) {
+		return nil
+	}
+	t := s.tasks[id.Index]
+	t.done = true
+	return t
+}
+
 // dependenciesDone reports whether all steps that this one depends on are done.
 func (s *step) dependenciesDone() bool {
 	for _, earlier := range s.spec.DependsOn {
--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -271,7 +271,7 @@
 }
 
 // applyRunReport applies one run that a worker lists as running. It returns the
-// run, or nil if it belongs to no open task.
+// run, or nil if it belongs to no task of a known job.
 func (c *Cell) applyRunReport(now time.Time, w *worker, reported RunReport) *run {
 	if r := w.findRun(reported.Task, reported.Run); r != nil {
 		c.updateRun(now, r, reported)
@@ -280,6 +280,9 @@
 	var t *task
 	if j := c.jobs[reported.Task.Job]; j != nil {
 		t = j.findTask(reported.Task)
+		if t == nil {
+			t = j.findCompletedTask(reported.Task)
+		}
 	}
 	if t == nil {
 		// The unknown run occupies an unknown amount of capacity until it has
--- a/internal/version/cell/worker.go
+++ b/internal/version/cell/worker.go
@@ -15,7 +15,7 @@
 	// unresponsive is set if the last lease renewal got no answer.
 	unresponsive bool
 	// hasUnknownRuns is set if the worker's last report listed a run that
-	// belongs to no open task.
+	// belongs to no task of a known job.
 	hasUnknownRuns bool
 	// reserved is the total size of the runs, in whatever phase they are.
 	reserved Size
