--- a/internal/version/cell/job.go
+++ b/internal/version/cell/job.go
@@ -80,7 +80,8 @@
 	// notDoneEarlier is set once it is known that no earlier leader that could still
 	// start tasks has learned of a successful end of the task.
 	notDoneEarlier bool
-	// failedWorkers lists the workers on which the task failed or stalled.
+	// failedWorkers lists the workers on which the task failed or stalled, or at which a
+	// start of it did not arrive.
 	failedWorkers []WorkerID
 	// crashes is the number of workers that crashed under the task since a run of it
 	// last outlasted the probation period. For confirmedCrashes of them it is certain
@@ -122,6 +123,9 @@
 	phase     runPhase
 	size      Size
 	orderedAt time.Time
+	// readySince is since when the task had been ready when the run was ordered, or zero
+	// for a second run.
+	readySince time.Time
 	// runningSince is when the cell learned that the worker has the run. Every
 	// report on a lease renewal sent later lists the run or its end.
 	runningSince time.Time
@@ -228,6 +232,21 @@
 	return tasks[id.Index]
 }
 
+// findCompletedTask returns a done task that stands for the one with that ID, whose
+// occurrence is complete and not kept any more, or nil if the job has no such task.
+func (j *job) findCompletedTask(id TaskID) *task {
+	if id.Occurrence < 0 || id.Occurrence >= j.nextOccurrence || id.Step < 0 || id.Step >= len(j.spec.Steps) {
+		return nil
+	}
+	s := newStep(&occurrence{job: j, number: id.Occurrence}, id.Step)
+	if id.Index < 0 || id.Index >= len(s.tasks) {
+		return nil
+	}
+	t := s.tasks[id.Index]
+	t.done = true
+	return t
+}
+
 // dependenciesDone reports whether all steps that this one depends on are done.
 func (s *step) dependenciesDone() bool {
 	for _, earlier := range s.spec.DependsOn {
--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -158,6 +158,8 @@
 	case inDoubt:
 		if report.Token > r.startToken {
 			c.recordLostRun(now, r, "start did not arrive")
+			c.requeueUnstarted(now, r)
+			r.task.recordFailedWorker(r.worker)
 		}
 	case running, stopping:
 		if r.runningSince.Before(report.Sent) {
@@ -275,7 +277,7 @@
 }
 
 // applyRunReport applies one run that a worker lists as running. It returns the
-// run, or nil if it belongs to no open task.
+// run, or nil if it belongs to no task of a known job.
 func (c *Cell) applyRunReport(now time.Time, w *worker, reported RunReport) *run {
 	if r := w.findRun(reported.Task, reported.Run); r != nil {
 		c.updateRun(now, r, reported)
@@ -284,6 +286,9 @@
 	var t *task
 	if j := c.jobs[reported.Task.Job]; j != nil {
 		t = j.findTask(reported.Task)
+		if t == nil {
+			t = j.findCompletedTask(reported.Task)
+		}
 	}
 	if t == nil {
 		// The unknown run occupies an unknown amount of capacity until it has
@@ -406,7 +411,7 @@
 	default:
 		w.startsBlockedUntil = now.Add(refusalPause)
 	}
-	c.requeue(now, t)
+	c.requeueUnstarted(now, r)
 }
 
 // refusalPause is how long a worker that refused a start gets no other. The
