cell: throttle and judge in a fixed order again

Cause: runs with the same pressure, order time and number, as a new leader gives them to the tasks of many jobs at once, were throttled in the order of a map. The lost workers were visited in the order of a map as well.

--- a/internal/version/cell/crash.go
+++ b/internal/version/cell/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 )
@@ -65,10 +66,12 @@
 	c.lostWorkers[w.info.ID] = &lostWorker{worker: w, silentSince: now, answered: w.renewed}
 }
 
+func (c *Cell) sortedLosses() []WorkerID { return slices.Sorted(maps.Keys(c.lostWorkers)) }
+
 // forgetLosses drops the lost workers that were retained long enough.
 func (c *Cell) forgetLosses(now time.Time) {
-	for id, lost := range c.lostWorkers {
-		if now.Sub(lost.silentSince) > lostWorkerRetention {
+	for _, id := range c.sortedLosses() {
+		if lost := c.lostWorkers[id]; now.Sub(lost.silentSince) > lostWorkerRetention {
 			delete(c.lostWorkers, id)
 			c.dropEarlierSuspects(lost.worker)
 		}
@@ -126,7 +129,8 @@
 // handleSuccessor handles the first answer of a worker. If other workers at its address
 // were lost, they have ended, and so has all that ran on them.
 func (c *Cell) handleSuccessor(now time.Time, successor *worker) {
-	for _, lost := range c.lostWorkers {
+	for _, id := range c.sortedLosses() {
+		lost := c.lostWorkers[id]
 		w := lost.worker
 		if w.info.Address == successor.info.Address && !w.moved && !lost.judged && !w.isSameIncarnation(successor) {
 			c.handleReplacement(now, w)
--- a/internal/version/cell/loadestimate_test.go
+++ b/internal/version/cell/loadestimate_test.go
@@ -111,7 +111,7 @@
 	c.pressures.ensureEntry("serve", "fill").mean = 0.08
 	c.pressures.ensureEntry("serve", "mild").mean = 0.03
 	throttles := map[*run]int{high: 100, low: 100}
-	c.throttleFor("serve", 0.2, throttles)
+	c.throttleFor("serve", 0.2, []*run{low, high}, throttles)
 	assert.Assert(t, throttles[high] < 60, "%d", throttles[high])
 	assert.Equal(t, throttles[low], 100)
 }
@@ -128,7 +128,7 @@
 	c.pressures.ensureEntry("serve", "mild").mean = 0.03
 	small, large := newRun("sharp", 500), newRun("mild", 8000)
 	throttles := map[*run]int{small: 100, large: 100}
-	c.throttleFor("serve", 0.1, throttles)
+	c.throttleFor("serve", 0.1, []*run{large, small}, throttles)
 	assert.Equal(t, throttles[small], 100)
 	assert.Assert(t, throttles[large] < 50, "%d", throttles[large])
 }
--- a/internal/version/cell/throttle.go
+++ b/internal/version/cell/throttle.go
@@ -163,32 +163,33 @@
 // work.
 func (c *Cell) throttles(now time.Time, samples []serviceSample, w *worker) map[*run]int {
 	throttles := map[*run]int{}
+	var runs []*run
 	for _, r := range w.runs {
 		if r.isRunningBestEffort() {
 			throttles[r] = 100
+			runs = append(runs, r)
 		}
 	}
 	for _, s := range samples {
 		allowance := c.pressures.allowed(s.image, s.target)*w.bestEffort.budgetShare() - s.step.userLoad.highestExpected(now, throttleHorizon)
-		c.throttleFor(s.image, allowance, throttles)
+		c.throttleFor(s.image, allowance, runs, throttles)
 	}
 	return throttles
 }
 
-// throttleFor lowers throttles until the pressure of the runs on a service
+// throttleFor lowers the throttles of runs until their pressure on a service
 // image is at most allowance. It does not lower those of runs whose pressure at
 // full speed is at most harmlessPressure.
-func (c *Cell) throttleFor(image string, allowance float64, throttles map[*run]int) {
+func (c *Cell) throttleFor(image string, allowance float64, runs []*run, throttles map[*run]int) {
 	total := 0.0
-	byPressure := make([]*run, 0, len(throttles))
-	for r, throttle := range throttles {
-		total += c.runPressure(image, r) * float64(throttle) / 100
-		byPressure = append(byPressure, r)
+	for _, r := range runs {
+		total += c.runPressure(image, r) * float64(throttles[r]) / 100
 	}
 	if total <= allowance {
 		return
 	}
-	slices.SortFunc(byPressure, func(a, b *run) int {
+	byPressure := slices.Clone(runs)
+	slices.SortStableFunc(byPressure, func(a, b *run) int {
 		return cmp.Or(cmp.Compare(c.pressurePerCore(image, b), c.pressurePerCore(image, a)), a.orderedAt.Compare(b.orderedAt), cmp.Compare(a.number, b.number))
 	})
 	for _, r := range byPressure {
