cell: exclude no worker on failures of jobs that fail elsewhere too

Cause: failures were counted on the worker once and for all.

Now the health of a worker holds its newest 16 failures with the job of each, and a job counts its failures on sound workers. The failures of a job that fails on sound workers count for the job, also those recorded before, until one of its runs succeeds. - A success shows jobs as hopeless only on a worker that wasn't excluded: otherwise the worker may have recovered. - A job that has succeeded before needs two such failures to be hopeless, and its failure on a worker weighs 2 instead of 1 (limit 3, as before). The dump has FailureWeight instead of FailuresInARow. TestExcludedWorkerIsProbedByOneRun calls recordSuccess instead of the removed recordEnd; its checks are unchanged.

The new tests on the code before: TestWorkerIsReadmittedOnceJobsFailElsewhereToo: 2 != 1 (suspect) TestRecoveryOfExcludedWorkerDoesNotShowHopelessJobs: 0 != 2 (excluded) TestFailuresOfProvenJobsExcludeWorkerSooner: 1 != 2 (excluded) TestOneFailureOfProvenJobDoesNotMakeItHopeless: 1 != 2 (excluded) TestRecordOfFailuresIsBounded fails without the bound (48 != 16).

--- a/internal/version/cell/dump.go
+++ b/internal/version/cell/dump.go
@@ -12,7 +12,7 @@
 		Runs                 int
 		HeardMillis          int64
 		FillBudget           float64
-		FailuresInARow       int
+		FailureWeight        int
 		ImplicatedRuns       int
 	}
 	var workers []workerState
@@ -20,7 +20,7 @@
 		workers = append(workers, workerState{
 			Worker: w.info.ID, Listed: w.registered, Held: w.renewed, Silent: w.unresponsive, Draining: w.info.Draining,
 			Used: w.reserved, Capacity: w.info.Capacity, Runs: len(w.runs), HeardMillis: now.Sub(w.lastResponse).Milliseconds(),
-			FillBudget: w.bestEffort.budgetShare(), FailuresInARow: w.health.failures, ImplicatedRuns: w.implicatedRuns,
+			FillBudget: w.bestEffort.budgetShare(), FailureWeight: w.health.weight(), ImplicatedRuns: w.implicatedRuns,
 		})
 	}
 	states := map[string]int{}
--- a/internal/version/cell/health.go
+++ b/internal/version/cell/health.go
@@ -1,9 +1,8 @@
 package cell
 
 import (
+	"slices"
 	"time"
-
-	"poplarvalve/internal/process/jobspec"
 )
 
 // trustLevel is the degree to which a worker is trusted with new runs.
@@ -19,10 +18,12 @@
 )
 
 const (
-	// excludeAfterFailures is the number of consecutive failures, of different
-	// jobs, after which a worker is excluded. A healthy worker fails about one
-	// run in 40.
+	// excludeAfterFailures is the weight of the consecutive failures, of different jobs,
+	// after which a worker is excluded. The failure of a job that has succeeded before
+	// weighs 2, since it shows more about the worker than that of another job, which
+	// weighs 1. A healthy worker fails about one run in 40.
 	excludeAfterFailures = 3
+	provenJobWeight      = 2
 	// excludePeriod is how long a worker stays excluded. After that it gets one
 	// run at a time until one of them shows whether it has recovered.
 	excludePeriod = 2500 * time.Millisecond
@@ -31,87 +32,154 @@
 	suspectPeriod = 4 * time.Second
 )
 
+// jobHealth tells the failures that a job causes from those that its workers cause. It
+// outlives the job while the health of a worker refers to it.
+type jobHealth struct {
+	// successes is the number of its runs that have succeeded.
+	successes int
+	// failsOnSound counts its failures on sound workers since the last success.
+	failsOnSound int
+}
+
+// hopeless reports whether the job fails on sound workers. One failure may be the
+// worker's after all, if the job has succeeded before.
+func (j *jobHealth) hopeless() bool {
+	return j.failsOnSound >= 2 || j.failsOnSound == 1 && j.successes == 0
+}
+
+// failure is a failure of a job on a worker, or a fault of the worker if job is nil.
+type failure struct {
+	job *jobHealth
+	// successes is the number of runs of the job that had succeeded before.
+	successes int
+	at        time.Time
+	// outdated is set if a run on the worker has succeeded since.
+	outdated bool
+}
+
+// maxFailures is the number of failures that the health of a worker keeps.
+const maxFailures = 16
+
 // health tracks the failures of runs on a worker.
 type health struct {
-	// failures is the number of failures since the last success. Consecutive
-	// failures of the same job count once.
-	failures    int
-	lastJob     jobspec.ID
-	lastFailure time.Time
-	// lastSuccessOrdered is when the newest run was ordered that has succeeded.
-	lastSuccessOrdered time.Time
+	// failures holds the newest failures, of consecutive ones of a job only the last.
+	failures []failure
 }
 
-func (h *health) recordEnd(reason EndReason, job jobspec.ID, now time.Time) {
-	switch reason {
-	case EndSucceeded:
-		h.failures = 0
-	case EndFailed:
-		if h.lastJob != job || h.failures == 0 {
-			h.failures++
-		}
-		h.lastJob = job
-		h.lastFailure = now
+// weight returns how much the failure shows about the worker. A job that fails on sound
+// workers shows nothing.
+func (f failure) weight() int {
+	switch {
+	case f.outdated || f.countsForJob():
+		return 0
+	case f.successes > 0:
+		return provenJobWeight
 	}
+	return 1
+}
+
+// countsForJob reports whether the job is known to have caused the failure.
+func (f failure) countsForJob() bool {
+	return f.job != nil && f.successes == f.job.successes && f.job.hopeless()
 }
 
-// recordRunEnd records the end of a run in the health of its worker. The failure of a
-// job that fails on sound workers shows nothing about the worker.
+// recordRunEnd records the end of a run in the health of its worker and of its job.
 func (r *run) recordRunEnd(reason EndReason, now time.Time) {
-	j, h := r.task.job(), &r.worker.health
+	job, h := r.task.job().health, &r.worker.health
 	switch reason {
 	case EndSucceeded:
-		j.failedOn = nil
-		if r.orderedAt.After(h.lastSuccessOrdered) {
-			h.lastSuccessOrdered = r.orderedAt
-		}
+		job.successes++
+		job.failsOnSound = 0
+		h.recordSuccess(r.orderedAt)
 	case EndFailed:
-		if j.failsOnSoundWorkers() {
-			return
-		}
-		if j.failedOn == nil {
-			j.failedOn = map[*worker]time.Time{}
-		}
-		j.failedOn[r.worker] = now
+		h.recordFailure(job, now)
 	}
-	h.recordEnd(reason, j.id, now)
 }
 
-// failsOnSoundWorkers reports whether the job has failed on a worker on which a run that
-// was ordered later has succeeded, and none of its own runs has succeeded since.
-func (j *job) failsOnSoundWorkers() bool {
-	for w, at := range j.failedOn {
-		if w.health.lastSuccessOrdered.After(at) {
-			return true
+// recordSuccess records the success of a run. Unless the worker was excluded, the run
+// shows that jobs that failed there before it was ordered fail on a sound worker.
+func (h *health) recordSuccess(orderedAt time.Time) {
+	wasSound := h.weight() < excludeAfterFailures
+	kept := h.failures[:0]
+	for _, f := range h.failures {
+		if !orderedAt.After(f.at) {
+			f.outdated = true
+			kept = append(kept, f)
+		} else if wasSound && f.job != nil && f.successes == f.job.successes {
+			f.job.failsOnSound++
 		}
 	}
-	return false
+	clear(h.failures[len(kept):])
+	h.failures = kept
+}
+
+// recordFailure records the failure of a run of a job.
+func (h *health) recordFailure(job *jobHealth, now time.Time) {
+	if last := len(h.failures) - 1; last >= 0 && h.failures[last].job == job {
+		h.failures = h.failures[:last]
+	}
+	h.add(failure{job: job, successes: job.successes, at: now})
 }
 
 // recordFault counts a stalled run, or a start that the worker refused because
 // it is unhealthy.
-func (h *health) recordFault(now time.Time) {
-	h.failures++
-	h.lastJob = ""
-	h.lastFailure = now
+func (h *health) recordFault(now time.Time) { h.add(failure{at: now}) }
+
+func (h *health) add(f failure) {
+	if len(h.failures) == maxFailures {
+		h.failures = slices.Delete(h.failures, 0, 1)
+	}
+	h.failures = append(h.failures, f)
+}
+
+// weight returns the weight of the failures since the last success that count for the
+// worker.
+func (h *health) weight() int {
+	weight := 0
+	for _, f := range h.failures {
+		weight += f.weight()
+	}
+	return weight
+}
+
+// lastFailure returns the time of the newest failure that counts for the worker.
+func (h *health) lastFailure() time.Time {
+	for _, f := range slices.Backward(h.failures) {
+		if f.weight() > 0 {
+			return f.at
+		}
+	}
+	return time.Time{}
 }
 
 // trust returns the degree to which a worker with the given runs is trusted.
 func (w *worker) trust(now time.Time) trustLevel {
-	level := w.health.trust(now)
-	if w.health.failures >= excludeAfterFailures && w.isProbed(now) {
-		return excluded // A run that probes the worker is under way.
+	weight := w.health.weight()
+	if weight == 0 {
+		return trusted
 	}
-	return level
+	last := w.health.lastFailure()
+	age := now.Sub(last)
+	if weight < excludeAfterFailures {
+		if age < suspectPeriod {
+			return suspect
+		}
+		return trusted
+	}
+	if age < excludePeriod || w.isProbed(now, last) {
+		return excluded
+	}
+	return suspect
 }
 
-// isProbed reports whether a run that may show whether the worker has recovered is under
-// way and none has gone on for excludePeriod: tasks that take long would otherwise keep
-// the worker from all others. Long-running tasks show nothing by their end.
-func (w *worker) isProbed(now time.Time) bool {
+// isProbed reports whether a run that may show whether the worker has recovered since its
+// last failure is under way and none has gone on for excludePeriod: tasks that take long
+// would otherwise keep the worker from all others. Long-running tasks show nothing by
+// their end.
+func (w *worker) isProbed(now, lastFailure time.Time) bool {
 	probed := false
 	for _, r := range w.runs {
-		if !r.orderedAt.After(w.health.lastFailure) || r.task.spec().LongRunning {
+		if !r.orderedAt.After(lastFailure) || r.task.spec().LongRunning {
 			continue
 		}
 		if r.phase == running && now.Sub(r.orderedAt) >= excludePeriod {
@@ -121,17 +189,3 @@
 	}
 	return probed
 }
-
-func (h *health) trust(now time.Time) trustLevel {
-	if h.failures == 0 {
-		return trusted
-	}
-	age := now.Sub(h.lastFailure)
-	if h.failures >= excludeAfterFailures && age < excludePeriod {
-		return excluded
-	}
-	if age < suspectPeriod || h.failures >= excludeAfterFailures {
-		return suspect
-	}
-	return trusted
-}
--- a/internal/version/cell/health_test.go
+++ b/internal/version/cell/health_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -25,7 +26,7 @@
 	w.addRun(probe)
 	assert.Equal(t, w.trust(now), excluded, "a probe is under way")
 	w.removeRun(probe)
-	w.health.recordEnd(EndSucceeded, jobA, now)
+	w.health.recordSuccess(now)
 	assert.Equal(t, w.trust(now), trusted)
 }
 
@@ -76,3 +77,95 @@
 	w.health.recordFault(now)
 	assert.Equal(t, w.trust(now), excluded)
 }
+
+// endRun records that a run of the job on the worker ended.
+func endRun(j *job, w *worker, ordered time.Time, reason EndReason) {
+	r := &run{task: j.ensureOccurrence(0).steps[0].tasks[0], worker: w, phase: running, orderedAt: ordered}
+	r.recordRunEnd(reason, ordered.Add(100*time.Millisecond))
+}
+
+func newJobs(count int) []*job {
+	var jobs []*job
+	for i := range count {
+		j := newJob(testRecord(1), testStart)
+		j.id = jobspec.ID(fmt.Sprintf("%016x", i+1))
+		jobs = append(jobs, j)
+	}
+	return jobs
+}
+
+// Sound workers stayed excluded on failures that had been counted before it was known
+// that the jobs fail elsewhere too.
+func TestWorkerIsReadmittedOnceJobsFailElsewhereToo(t *testing.T) {
+	jobs := newJobs(4)
+	proven, other := newWorker(testInfo(testWorker)), newWorker(testInfo(otherWorker))
+	for _, j := range jobs[:3] {
+		endRun(j, other, testStart, EndFailed)
+	}
+	now := testStart.Add(time.Second)
+	assert.Equal(t, other.trust(now), excluded)
+	endRun(jobs[0], proven, testStart, EndFailed)
+	endRun(jobs[1], proven, testStart, EndFailed)
+	endRun(jobs[3], proven, now, EndSucceeded)
+	assert.Equal(t, other.trust(now), suspect, "one job is left that may not have caused its failure")
+	endRun(jobs[0], proven, now, EndSucceeded)
+	assert.Equal(t, other.trust(now), suspect)
+	for _, j := range jobs[:3] {
+		endRun(j, other, now, EndFailed)
+	}
+	assert.Equal(t, other.trust(now.Add(time.Second)), excluded, "a job that has succeeded since may not have caused its failure")
+}
+
+// Jobs that failed on a sick worker counted as hopeless as soon as it recovered, and their
+// failures on other sick workers counted for nothing.
+func TestRecoveryOfExcludedWorkerDoesNotShowHopelessJobs(t *testing.T) {
+	jobs := newJobs(4)
+	recovered, sick := newWorker(testInfo(testWorker)), newWorker(testInfo(otherWorker))
+	for _, j := range jobs[:3] {
+		endRun(j, recovered, testStart, EndFailed)
+	}
+	now := testStart.Add(time.Second)
+	endRun(jobs[3], recovered, now, EndSucceeded)
+	for _, j := range jobs[:3] {
+		endRun(j, sick, now, EndFailed)
+	}
+	assert.Equal(t, sick.trust(now.Add(time.Second)), excluded)
+}
+
+// A sick worker got as many runs of jobs that succeed elsewhere as of jobs of which
+// nothing is known.
+func TestFailuresOfProvenJobsExcludeWorkerSooner(t *testing.T) {
+	jobs := newJobs(4)
+	sound, sick, other := newWorker(testInfo(testWorker)), newWorker(testInfo(otherWorker)), newWorker(testInfo("w3"))
+	endRun(jobs[0], sound, testStart, EndSucceeded)
+	endRun(jobs[0], sick, testStart, EndFailed)
+	endRun(jobs[1], sick, testStart, EndFailed)
+	endRun(jobs[2], other, testStart, EndFailed)
+	endRun(jobs[3], other, testStart, EndFailed)
+	now := testStart.Add(time.Second)
+	assert.Equal(t, sick.trust(now), excluded)
+	assert.Equal(t, other.trust(now), suspect)
+}
+
+// One chance failure beside a success made a job hopeless that had succeeded before, and
+// sick workers went unnoticed.
+func TestOneFailureOfProvenJobDoesNotMakeItHopeless(t *testing.T) {
+	jobs := newJobs(3)
+	sound, sick := newWorker(testInfo(testWorker)), newWorker(testInfo(otherWorker))
+	endRun(jobs[0], sound, testStart, EndSucceeded)
+	now := testStart.Add(time.Second)
+	endRun(jobs[0], sound, now, EndFailed)
+	endRun(jobs[1], sound, now.Add(time.Second), EndSucceeded)
+	endRun(jobs[0], sick, now, EndFailed)
+	endRun(jobs[2], sick, now, EndFailed)
+	assert.Equal(t, sick.trust(now.Add(time.Second)), excluded)
+}
+
+// The record of failures of a worker on which runs fail without end grew without limit.
+func TestRecordOfFailuresIsBounded(t *testing.T) {
+	w := newWorker(testInfo(testWorker))
+	for _, j := range newJobs(3 * maxFailures) {
+		endRun(j, w, testStart, EndFailed)
+	}
+	assert.Equal(t, len(w.health.failures), maxFailures)
+}
--- a/internal/version/cell/job.go
+++ b/internal/version/cell/job.go
@@ -28,9 +28,7 @@
 	occurrences    map[int]*occurrence
 	endedAt        time.Time
 	changed        bool
-	// failedOn holds, for each worker on which a run has failed since the last success,
-	// the time of the last failure there.
-	failedOn map[*worker]time.Time
+	health         *jobHealth
 }
 
 // occurrence is one execution of all steps of a job.
@@ -162,6 +160,7 @@
 		spec:        &spec,
 		terms:       record.Terms,
 		acceptedAt:  acceptedAt,
+		health:      &jobHealth{},
 		state:       Queued,
 		occurrences: map[int]*occurrence{},
 	}
--- a/internal/version/cell/liveness_test.go
+++ b/internal/version/cell/liveness_test.go
@@ -201,7 +201,7 @@
 		line := fmt.Sprintf("%s incarnation %d real %v runs %d crashed %v cut %v listed %v", sw.info.ID, sw.incarnation, sw.info.Capacity, len(sw.runs), sw.crashed, sw.cut, sw.listed != nil)
 		if w != nil {
 			line += fmt.Sprintf(" | known incarnation %d capacity %v reserved %v runs %d registered %v renewed %v unresponsive %v unknownRuns %v blocked %v failures %d trust %v", w.info.Incarnation,
-				w.info.Capacity, w.reserved, len(w.runs), w.registered, w.renewed, w.unresponsive, w.hasUnknownRuns, s.now.Before(w.startsBlockedUntil), w.health.failures, w.trust(s.now))
+				w.info.Capacity, w.reserved, len(w.runs), w.registered, w.renewed, w.unresponsive, w.hasUnknownRuns, s.now.Before(w.startsBlockedUntil), w.health.weight(), w.trust(s.now))
 		}
 		if session := s.sessions[sw.info.ID]; session != nil {
 			line += fmt.Sprintf(" | session token %d worker token %d closed %v", session.token, sw.token, session.closed)
