cell: remember each lost worker, and its suspects while it is known

A crash was never counted if its worker was removed, listed again under its ID and missed its first renewal: the loss of the new entry took the place of the old one. A crash was forgotten, too, if its worker, still listed, came back after more than a minute: the suspects were dropped with the loss.

Losses are kept for each worker and not for each ID, and a worker that the cell still knows keeps its suspects until it answers.

--- a/internal/version/cell/advice_test.go
+++ b/internal/version/cell/advice_test.go
@@ -105,8 +105,7 @@
 		record.Terms.Advice = &AdviceLatency{}
 		c.Submit(testStart, uint64(n), record.ID, &record.Job, record.Terms)
 	}
-	c.TakeEffects(testStart)
-	c.MarkStored(testStart, 1)
+	c.MarkStored(testStart, c.TakeEffects(testStart).Write.Number)
 	assert.Equal(t, len(c.TakeEffects(testStart.Add(retryPause)).Advice), maxCallsInFlight-1)
 }
 
--- a/internal/version/cell/cell.go
+++ b/internal/version/cell/cell.go
@@ -33,7 +33,7 @@
 	registryRead bool
 
 	// lostWorkers holds the workers that became unresponsive.
-	lostWorkers map[WorkerID]*lostWorker
+	lostWorkers []*lostWorker
 
 	readyTasks []*task
 	// needsRanking is set if tasks were added to readyTasks since it was last
@@ -79,13 +79,12 @@
 // New returns an empty cell.
 func New(config Config) *Cell {
 	c := &Cell{
-		config:      config,
-		jobs:        map[jobspec.ID]*job{},
-		workers:     map[WorkerID]*worker{},
-		recovering:  map[WorkerID]bool{},
-		lostWorkers: map[WorkerID]*lostWorker{},
-		durations:   newDurationModel(),
-		pressures:   newPressureModel(),
+		config:     config,
+		jobs:       map[jobspec.ID]*job{},
+		workers:    map[WorkerID]*worker{},
+		recovering: map[WorkerID]bool{},
+		durations:  newDurationModel(),
+		pressures:  newPressureModel(),
 	}
 	c.storedJobs.Store(iradix.New[*job]())
 	return c
@@ -187,11 +186,12 @@
 	}
 }
 
-// storeWorker stores the record of a worker. It takes the place of a removal that was not
-// written yet.
+// storeWorker stores the record of a worker. It takes the place of a removal, or of an
+// earlier record, that was not written yet.
 func (c *Cell) storeWorker(w *worker) {
 	id := w.info.ID
 	c.write.RemovedWorkers = slices.DeleteFunc(c.write.RemovedWorkers, func(removed WorkerID) bool { return removed == id })
+	c.write.Workers = slices.DeleteFunc(c.write.Workers, func(earlier WorkerInfo) bool { return earlier.ID == id })
 	c.write.Workers = append(c.write.Workers, w.info)
 }
 
--- a/internal/version/cell/crash.go
+++ b/internal/version/cell/crash.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"slices"
 	"time"
 )
@@ -63,19 +62,32 @@
 
 // recordLoss remembers a worker that became unresponsive.
 func (c *Cell) recordLoss(now time.Time, w *worker) {
-	c.lostWorkers[w.info.ID] = &lostWorker{worker: w, silentSince: now, answered: w.renewed}
+	c.lostWorkers = slices.DeleteFunc(c.lostWorkers, func(lost *lostWorker) bool { return lost.worker == w })
+	c.lostWorkers = append(c.lostWorkers, &lostWorker{worker: w, silentSince: now, answered: w.renewed})
 }
 
-func (c *Cell) sortedLosses() []WorkerID { return slices.Sorted(maps.Keys(c.lostWorkers)) }
+// findLoss returns the loss of a worker, or nil.
+func (c *Cell) findLoss(w *worker) *lostWorker {
+	for _, lost := range c.lostWorkers {
+		if lost.worker == w {
+			return lost
+		}
+	}
+	return nil
+}
 
-// forgetLosses drops the lost workers that were retained long enough.
+// forgetLosses drops the lost workers that were retained long enough. A worker that the
+// cell still knows keeps its suspects: its next answer shows what became of them.
 func (c *Cell) forgetLosses(now time.Time) {
-	for _, id := range c.sortedLosses() {
-		if lost := c.lostWorkers[id]; now.Sub(lost.silentSince) > lostWorkerRetention {
-			delete(c.lostWorkers, id)
-			c.dropEarlierSuspects(lost.worker)
+	c.lostWorkers = slices.DeleteFunc(c.lostWorkers, func(lost *lostWorker) bool {
+		if now.Sub(lost.silentSince) <= lostWorkerRetention {
+			return false
 		}
-	}
+		if w := lost.worker; c.workers[w.info.ID] != w {
+			c.dropEarlierSuspects(w)
+		}
+		return true
+	})
 }
 
 // addSuspect stores a run with its job, so that a crash under it counts at the next
@@ -129,8 +141,7 @@
 // handleSuccessor handles the first answer of a worker. If other workers at its address
 // were lost, they have ended, and so has all that ran on them.
 func (c *Cell) handleSuccessor(now time.Time, successor *worker) {
-	for _, id := range c.sortedLosses() {
-		lost := c.lostWorkers[id]
+	for _, lost := range c.lostWorkers {
 		w := lost.worker
 		if w.info.Address == successor.info.Address && !w.moved && !lost.judged && !w.isSameIncarnation(successor) {
 			c.handleReplacement(now, w)
@@ -163,8 +174,10 @@
 // judgeCrash implicates the tasks that may have crashed a worker.
 func (c *Cell) judgeCrash(now time.Time, w *worker, suspects []*run) {
 	var lost *lostWorker
-	if found := c.lostWorkers[w.info.ID]; found != nil && found.worker == w && w.unresponsive {
-		lost = found
+	if w.unresponsive {
+		lost = c.findLoss(w)
+	}
+	if lost != nil {
 		lost.judged = true
 	}
 	switch {
@@ -298,14 +311,15 @@
 	if w := c.workers[stored.Worker]; w != nil {
 		return w
 	}
-	lost := c.lostWorkers[stored.Worker]
-	if lost == nil {
-		w := newWorker(WorkerInfo{ID: stored.Worker, Address: stored.Address, Incarnation: stored.Incarnation})
-		w.unresponsive = true
-		lost = &lostWorker{worker: w, silentSince: now}
-		c.lostWorkers[stored.Worker] = lost
+	for _, lost := range c.lostWorkers {
+		if lost.worker.info.ID == stored.Worker && lost.worker.info.Incarnation == stored.Incarnation {
+			return lost.worker
+		}
 	}
-	return lost.worker
+	w := newWorker(WorkerInfo{ID: stored.Worker, Address: stored.Address, Incarnation: stored.Incarnation})
+	w.unresponsive = true
+	c.recordLoss(now, w)
+	return w
 }
 
 // outlastedProbation reports whether the worker has answered a renewal that was sent
