cell: give up no task at two crashes if a rack may have been lost before the term

A job of an innocent task could be shown as failed (LOST): one worker had crashed under it, then its rack was lost, and the leader changed before the verdict. The new leader has not seen the rack before, so that it took the loss for a second crash that nothing else explains.

TestRackLossBeforeTakeOverGivesUpNoTask fails before (failed, wanted completed).

--- a/internal/version/cell/crash.go
+++ b/internal/version/cell/crash.go
@@ -197,8 +197,8 @@
 	}
 	c.effects.CrashedWorkers++
 	blamed, limit := blame(suspects)
-	if withRack {
-		limit = crashLimit
+	if withRack || lost != nil && !lost.answered {
+		limit = crashLimit // The rack may have been lost.
 	}
 	c.addEvent(DecisionEvent{Event: "worker crashed", Worker: w.info.ID, Outcome: fmt.Sprintf("%d tasks implicated", len(blamed))})
 	for _, r := range blamed {
--- a/internal/version/cell/suspects_test.go
+++ b/internal/version/cell/suspects_test.go
@@ -54,3 +54,25 @@
 	f.run(10 * time.Minute)
 	f.checkGivenUp(firstTaskID())
 }
+
+// Guards against giving up an innocent task for one crash and the loss of a rack, because
+// the leader that judges the loss has not seen the rack before.
+func TestRackLossBeforeTakeOverGivesUpNoTask(t *testing.T) {
+	f := newCrashFleet(t, 8)
+	for n, m := range f.machines {
+		m.info.Rack = fmt.Sprint("r", n/4)
+	}
+	f.runTime = 1500 * time.Millisecond
+	f.submit(jobA, 1, nil)
+	f.run(300 * time.Millisecond)
+	firstRun := func() *run { return f.cell.jobs[jobA].occurrences[0].steps[0].tasks[0].runs[0] }
+	f.crash(f.machine(firstRun().worker.info.ID))
+	for f.starts[firstTaskID()] < 2 {
+		f.run(100 * time.Millisecond)
+	}
+	f.loseRack(firstRun().worker.info.Rack)
+	f.run(300 * time.Millisecond)
+	f.takeOver(2)
+	f.run(20 * time.Second)
+	assert.Equal(t, f.state(jobA), Completed)
+}
