cell: store the runs in steps that an earlier leader may have opened

Only tasks of steps that were open when the term began were taken for possibly started.

Now the tasks of any step that an earlier leader may have opened are, when it opens.

TestCrashesInStepThatEachLeaderOpensCount fails before (6 starts, at most 5 wanted).

--- a/internal/version/cell/cell.go
+++ b/internal/version/cell/cell.go
@@ -126,7 +126,6 @@
 	c.authorityEnd = now.Add(c.config.EarlierAuthority)
 	for _, record := range jobs {
 		c.openSteps(now, c.jobs[record.ID])
-		c.jobs[record.ID].assumeStarted()
 	}
 }
 
--- a/internal/version/cell/job.go
+++ b/internal/version/cell/job.go
@@ -340,18 +340,6 @@
 	}
 }
 
-// assumeStarted marks the tasks of all open steps as started by an earlier term, which
-// does not store the first start of a task.
-func (j *job) assumeStarted() {
-	for _, o := range j.occurrences {
-		for _, s := range o.steps {
-			for _, t := range s.tasks {
-				t.mayHaveStarted = s.opened && !t.done
-			}
-		}
-	}
-}
-
 // markDone marks the task as done. The task must not be done already.
 func (t *task) markDone() {
 	t.done = true
--- a/internal/version/cell/schedule.go
+++ b/internal/version/cell/schedule.go
@@ -28,6 +28,7 @@
 		for _, t := range s.tasks {
 			t.located = t.located || untouched
 			t.notDoneEarlier = t.notDoneEarlier || untouched
+			t.mayHaveStarted = t.job().fromEarlierTerm && !untouched
 			c.requeue(now, t)
 		}
 	}
--- a/internal/version/cell/suspects_test.go
+++ b/internal/version/cell/suspects_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"poplarvalve/internal/process/jobspec"
 )
 
 // Guards against a crash that is never counted because its worker was removed, listed
@@ -76,3 +78,34 @@
 	f.run(20 * time.Second)
 	assert.Equal(t, f.state(jobA), Completed)
 }
+
+// Guards against crashes that no leader counts because each of them opened the task's step
+// anew, by an end that it could not store.
+func TestCrashesInStepThatEachLeaderOpensCount(t *testing.T) {
+	f := newCrashFleet(t, 12)
+	for n, m := range f.machines {
+		m.info.Labels = []string{map[bool]string{true: "y", false: "x"}[n == 0]}
+	}
+	f.step()
+	id := TaskID{Job: jobA, Step: 1}
+	f.deadly[id] = true
+	step := jobspec.Step{Count: 1, CPUMillis: 1000, MemoryMB: 100, EstimateMillis: 1000, Label: "y"}
+	next := step
+	next.Label, next.DependsOn = "x", []int{0}
+	spec := jobspec.Job{Steps: []jobspec.Step{step, next}}
+	f.cell.Submit(f.now, 1, jobA, &spec, QueueTerms{Queue: "q", Pool: "pool", Attempts: 3, Stretch: 2})
+	f.run(500 * time.Millisecond)
+	for epoch := int64(2); epoch < 6; epoch++ {
+		f.heldWrites = true
+		for before := f.crashes[id]; f.crashes[id] == before && f.cell.config.Epoch == epoch-1; {
+			f.run(100 * time.Millisecond)
+			if f.now.Sub(testStart) > time.Duration(epoch)*10*time.Second {
+				break
+			}
+		}
+		f.heldWrites = false
+		f.takeOver(epoch)
+	}
+	f.run(60 * time.Second)
+	f.checkGivenUp(id)
+}
