cell: store the incarnation that a worker's first answer tells

The entry is stored when the incarnation becomes known; a newer record of a worker takes the place of one that was not written yet.

--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -24,8 +24,9 @@
 		return
 	}
 	w.lastReportSent = report.Sent
-	if report.Incarnation != 0 {
+	if report.Incarnation != 0 && w.info.Incarnation == 0 {
 		w.info.Incarnation = report.Incarnation
+		c.storeWorker(w)
 	}
 	c.recordResponse(now, w, report.LeaseUntil)
 	listed := make(map[*run]bool, len(report.Running))
--- a/internal/version/cell/suspects_test.go
+++ b/internal/version/cell/suspects_test.go
@@ -109,3 +109,30 @@
 	f.run(60 * time.Second)
 	f.checkGivenUp(id)
 }
+
+// Guards against a crash that the next leader can't see because the registry did not tell
+// the incarnation of the worker.
+func TestCrashCountsIfRegistryDoesNotTellIncarnations(t *testing.T) {
+	for term := time.Second; term < 4*time.Second; term += 200 * time.Millisecond {
+		t.Run(fmt.Sprint(term), func(t *testing.T) {
+			f := newCrashFleet(t, 12)
+			f.keepIDs, f.listedWhileDown = true, true
+			f.cell = New(f.config(1))
+			f.stored.workers = map[WorkerID]WorkerInfo{}
+			infos := f.listed()
+			for i := range infos {
+				infos[i].Incarnation = 0
+			}
+			f.cell.UpdateWorkers(f.now, infos)
+			f.step()
+			f.deadly[firstTaskID()] = true
+			f.submit(jobA, 1, nil)
+			for epoch := int64(2); epoch < 12; epoch++ {
+				f.run(term)
+				f.takeOver(epoch)
+			}
+			f.run(60 * time.Second)
+			f.checkGivenUp(firstTaskID())
+		})
+	}
+}
