cell: store an adopted run of an implicated task as a suspect

The next leader could not count a crash under a run of an implicated task that the present one had adopted, and the run was not kept apart from other implicated tasks.

TestAdoptedRunOfImplicatedTaskIsSuspect fails before (0 suspects, wanted 1).

--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -316,6 +316,10 @@
 	t.runs = append(t.runs, r)
 	t.lastRun = max(t.lastRun, reported.Run)
 	w.addRun(r)
+	if t.implicated() && !unwanted {
+		r.startProbation()
+		c.addSuspect(r)
+	}
 	c.markStarted(t.job())
 	c.addEvent(DecisionEvent{Event: "run adopted", Task: t.id(), Run: reported.Run, Worker: w.info.ID})
 	if unwanted {
--- a/internal/version/cell/suspects_test.go
+++ b/internal/version/cell/suspects_test.go
@@ -136,3 +136,23 @@
 		})
 	}
 }
+
+// Guards against a crash under a run that the next leader has adopted and does not store.
+func TestAdoptedRunOfImplicatedTaskIsSuspect(t *testing.T) {
+	f := newCrashFleet(t, 3)
+	f.runTime = time.Hour
+	f.submit(jobA, 1, nil)
+	f.run(500 * time.Millisecond)
+	for _, m := range f.machines {
+		if len(m.running) > 0 {
+			f.crash(m)
+		}
+	}
+	for f.starts[firstTaskID()] < 2 {
+		f.run(100 * time.Millisecond)
+	}
+	f.takeOver(2)
+	f.run(300 * time.Millisecond)
+	assert.Equal(t, len(f.stored.progress[jobA].Suspects), 1)
+	assert.Assert(t, f.cell.jobs[jobA].occurrences[0].steps[0].tasks[0].runs[0].implicated)
+}
