--- a/internal/version/cell/types.go
+++ b/internal/version/cell/types.go
@@ -17,8 +17,8 @@
 // tasks of earlier terms, it either renews the lease of every worker under its
 // own, higher fencing token, or waits until the leases of unresponsive workers
 // have expired. It does not wait for workers that are stored as idle, nor with
-// tasks that can run on no unresponsive worker. A Cell must be used by one goroutine at a time, except that any
-// goroutine may call Lookup.
+// tasks that can run on no unresponsive worker. A Cell must be used by one
+// goroutine at a time, except that any goroutine may call Lookup.
 package cell
 
 import (
