--- a/internal/version/cell/tick.go
+++ b/internal/version/cell/tick.go
@@ -22,9 +22,8 @@
 
 // expireLeases gives up the runs on an unresponsive worker once their leases
 // have expired. It then marks the worker as idle, or removes it if it is no longer
-// registered. A start order
-// whose outcome is not known yet may have granted a later lease, so it waits for that
-// outcome.
+// registered. A start order whose outcome is not known yet may have granted a later
+// lease, so it waits for that outcome.
 func (c *Cell) expireLeases(now time.Time, w *worker) {
 	if !w.unresponsive || now.Before(w.leaseUntil) || c.recovering[w.info.ID] && now.Before(c.recoveryDeadline) || w.hasStartInFlight() {
 		return
