review: the record of a large job stops all work after a kill (case 5)

'TROUBLE=1 review/5/run.sh' failed five times of five: 21 to 23 accepted jobs stood still for good after one SIGKILL of the leading process. With TROUBLE=0 it passed.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -13,7 +13,7 @@
 )
 
 func main() {
-	cases := map[string]func(){"ends": manyEnds, "crashes": crashes, "images": manyImages}
+	cases := map[string]func(){"ends": manyEnds, "crashes": crashes, "images": manyImages, "large": largeJob}
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil || os.Getenv("RECORD") == "" {
 		fmt.Fprintln(os.Stderr, "usage: RECORD=FILE standin CASE")
 		os.Exit(2)
