entry: log by what authority a leader extends leases, and whom a new one waited out

The incident's logs could not tell a leader without the log that renews leases from a new leader that gives workers up too early. A leader now logs its lease authority and the age of its newest renewal, once a second while the renewal is too old, and a new leader logs the silent workers that it stops waiting for.

--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -51,6 +51,10 @@
 	// lastRenewal is the time at which the last claim or renewal that the log has
 	// accepted was sent.
 	lastRenewal atomic.Pointer[boottime.Moment]
+	// extendedLeases counts the answered renewals that extended the leases of a worker,
+	// since authorityLogged.
+	extendedLeases  atomic.Int64
+	authorityLogged authorityReport
 	// renewalRequests requests a renewal before the next one is due.
 	renewalRequests chan struct{}
 	// fenceRefusals counts the workers that refused a lease renewal as fenced, and
@@ -275,6 +279,7 @@
 	if !l.Authorized() {
 		l.requestRenewal()
 	}
+	l.reportLeaseAuthority(now)
 	l.cell.Tick(now)
 	switch {
 	case l.entry.leaders.knownEpoch(l.term.Cell) > l.term.Epoch:
@@ -349,6 +354,9 @@
 
 // Report implements workerlink.Sink. It passes a worker's report to the cell.
 func (l *leadership) Report(report cell.Report) {
+	if !report.LeaseUntil.IsZero() {
+		l.extendedLeases.Add(1)
+	}
 	l.post(func(now time.Time, c *cell.Cell) { c.ApplyReport(now, report) })
 }
 
--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -34,6 +34,42 @@
 	return l.lastRenewal.Load().Suspended() < suspensionTolerance
 }
 
+// authorityReport is the lease authority that was logged last. The cell's goroutine owns
+// it.
+type authorityReport struct {
+	authority string
+	at        time.Time
+}
+
+// authorityReportPeriod limits the log to one line per period while the authority does
+// not change.
+const authorityReportPeriod = time.Second
+
+// reportLeaseAuthority logs by what this leader extends leases.
+func (l *leadership) reportLeaseAuthority(now time.Time) {
+	authority := l.leaseAuthority()
+	unchanged := authority == l.authorityLogged.authority
+	if unchanged && (authority == authorityRenewal || now.Sub(l.authorityLogged.at) < authorityReportPeriod) {
+		return
+	}
+	l.authorityLogged = authorityReport{authority, now}
+	l.entry.options.Journal.LeaseAuthority(l.term.Cell, l.term.Epoch, authority, l.sinceRenewal(), l.extendedLeases.Swap(0))
+}
+
+const (
+	// authorityRenewal means that the term was renewed recently, and authorityNone that
+	// another instance may lead without this one knowing.
+	authorityRenewal = "renewal"
+	authorityNone    = "none"
+)
+
+func (l *leadership) leaseAuthority() string {
+	if l.sinceRenewal() < startAuthorityPeriod {
+		return authorityRenewal
+	}
+	return authorityNone
+}
+
 // recordFenceRefusal pauses starts until the term is renewed: a worker that refuses an
 // order as fenced may follow a later leader. Only the first refusal of each worker counts,
 // so that a worker that refuses all orders does not stop the others.
--- a/internal/process/logging/journal.go
+++ b/internal/process/logging/journal.go
@@ -186,6 +186,14 @@
 	j.log.Info().Int("cell", cell).Int64("epoch", epoch).Bool("leading", leading).Err(why).Msg("leadership changed")
 }
 
+// LeaseAuthority logs by what a leader extends leases, when that changes and once a
+// second while its newest renewal of the term does not suffice. extended is the number
+// of renewals since the last such line that extended the leases of a worker.
+func (j *Journal) LeaseAuthority(cell int, epoch int64, authority string, renewalAge time.Duration, extended int64) {
+	j.log.Info().Int("cell", cell).Int64("epoch", epoch).Str("authority", authority).
+		Int64("renewal_age_ms", renewalAge.Milliseconds()).Int64("extended", extended).Msg("lease authority")
+}
+
 // Recovered logs how many jobs and workers a new leader of a cell recovered
 // from the log.
 func (j *Journal) Recovered(cell int, epoch int64, jobs, workers int) {
--- a/internal/version/cell/cell.go
+++ b/internal/version/cell/cell.go
@@ -27,6 +27,8 @@
 	// not answered in this term.
 	recovering       map[WorkerID]bool
 	recoveryDeadline time.Time
+	// recoveryEndReported is set once the end of that wait is logged.
+	recoveryEndReported bool
 	// authorityEnd is when no earlier leader starts tasks any more.
 	authorityEnd time.Time
 	// registryRead is set once the registry has been read in this term.
--- a/internal/version/cell/tick.go
+++ b/internal/version/cell/tick.go
@@ -12,6 +12,7 @@
 	for _, w := range c.sortedWorkers() {
 		c.expireLeases(now, w)
 	}
+	c.reportRecoveryEnd(now)
 	c.repeatStops(now)
 	c.relieveServices(now)
 	c.forgetLosses(now)
@@ -46,6 +47,20 @@
 	}
 }
 
+// reportRecoveryEnd logs the workers that the cell stops waiting for: their leases of
+// earlier terms are over.
+func (c *Cell) reportRecoveryEnd(now time.Time) {
+	if c.recoveryEndReported || now.Before(c.recoveryDeadline) {
+		return
+	}
+	c.recoveryEndReported = true
+	for _, w := range c.sortedWorkers() {
+		if c.recovering[w.info.ID] {
+			c.addEvent(DecisionEvent{Event: "worker waited out", Worker: w.info.ID})
+		}
+	}
+}
+
 // stopRepeatPause is the pause before a stop order is repeated.
 const stopRepeatPause = time.Second
 
