entry: tests of a partition with a leader and a worker on the side without the log

A leader on the far side of a partition from the log, together with another instance and a worker, goes on extending the leases of that worker. The next leader waits 7.5 s for it and starts its tasks elsewhere, so that they run twice.

The tests cut links by who dials. A link server does not learn that before the first message, when the link already counts as open, so the dialer of links becomes an option of the instance, as the log and the client of workers are. The daemon sets it to the WebSocket dialer that celllink used until now.

--- a/cmd/poplarvalved/entry.go
+++ b/cmd/poplarvalved/entry.go
@@ -129,6 +129,7 @@
 		Configuration: platform.ConfigurationPartition,
 		Registry:      platform.RegistryPartition,
 		Decoder:       platform.Decoder{},
+		LinkDialer:    peer.WebSocket{},
 		DialWorker: func(info cell.WorkerInfo) workerlink.WorkerClient {
 			return platform.NewWorkerClient(info.Address, client)
 		},
--- a/internal/connection/celllink/link.go
+++ b/internal/connection/celllink/link.go
@@ -99,10 +99,10 @@
 
 // Dial opens a link to the instance at an address. It gives up after
 // dialTimeout.
-func Dial(ctx context.Context, address string, server Server) (*Link, error) {
+func Dial(ctx context.Context, dialer peer.Dialer, address string, server Server) (*Link, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := peer.WebSocket{}.Dial(ctx, address)
+	conn, err := dialer.Dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 	"poplarvalve/internal/connection/cellcodec"
 	"poplarvalve/internal/connection/celllink"
 	"poplarvalve/internal/connection/jobapi"
+	"poplarvalve/internal/connection/peer"
 	"poplarvalve/internal/connection/workerlink"
 	"poplarvalve/internal/process/fault"
 	"poplarvalve/internal/process/logging"
@@ -49,6 +50,8 @@
 	Configuration store.Partition
 	Registry      store.Partition
 	Decoder       Decoder
+	// LinkDialer opens the connections to other instances.
+	LinkDialer peer.Dialer
 	// DialWorker returns a client of a worker.
 	DialWorker func(info cell.WorkerInfo) workerlink.WorkerClient
 	// Advice is the advice service, or nil if the deployment has none.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -50,6 +50,7 @@
 	started uint64
 	// adviser is nil for a deployment without an advice service.
 	adviser *fleet.Adviser
+	network *network
 }
 
 // instance is an entry instance with the servers for its callers and its peers.
@@ -63,7 +64,7 @@
 // deploy starts a log, three workers whose tasks each take taskDuration, and the
 // given number of entry instances.
 func deploy(t *testing.T, instances int, taskDuration time.Duration) *deployment {
-	d := &deployment{t: t, log: fleet.NewLog(), overlaps: fleet.NewOverlapDetector()}
+	d := &deployment{t: t, log: fleet.NewLog(), overlaps: fleet.NewOverlapDetector(), network: &network{}}
 	t.Cleanup(d.log.Close)
 	d.log.AppendRecord("keyed.op", "config", []byte(testManifest))
 	for i := range 3 {
@@ -83,7 +84,8 @@
 	var handler deferredHandler
 	i := &instance{linkServer: httptest.NewServer(&handler)}
 	counters := metrics.NewEntryMetrics()
-	client := &http.Client{Transport: &http.Transport{}}
+	address := i.linkServer.Listener.Addr().String()
+	client := &http.Client{Transport: &caller{d.network, address, &http.Transport{}}}
 	d.started++
 	number := d.started
 	var adviser advice.Service
@@ -91,12 +93,13 @@
 		adviser = platform.NewAdviceClient(d.adviser.Address(), client)
 	}
 	i.entry = entry.New(entry.Options{
-		Self:          election.Holder{Name: fmt.Sprint("e", number), Address: i.linkServer.Listener.Addr().String(), Nonce: number},
+		Self:          election.Holder{Name: fmt.Sprint("e", number), Address: address, Nonce: number},
 		CPUShare:      1,
 		Log:           platform.NewLogClient(d.log.Address(), client),
 		Configuration: platform.ConfigurationPartition,
 		Registry:      platform.RegistryPartition,
 		Decoder:       platform.Decoder{},
+		LinkDialer:    linkDialer{d.network, address},
 		DialWorker: func(info cell.WorkerInfo) workerlink.WorkerClient {
 			return platform.NewWorkerClient(info.Address, client)
 		},
--- a/internal/entry/leaders.go
+++ b/internal/entry/leaders.go
@@ -202,7 +202,7 @@
 	if link := l.liveLink(address); link != nil {
 		return link, nil
 	}
-	link, err := celllink.Dial(ctx, address, l)
+	link, err := celllink.Dial(ctx, l.entry.options.LinkDialer, address, l)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/entry/leaders_test.go
+++ b/internal/entry/leaders_test.go
@@ -9,6 +9,7 @@
 
 	"poplarvalve/internal/connection/cellcodec"
 	"poplarvalve/internal/connection/celllink"
+	"poplarvalve/internal/connection/peer"
 	"poplarvalve/internal/process/logging"
 	"poplarvalve/internal/process/metrics"
 	"poplarvalve/internal/version/election"
@@ -23,7 +24,7 @@
 	counters := metrics.NewEntryMetrics()
 	journal := logging.NewJournal(discardWriter{}, "info", "test", counters.LineDropped)
 	t.Cleanup(journal.Close)
-	return New(Options{Self: election.Holder{Name: "a", Address: "10.0.0.1:1", Nonce: 1}, Journal: journal, Metrics: counters})
+	return New(Options{LinkDialer: peer.WebSocket{}, Self: election.Holder{Name: "a", Address: "10.0.0.1:1", Nonce: 1}, Journal: journal, Metrics: counters})
 }
 
 // A heartbeat must contain the leaders only after a change. Repeated in every heartbeat
--- a/test/fleet/worker.go
+++ b/test/fleet/worker.go
@@ -227,6 +227,9 @@
 	w.server.Close()
 }
 
+// Address returns the IP:port that the worker listens on.
+func (w *Worker) Address() string { return w.server.Listener.Addr().String() }
+
 // DelayRenewals makes each response to a lease renewal arrive after a delay, as on a
 // congested connection. The response describes the worker before the delay.
 func (w *Worker) DelayRenewals(delay time.Duration) {
@@ -285,7 +288,7 @@
 	defer w.mu.Unlock()
 	// The map holds only types that can be encoded.
 	encoded, _ := json.Marshal(map[string]any{
-		"service": w.Pool, "address": w.server.Listener.Addr().String(), "zone": "z1", "state": "ready",
+		"service": w.Pool, "address": w.Address(), "zone": "z1", "state": "ready",
 		"capacity": map[string]int{"cpu": w.cpuMillis, "mem_mb": 64000}, "labels": []string{"a", "r1-1"},
 		"born": w.startedAt.Load().UnixMilli(), "sequence": 1,
 	})
