entry: extend leases without the log only while a majority of voters confirms the term

What callers saw: tasks that must run once ran twice, for up to 50 s. Cause: a leader cut off from the log, with instances and workers on its side of a partition, renewed their leases for as long as nobody told it of the next term. The next leader waits 7.5 s for workers that it does not reach; it took for granted that leases are extended no more 4 s after the last renewal. Class: a right that one side of a partition takes to end by time, and the other side never ends.

Change: the term record names up to nine voters, spread over the availability zones. Heartbeats on links say which term of each cell the sender knows as the newest and echo the time of the newest heartbeat received. Once its newest renewal is 4 s old, a leader extends leases only while a majority of the voters has confirmed within 1.5 s, by the leader's own clock, that it knows no later term, and for at most 30 s. The next leader starts tasks of silent workers only after half of the voters have confirmed its own term (the rest is no majority), plus 1.5 s and a lease, or after the 30 s and a lease; it dials the voters that it has not heard. The claim copies the voters of the record before it; they change only after that, and a list in a renewal without a reply counts beside the stored one. A restarted process confirms no term before it has read the newest one from the log. The end of a lease is fixed before the authority to extend it is checked.

TestLeaderWithoutLogExtendsNoLeaseThatNextLeaderWaitedOut failed before (five tasks in two places) and passes; TestRunningTasksOutlastLongLogOutage passes. It now waits until the term names its voters: before that, which is 0.1 s after the first leader of a deployment, an outage ends the leases as if nobody confirmed.

--- a/cmd/poplarvalved/entry.go
+++ b/cmd/poplarvalved/entry.go
@@ -124,6 +124,7 @@
 	}
 	return entry.Options{
 		Self:          d.self,
+		Zone:          s.Zone,
 		CPUShare:      s.CPUShare,
 		Log:           platform.NewLogClient(s.LogAddress.String(), client),
 		Configuration: platform.ConfigurationPartition,
--- a/internal/connection/cellcodec/cellcodec.go
+++ b/internal/connection/cellcodec/cellcodec.go
@@ -13,6 +13,7 @@
 	"poplarvalve/internal/process/jobspec"
 	"poplarvalve/internal/process/store"
 	"poplarvalve/internal/version/cell"
+	"poplarvalve/internal/version/election"
 	"poplarvalve/internal/version/manifest"
 )
 
@@ -221,6 +222,23 @@
 	LedTerms []LedTerm `cbor:"6,keyasint,omitempty"`
 	// CPUShare is the part of a core that the sender may use.
 	CPUShare float64 `cbor:"7,keyasint,omitempty"`
+	// SentMillis is when the heartbeat was sent, in milliseconds of a clock of the
+	// sender's end of the link, and EchoMillis the newest SentMillis that the sender
+	// has received on the link. Both are 0 if there is none.
+	SentMillis int64 `cbor:"9,keyasint,omitempty"`
+	EchoMillis int64 `cbor:"10,keyasint,omitempty"`
+	// KnownTerms holds the newest term of each cell that the sender knows. A cell is
+	// left out until the sender's process has read its term from the log.
+	KnownTerms []KnownTerm `cbor:"11,keyasint,omitempty"`
+	// Sender describes the sending instance. It is set in the first heartbeat of a link.
+	Sender *election.Voter `cbor:"12,keyasint,omitempty"`
+}
+
+// KnownTerm is the epoch of the newest term of a cell that an instance knows.
+type KnownTerm struct {
+	_     struct{} `cbor:",toarray"`
+	Cell  int
+	Epoch int64
 }
 
 // LedTerm describes the term of a cell that the sender of a heartbeat leads.
--- a/internal/connection/celllink/link.go
+++ b/internal/connection/celllink/link.go
@@ -42,8 +42,10 @@
 	// is the version that the call for the previous heartbeat of this link
 	// returned, or 0; leaders that haven't changed since that version are left out.
 	NextHeartbeat(remote RemoteManifest, lastVersion uint64) (heartbeat cellcodec.LinkHeartbeat, version uint64)
-	// HandleHeartbeat handles a heartbeat received from the other instance.
-	HandleHeartbeat(heartbeat cellcodec.LinkHeartbeat)
+	// HandleHeartbeat handles a heartbeat received from the other instance. What it says
+	// was true after echoed, which is when this end sent the newest heartbeat that the
+	// other instance had received before; it is zero if there is none.
+	HandleHeartbeat(heartbeat cellcodec.LinkHeartbeat, echoed time.Time)
 	// HeartbeatDue returns a channel that is closed when a heartbeat must be sent
 	// before HeartbeatInterval has passed.
 	HeartbeatDue() <-chan struct{}
@@ -75,6 +77,10 @@
 	lastSequence atomic.Uint64
 	// lastReceived is when the newest message arrived, in Unix nanoseconds.
 	lastReceived atomic.Int64
+	// opened is the origin of the times in the heartbeats that this end sends.
+	opened time.Time
+	// remoteSent is the SentMillis of the newest heartbeat received.
+	remoteSent atomic.Int64
 	// remoteManifest is the manifest version that the other instance reported
 	// last, or -1 before its first heartbeat. manifestRequested is set when it has
 	// asked for the manifest. remoteNonce identifies its process; it is 0 before
@@ -129,6 +135,7 @@
 	l := &Link{
 		conn:         conn,
 		server:       server,
+		opened:       time.Now(),
 		pendingCalls: map[uint64]chan cellcodec.Reply{},
 		callSlots:    make(chan struct{}, maxConcurrentCalls),
 		done:         make(chan struct{}),
@@ -239,7 +246,11 @@
 		due := l.server.HeartbeatDue()
 		var heartbeat cellcodec.LinkHeartbeat
 		remote := RemoteManifest{Version: l.remoteManifest.Load(), Requested: l.manifestRequested.Swap(false)}
+		// The echo is read first: the rest of the heartbeat must be newer than it.
+		echo := l.remoteSent.Load()
 		heartbeat, version = l.server.NextHeartbeat(remote, version)
+		heartbeat.EchoMillis = echo
+		heartbeat.SentMillis = time.Since(l.opened).Milliseconds() + 1
 		if err := l.send(cellcodec.Message{Heartbeat: &heartbeat}); err != nil {
 			l.Close()
 			return
@@ -291,7 +302,8 @@
 			l.manifestRequested.Store(true)
 		}
 		l.remoteNonce.Store(message.Heartbeat.Nonce)
-		l.server.HandleHeartbeat(*message.Heartbeat)
+		l.remoteSent.Store(message.Heartbeat.SentMillis)
+		l.server.HandleHeartbeat(*message.Heartbeat, l.echoedTime(message.Heartbeat.EchoMillis))
 	case message.Reply != nil:
 		l.deliver(message.Sequence, *message.Reply)
 	case message.Call != nil:
@@ -299,6 +311,16 @@
 	}
 }
 
+// echoedTime returns the time that an echo stands for, or the zero time if this end has
+// sent no such heartbeat yet.
+func (l *Link) echoedTime(echo int64) time.Time {
+	elapsed := time.Since(l.opened)
+	if echo <= 0 || echo-1 > elapsed.Milliseconds() {
+		return time.Time{}
+	}
+	return l.opened.Add(time.Duration(echo-1) * time.Millisecond)
+}
+
 // deliver passes a reply to the call that waits for it, if there still is one.
 func (l *Link) deliver(sequence uint64, reply cellcodec.Reply) {
 	l.mu.Lock()
--- a/internal/connection/workerlink/session.go
+++ b/internal/connection/workerlink/session.go
@@ -364,7 +364,8 @@
 // of the report is set: the end of the lease that the renewal may have granted.
 func (s *Session) renewLease(ctx context.Context, wait time.Duration, extend bool) (cell.Report, error) {
 	order := RenewalOrder{Grant: s.newGrant(), Wait: wait}
-	if !extend {
+	// The lease must not be extended later than it was allowed, so its end is fixed first.
+	if !extend || !s.sink.Authorized() {
 		order.LeaseUntil = 0
 	}
 	if stored, clock := s.stored.Load(), s.clock.Load(); clock != nil && stored.incarnation == clock.incarnation {
--- /dev/null
+++ b/internal/entry/authority_test.go
@@ -0,0 +1,128 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"poplarvalve/internal/connection/cellcodec"
+	"poplarvalve/internal/connection/celllink"
+	"poplarvalve/internal/version/election"
+	"poplarvalve/test/virtualtime"
+)
+
+var testVoters = []election.Voter{{Address: "10.0.0.1:1"}, {Address: "10.0.0.2:1"}, {Address: "10.0.0.3:1"}}
+
+// hear lets the instance hear another one, number n of testVoters from 1 on, that knows a
+// term and has received a heartbeat that was sent at echoed.
+func hear(l *leaderDirectory, n int, epoch int64, echoed time.Time) {
+	l.HandleHeartbeat(cellcodec.LinkHeartbeat{Nonce: uint64(n), Sender: &testVoters[n-1],
+		KnownTerms: []cellcodec.KnownTerm{{Cell: 0, Epoch: epoch}}}, echoed)
+}
+
+// testTermLeadership returns the leadership of a term with testVoters.
+func testTermLeadership(t *testing.T) *leadership {
+	l := testLeadership(t)
+	l.term = election.Term{Epoch: 5, Voters: testVoters}
+	l.confirmation.start(testVoters)
+	l.confirmation.recoveredAt = time.Now()
+	l.entry.leaders.recordRead(0, 5)
+	return l
+}
+
+// Guards against a leader cut off from the log that extends leases after the next leader has
+// waited them out: tasks ran twice for up to 50 s.
+func TestLeaderWithoutRenewalExtendsLeasesOnlyByMajority(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		l := testTermLeadership(t)
+		defer l.entry.options.Journal.Close()
+		assert.Equal(t, l.leaseAuthority(), election.AuthorityRenewal)
+		time.Sleep(startAuthorityPeriod + time.Millisecond)
+		l.updateConfirmation(time.Now())
+		assert.Assert(t, !l.Authorized(), "no voter but itself has confirmed the term")
+		hear(l.entry.leaders, 2, 5, time.Now())
+		l.updateConfirmation(time.Now())
+		assert.Equal(t, l.leaseAuthority(), election.AuthorityQuorum)
+		time.Sleep(election.ConfirmationMaxAge)
+		l.updateConfirmation(time.Now())
+		assert.Assert(t, !l.Authorized(), "the confirmation is too old")
+		hear(l.entry.leaders, 3, 5, time.Now())
+		l.updateConfirmation(time.Now())
+		assert.Assert(t, l.Authorized())
+		hear(l.entry.leaders, 2, 9, time.Now())
+		assert.Assert(t, !l.Authorized(), "an instance knows a later term")
+	})
+}
+
+// Guards against a leader that goes on for longer than the next leader waits without a
+// majority.
+func TestConfirmedAuthorityIsBounded(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		l := testTermLeadership(t)
+		defer l.entry.options.Journal.Close()
+		time.Sleep(election.MaxConfirmedAuthority + time.Millisecond)
+		hear(l.entry.leaders, 2, 5, time.Now())
+		l.updateConfirmation(time.Now())
+		assert.Assert(t, !l.Authorized())
+	})
+}
+
+// Guards against a confirmation that a slow link or a slow process delivers late: it says
+// nothing about the time after the heartbeat that it answers.
+func TestConfirmationCountsFromHeartbeatItAnswers(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		l := testTermLeadership(t)
+		defer l.entry.options.Journal.Close()
+		sent := time.Now()
+		time.Sleep(startAuthorityPeriod + time.Millisecond)
+		hear(l.entry.leaders, 2, 5, sent)
+		hear(l.entry.leaders, 3, 5, time.Time{})
+		l.updateConfirmation(time.Now())
+		assert.Assert(t, !l.Authorized())
+	})
+}
+
+// Guards against an instance that confirms an earlier term after a restart, although the
+// process before it had confirmed the next one.
+func TestInstanceConfirmsNoTermBeforeItHasReadTheNewest(t *testing.T) {
+	l := testEntry(t).leaders
+	l.recordLeader(cellcodec.Leader{Cell: 0, Epoch: 5, Address: "10.0.0.2:1", Nonce: 2})
+	hear(l, 2, 5, time.Now())
+	heartbeat, _ := l.NextHeartbeat(celllink.RemoteManifest{Version: -1}, 0)
+	assert.Equal(t, len(heartbeat.KnownTerms), 0)
+	l.recordRead(0, 7) // The term of epoch 7 was released, so it has no leader.
+	heartbeat, _ = l.NextHeartbeat(celllink.RemoteManifest{Version: -1}, 0)
+	assert.DeepEqual(t, heartbeat.KnownTerms[0].Epoch, int64(7))
+	hear(l, 3, 9, time.Now())
+	heartbeat, _ = l.NextHeartbeat(celllink.RemoteManifest{Version: -1}, 0)
+	assert.DeepEqual(t, heartbeat.KnownTerms[0].Epoch, int64(9))
+}
+
+// Guards against two lists of voters that have no instance in common: a renewal without a
+// reply may have stored its list, and the voters of an earlier leader must stay until enough
+// of them have confirmed the term.
+func TestVotersChangeOnlyOnceEarlierTermsEnded(t *testing.T) {
+	l := testTermLeadership(t)
+	hear(l.entry.leaders, 2, 3, time.Now())
+	assert.DeepEqual(t, l.nextVoters(testVoters), testVoters)
+	l.confirmation.earlierBlocked.Store(true)
+	stored := testVoters[:1]
+	first := l.nextVoters(stored)
+	assert.Equal(t, len(first), 2)
+	hear(l.entry.leaders, 3, 5, time.Now())
+	assert.DeepEqual(t, l.nextVoters(stored), first)
+	quorum := l.confirmation.quorum.Load()
+	assert.DeepEqual(t, *quorum, election.Quorum{Stored: stored, Proposed: first})
+}
+
+// Guards against bytes of a broken peer in the term record, where every instance reads them.
+func TestOddAddressIsNoVoter(t *testing.T) {
+	d := newVoterDirectory()
+	now := time.Now()
+	long := make([]byte, maxVoterAddressBytes)
+	for i, address := range []string{"", "host", ":1", "10.0.0.1:", string(long) + ":1"} {
+		d.record(now, cellcodec.LinkHeartbeat{Nonce: uint64(i), Sender: &election.Voter{Address: address}}, now)
+	}
+	assert.Equal(t, len(d.heardInstances(now)), 0)
+}
--- a/internal/entry/contain_test.go
+++ b/internal/entry/contain_test.go
@@ -28,6 +28,7 @@
 		fencedBy: map[cell.WorkerID]bool{},
 	}
 	l.lastRenewal.Store(&now)
+	l.confirmation.start(nil)
 	return l
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -37,11 +37,14 @@
 	Worker(record store.Record) (cell.WorkerInfo, error)
 }
 
-// Options holds the settings and dependencies of an Entry. All fields but Advice
-// are required.
+// Options holds the settings and dependencies of an Entry. All fields but Zone and
+// Advice are required.
 type Options struct {
 	// Self identifies this instance in elections.
 	Self election.Holder
+	// Zone is the instance's availability zone, or empty if it is unknown. The voters of
+	// a term are spread over the zones.
+	Zone string
 	// CPUShare is the part of a core that the instance may use.
 	CPUShare float64
 	Log      store.Log
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -132,6 +132,9 @@
 	defer cancel()
 	start := time.Now()
 	current, err := term.Read(ctx, e.options.Log, number)
+	if err == nil {
+		e.leaders.recordRead(number, current.Epoch)
+	}
 	return current, time.Since(start), err
 }
 
--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -54,7 +54,8 @@
 	// extendedLeases counts the answered renewals that extended the leases of a worker,
 	// since authorityLogged.
 	extendedLeases  atomic.Int64
-	authorityLogged authorityReport
+	authorityLogged loggedAuthority
+	confirmation    termConfirmation
 	// renewalRequests requests a renewal before the next one is due.
 	renewalRequests chan struct{}
 	// fenceRefusals counts the workers that refused a lease renewal as fenced, and
@@ -101,6 +102,7 @@
 	}
 	l.lastRenewal.Store(&claimSent)
 	l.renewalEndOffset.Store(heldTerm.EndOffset)
+	l.confirmation.start(heldTerm.Voters)
 	l.spawn(func() { l.renewPeriodically(ctx) })
 	var err error
 	if unexpected := fault.Catch(func() { err = l.recover(ctx) }); unexpected != nil {
@@ -116,6 +118,7 @@
 	e.leaders.setLeadership(heldTerm.Cell, l)
 	l.spawn(func() { l.writer.run(ctx) })
 	l.spawn(func() { l.followRegistry(ctx) })
+	l.spawn(func() { l.announceTerm(ctx) })
 	l.runContained(ctx)
 	e.leaders.setLeadership(heldTerm.Cell, nil)
 	l.shutDown(cancel)
@@ -185,18 +188,13 @@
 	if err != nil {
 		return err
 	}
-	workerLease := min(options.Limits.MaxLease, workerlink.LeaseDuration)
-	l.cell = cell.New(cell.Config{
-		Epoch: l.term.Epoch,
-		// An earlier leader may have renewed its term, or read that it still holds it,
-		// just before the claim.
-		EarlierAuthority:  startAuthorityPeriod + recoveryMargin,
-		RecoveryWait:      startAuthorityPeriod - election.TermLease + workerLease + recoveryMargin,
-		MaxEarlierLease:   workerLease + recoveryMargin,
-		EndedJobRetention: options.Limits.EndedJobRetention,
-		RemoteFactor:      options.Limits.RemoteFactor,
-	})
+	config := earlierTermConfig(min(options.Limits.MaxLease, workerlink.LeaseDuration))
+	config.Epoch = l.term.Epoch
+	config.EndedJobRetention = options.Limits.EndedJobRetention
+	config.RemoteFactor = options.Limits.RemoteFactor
+	l.cell = cell.New(config)
 	now := time.Now()
+	l.confirmation.recoveredAt = now
 	l.cell.Restore(now, state.Jobs, state.Progress, withoutFutureStarts(now, state.Workers))
 	l.cell.RestoreLearned(state.Learned)
 	l.writer.onStored = func(number uint64, took time.Duration) {
@@ -279,10 +277,11 @@
 	if !l.Authorized() {
 		l.requestRenewal()
 	}
+	l.updateConfirmation(now)
 	l.reportLeaseAuthority(now)
 	l.cell.Tick(now)
 	switch {
-	case l.entry.leaders.knownEpoch(l.term.Cell) > l.term.Epoch:
+	case l.entry.leaders.newestKnownEpoch(l.term.Cell) > l.term.Epoch:
 		l.endTerm(errTermReplaced)
 	case l.entry.leaders.isolated():
 		l.stepDown(errIsolated)
--- a/internal/entry/leaders.go
+++ b/internal/entry/leaders.go
@@ -24,6 +24,9 @@
 	byCell    map[int]cellcodec.Leader
 	// ledHere holds the cells that this instance leads.
 	ledHere map[int]*leadership
+	// readEpochs holds the epoch of the newest term of each cell that this process has
+	// read from the log, or has heard of since.
+	readEpochs map[int]int64
 }
 
 // leaderDirectory knows the leader of each cell and keeps the links to the leaders.
@@ -31,6 +34,8 @@
 type leaderDirectory struct {
 	entry *Entry
 	table *publish.Value[leaderTable]
+	// voters holds what other instances confirm.
+	voters *voterDirectory
 	// heartbeatRequests is published to when a heartbeat must be sent on all links
 	// before the next periodic one.
 	heartbeatRequests *publish.Value[struct{}]
@@ -45,7 +50,8 @@
 	// use.
 	cpuShares map[uint64]reportedCPUShare
 	// inboundLinks is the number of links that other instances keep to this one
-	// and maxInboundLinks the highest number since the last resetIsolation.
+	// and maxInboundLinks the highest number while this instance led, since the last
+	// resetIsolation.
 	// lastInboundClosed is the time at which such a link was last closed.
 	inboundLinks      int
 	maxInboundLinks   int
@@ -55,7 +61,8 @@
 func newLeaderDirectory(e *Entry) *leaderDirectory {
 	return &leaderDirectory{
 		entry:             e,
-		table:             publish.New(&leaderTable{byCell: map[int]cellcodec.Leader{}, ledHere: map[int]*leadership{}}),
+		table:             publish.New(&leaderTable{byCell: map[int]cellcodec.Leader{}, ledHere: map[int]*leadership{}, readEpochs: map[int]int64{}}),
+		voters:            newVoterDirectory(),
 		heartbeatRequests: publish.New[struct{}](nil),
 		links:             map[string]*celllink.Link{},
 		renewals:          map[int]election.Renewal{},
@@ -68,7 +75,7 @@
 func (l *leaderDirectory) updateTable(modify func(next *leaderTable) bool) {
 	changed := false
 	l.table.Update(func(current *leaderTable) *leaderTable {
-		next := &leaderTable{current.version + 1, current.cellCount, maps.Clone(current.byCell), maps.Clone(current.ledHere)}
+		next := &leaderTable{current.version + 1, current.cellCount, maps.Clone(current.byCell), maps.Clone(current.ledHere), maps.Clone(current.readEpochs)}
 		if !modify(next) {
 			return current
 		}
@@ -121,6 +128,50 @@
 		}
 		return true
 	})
+	if led != nil {
+		l.countLinksOfLeader()
+	}
+}
+
+// recordRead records the epoch of the newest term of a cell that this process has read from
+// the log, also if the term was released. An instance confirms no term before that: an
+// earlier process at its address may have confirmed a later one.
+func (l *leaderDirectory) recordRead(cell int, epoch int64) {
+	if known, read := l.table.Load().readEpochs[cell]; read && known >= epoch {
+		return
+	}
+	l.updateTable(func(next *leaderTable) bool {
+		known, read := next.readEpochs[cell]
+		next.readEpochs[cell] = max(known, epoch)
+		return !read || known < epoch
+	})
+}
+
+// recordHeard records the epoch of a term that another instance knows. It has no effect
+// before the first recordRead.
+func (l *leaderDirectory) recordHeard(term cellcodec.KnownTerm) {
+	if known, read := l.table.Load().readEpochs[term.Cell]; read && known < term.Epoch {
+		l.recordRead(term.Cell, term.Epoch)
+	}
+}
+
+// newestKnownEpoch returns the epoch of the newest term of a cell that this instance knows,
+// whether it was released or not.
+func (l *leaderDirectory) newestKnownEpoch(cell int) int64 {
+	return l.table.Load().newestKnownEpoch(cell)
+}
+
+func (t *leaderTable) newestKnownEpoch(cell int) int64 {
+	return max(t.byCell[cell].Epoch, t.readEpochs[cell])
+}
+
+// knownTerms returns the terms that this instance may confirm.
+func (t *leaderTable) knownTerms() []cellcodec.KnownTerm {
+	var terms []cellcodec.KnownTerm
+	for cell := range t.readEpochs {
+		terms = append(terms, cellcodec.KnownTerm{Cell: cell, Epoch: t.newestKnownEpoch(cell)})
+	}
+	return terms
 }
 
 // notifyLinks makes each link send a heartbeat at once.
@@ -241,7 +292,10 @@
 // on request only, for the same reason.
 func (l *leaderDirectory) NextHeartbeat(remote celllink.RemoteManifest, lastVersion uint64) (heartbeat cellcodec.LinkHeartbeat, version uint64) {
 	table := l.table.Load()
-	heartbeat = cellcodec.LinkHeartbeat{Cells: table.cellCount, Nonce: l.entry.options.Self.Nonce, CPUShare: l.entry.options.CPUShare}
+	heartbeat = cellcodec.LinkHeartbeat{Cells: table.cellCount, Nonce: l.entry.options.Self.Nonce, CPUShare: l.entry.options.CPUShare, KnownTerms: table.knownTerms()}
+	if lastVersion == 0 {
+		heartbeat.Sender = &election.Voter{Address: l.entry.options.Self.Address, Zone: l.entry.options.Zone}
+	}
 	if table.version != lastVersion {
 		for _, leader := range table.byCell {
 			heartbeat.Leaders = append(heartbeat.Leaders, leader)
@@ -273,13 +327,17 @@
 
 // HandleHeartbeat implements celllink.Server. It records what another instance knows
 // about cells, leaders and the manifest.
-func (l *leaderDirectory) HandleHeartbeat(heartbeat cellcodec.LinkHeartbeat) {
+func (l *leaderDirectory) HandleHeartbeat(heartbeat cellcodec.LinkHeartbeat, echoed time.Time) {
 	if heartbeat.Cells > 0 && heartbeat.Cells <= election.MaxCells && l.Cells() == 0 {
 		l.setCellCount(heartbeat.Cells)
 	}
 	for _, leader := range heartbeat.Leaders {
 		l.recordLeader(leader)
 	}
+	for _, term := range heartbeat.KnownTerms {
+		l.recordHeard(term)
+	}
+	l.voters.record(time.Now(), heartbeat, echoed)
 	l.mu.Lock()
 	l.cpuShares[heartbeat.Nonce] = reportedCPUShare{heartbeat.CPUShare, time.Now()}
 	l.manifestPull.Observe(time.Now(), heartbeat.ManifestVersion)
--- a/internal/entry/leaders_test.go
+++ b/internal/entry/leaders_test.go
@@ -90,10 +90,10 @@
 func TestImpossibleNumberOfCellsIsNotUsed(t *testing.T) {
 	l := testEntry(t).leaders
 	for _, cells := range []int{1 << 40, election.CellsFor(math.MaxInt32) + 1, -1} {
-		l.HandleHeartbeat(cellcodec.LinkHeartbeat{Nonce: 2, Cells: cells})
+		l.HandleHeartbeat(cellcodec.LinkHeartbeat{Nonce: 2, Cells: cells}, time.Time{})
 		assert.Equal(t, l.Cells(), 0)
 	}
-	l.HandleHeartbeat(cellcodec.LinkHeartbeat{Nonce: 2, Cells: 3})
+	l.HandleHeartbeat(cellcodec.LinkHeartbeat{Nonce: 2, Cells: 3}, time.Time{})
 	assert.Equal(t, l.Cells(), 3)
 }
 
--- a/internal/entry/linked.go
+++ b/internal/entry/linked.go
@@ -31,6 +31,14 @@
 	return largest
 }
 
+// countLinksOfLeader starts to count the links of an instance that leads. A leader also opens
+// links to instances that don't lead, which end with its term.
+func (l *leaderDirectory) countLinksOfLeader() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.maxInboundLinks = max(l.maxInboundLinks, l.inboundLinks)
+}
+
 // reportedRenewal returns the renewal that the leader of a term last reported.
 func (l *leaderDirectory) reportedRenewal(cell int, epoch int64) (renewal election.Renewal, found bool) {
 	l.mu.Lock()
@@ -45,7 +53,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.inboundLinks++
-	l.maxInboundLinks = max(l.maxInboundLinks, l.inboundLinks)
+	if len(l.table.Load().ledHere) > 0 {
+		l.maxInboundLinks = max(l.maxInboundLinks, l.inboundLinks)
+	}
 }
 
 // LinkClosed implements celllink.Server. It counts down a link that another instance
--- a/internal/entry/partition_test.go
+++ b/internal/entry/partition_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"testing"
@@ -27,7 +28,8 @@
 )
 
 // deployWithLeases starts a deployment whose workers end their runs when their leases
-// expire, and waits until all instances can serve. durations holds the run time of the
+// expire, and waits until all instances can serve and the term names them as voters.
+// durations holds the run time of the
 // tasks on each of the three workers.
 func deployWithLeases(t *testing.T, durations [3]time.Duration) *deployment {
 	d := deploy(t, 0, 0)
@@ -46,9 +48,29 @@
 			return poll.Continue("an instance is not ready")
 		}, poll.WithTimeout(waitTimeout))
 	}
+	d.awaitVoters(partitionInstances)
 	return d
 }
 
+// awaitVoters waits until the newest term record of cell 0 names a number of voters.
+func (d *deployment) awaitVoters(count int) {
+	d.t.Helper()
+	poll.WaitOn(d.t, func(poll.LogT) poll.Result {
+		encoded, err := json.Marshal(d.leader().entry.Dump())
+		assert.NilError(d.t, err)
+		var state struct {
+			Cell struct {
+				Voters []any `json:"voters"`
+			} `json:"cell-0"`
+		}
+		assert.NilError(d.t, json.Unmarshal(encoded, &state))
+		if len(state.Cell.Voters) == count {
+			return poll.Success()
+		}
+		return poll.Continue("%d voters", len(state.Cell.Voters))
+	}, poll.WithTimeout(waitTimeout))
+}
+
 // submitLongJob submits a job of partitionTasks tasks and waits until all of them run.
 func (d *deployment) submitLongJob(id string) {
 	d.t.Helper()
--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -26,48 +26,12 @@
 const suspensionTolerance = 100 * time.Millisecond
 
 // Authorized implements workerlink.Sink. It reports whether the machine was not
-// suspended since the last renewal. A leader that was suspended may have been
-// replaced, and workers that the next leader has not reached would still follow its
-// orders. It therefore sends no orders until a renewal has shown that its term
-// continues.
+// suspended since the last renewal, and the term was renewed lately or is confirmed by a
+// majority of the voters. Otherwise another instance may lead, and workers that it has not
+// reached would still follow the orders of this one. It therefore sends no orders until a
+// renewal has shown that its term continues.
 func (l *leadership) Authorized() bool {
-	return l.lastRenewal.Load().Suspended() < suspensionTolerance
-}
-
-// authorityReport is the lease authority that was logged last. The cell's goroutine owns
-// it.
-type authorityReport struct {
-	authority string
-	at        time.Time
-}
-
-// authorityReportPeriod limits the log to one line per period while the authority does
-// not change.
-const authorityReportPeriod = time.Second
-
-// reportLeaseAuthority logs by what this leader extends leases.
-func (l *leadership) reportLeaseAuthority(now time.Time) {
-	authority := l.leaseAuthority()
-	unchanged := authority == l.authorityLogged.authority
-	if unchanged && (authority == authorityRenewal || now.Sub(l.authorityLogged.at) < authorityReportPeriod) {
-		return
-	}
-	l.authorityLogged = authorityReport{authority, now}
-	l.entry.options.Journal.LeaseAuthority(l.term.Cell, l.term.Epoch, authority, l.sinceRenewal(), l.extendedLeases.Swap(0))
-}
-
-const (
-	// authorityRenewal means that the term was renewed recently, and authorityNone that
-	// another instance may lead without this one knowing.
-	authorityRenewal = "renewal"
-	authorityNone    = "none"
-)
-
-func (l *leadership) leaseAuthority() string {
-	if l.sinceRenewal() < startAuthorityPeriod {
-		return authorityRenewal
-	}
-	return authorityNone
+	return l.lastRenewal.Load().Suspended() < suspensionTolerance && l.leaseAuthority() != election.NoAuthority
 }
 
 // recordFenceRefusal pauses starts until the term is renewed: a worker that refuses an
@@ -126,9 +90,12 @@
 		renewalSent := boottime.Now()
 		refusals := l.fenceRefusals.Load()
 		heldTerm.LargestCPUShare = max(l.entry.options.CPUShare, l.entry.leaders.largestCPUShare())
-		next, err := l.tryRenew(ctx, heldTerm)
+		attempt := heldTerm
+		attempt.Voters = l.nextVoters(heldTerm.Voters)
+		next, err := l.tryRenew(ctx, attempt)
 		if err == nil {
 			heldTerm = next
+			l.confirmation.quorum.Store(&election.Quorum{Stored: heldTerm.Voters})
 			l.renewalEndOffset.Store(heldTerm.EndOffset)
 			l.lastRenewal.Store(&renewalSent)
 			l.refusalsChecked.Store(refusals)
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -108,7 +108,12 @@
 // dump returns the state of the cell for operators, or nil if the term has ended.
 func (l *leadership) dump() any {
 	result := make(chan any, 1)
-	l.post(func(now time.Time, c *cell.Cell) { result <- c.Dump(now) })
+	l.post(func(now time.Time, c *cell.Cell) {
+		state := c.Dump(now)
+		state["lease_authority"] = l.leaseAuthority()
+		state["voters"] = l.confirmation.quorum.Load().Stored
+		result <- state
+	})
 	select {
 	case state := <-result:
 		return state
--- a/internal/process/logging/journal.go
+++ b/internal/process/logging/journal.go
@@ -194,6 +194,14 @@
 		Int64("renewal_age_ms", renewalAge.Milliseconds()).Int64("extended", extended).Msg("lease authority")
 }
 
+// TermConfirmed logs that no earlier leader of a cell extends leases any more without a
+// renewal of its term: enough of the voters have confirmed the new term, or the longest time
+// for that has passed.
+func (j *Journal) TermConfirmed(cell int, epoch int64, voters int, byVoters bool, waited time.Duration) {
+	j.log.Info().Int("cell", cell).Int64("epoch", epoch).Int("voters", voters).Bool("by_voters", byVoters).
+		Int64("waited_ms", waited.Milliseconds()).Msg("term confirmed")
+}
+
 // Recovered logs how many jobs and workers a new leader of a cell recovered
 // from the log.
 func (j *Journal) Recovered(cell int, epoch int64, jobs, workers int) {
--- a/internal/process/settings/entry.go
+++ b/internal/process/settings/entry.go
@@ -15,6 +15,8 @@
 // multi-step jobs.
 type EntrySettings struct {
 	Name string
+	// Zone is the availability zone of the instance, or empty if it is unknown.
+	Zone string
 	// CallerAddress serves requests of callers, ReadyAddress the load
 	// balancer's readiness checks, LinkAddress the connections of other
 	// instances, and OperatorAddress the metrics and the state dump.
@@ -73,6 +75,7 @@
 	r := &entryReader{file: file, parsed: parsed}
 	s := &EntrySettings{
 		Name:              r.text("instance", "name"),
+		Zone:              parsed.Section("instance").Key("zone").String(),
 		CallerAddress:     r.address("instance", "caller_address"),
 		ReadyAddress:      r.address("instance", "ready_address"),
 		LinkAddress:       r.address("instance", "link_address"),
--- a/internal/version/cell/cell.go
+++ b/internal/version/cell/cell.go
@@ -27,6 +27,7 @@
 	// not answered in this term.
 	recovering       map[WorkerID]bool
 	recoveryDeadline time.Time
+	recoveryStart    time.Time
 	// recoveryEndReported is set once the end of that wait is logged.
 	recoveryEndReported bool
 	// authorityEnd is when no earlier leader starts tasks any more.
@@ -124,13 +125,27 @@
 	for _, record := range progress {
 		c.restoreSuspects(now, record)
 	}
-	c.recoveryDeadline = now.Add(c.config.RecoveryWait)
+	c.recoveryStart = now
+	c.recoveryDeadline = now.Add(max(c.config.RecoveryWait, c.config.UnconfirmedRecoveryWait))
 	c.authorityEnd = now.Add(c.config.EarlierAuthority)
 	for _, record := range jobs {
 		c.openSteps(now, c.jobs[record.ID])
 	}
 }
 
+// EarlierTermsEnded records that no earlier leader extends a lease after at. The wait for
+// silent workers ends with the leases that it extended until then, but not before
+// RecoveryWait.
+func (c *Cell) EarlierTermsEnded(at time.Time) {
+	deadline := at.Add(c.config.MaxEarlierLease)
+	if least := c.recoveryStart.Add(c.config.RecoveryWait); deadline.Before(least) {
+		deadline = least
+	}
+	if deadline.Before(c.recoveryDeadline) {
+		c.recoveryDeadline = deadline
+	}
+}
+
 // acceptedTime converts a stored time. It never returns a time after now: the
 // clock of the earlier leader that stored the time may have run ahead.
 func (c *Cell) acceptedTime(now time.Time, millis int64) time.Time {
--- a/internal/version/cell/dump.go
+++ b/internal/version/cell/dump.go
@@ -3,7 +3,7 @@
 import "time"
 
 // Dump returns the state of the cell for the operators' dump.
-func (c *Cell) Dump(now time.Time) any {
+func (c *Cell) Dump(now time.Time) map[string]any {
 	type workerState struct {
 		Worker               WorkerID
 		Listed, Held, Silent bool
--- a/internal/version/cell/recovery_test.go
+++ b/internal/version/cell/recovery_test.go
@@ -164,3 +164,28 @@
 	assert.Equal(t, len(write.RemovedWorkers), 0)
 	assert.Equal(t, len(write.Workers), 1)
 }
+
+// Guards against two runs of a task: an earlier leader that a majority of the voters confirms
+// extends the leases of workers that only it reaches, for longer than RecoveryWait.
+func TestSilentWorkersAreWaitedForUntilEarlierTermsEnded(t *testing.T) {
+	const bound = 30 * time.Second
+	for name, test := range map[string]struct{ endedAt, startsAt time.Duration }{
+		"never confirmed":           {bound, bound},
+		"confirmed at once":         {0, 8 * time.Second},
+		"confirmed late":            {10 * time.Second, 10*time.Second + testLease},
+		"confirmed after the bound": {bound - time.Second, bound},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := New(Config{Epoch: 5, RecoveryWait: 8 * time.Second, UnconfirmedRecoveryWait: bound, EarlierAuthority: testAuthority,
+				MaxEarlierLease: testLease, EndedJobRetention: time.Minute, RemoteFactor: 1})
+			c.Restore(testStart, []JobRecord{testRecord(1)}, nil, []WorkerInfo{testInfo(testWorker), testInfo(otherWorker)})
+			c.UpdateWorkers(testStart, []WorkerInfo{testInfo(testWorker), testInfo(otherWorker)})
+			c.ApplyReport(testStart, newReport(testWorker, testStart))
+			if test.endedAt < bound {
+				c.EarlierTermsEnded(testStart.Add(test.endedAt))
+			}
+			assert.Assert(t, !c.recoveryDone(testStart.Add(test.startsAt-time.Millisecond)))
+			assert.Assert(t, c.recoveryDone(testStart.Add(test.startsAt)))
+		})
+	}
+}
--- a/internal/version/cell/types.go
+++ b/internal/version/cell/types.go
@@ -459,6 +459,10 @@
 	// RecoveryWait is the longest time that tasks from earlier terms wait for
 	// workers that do not answer.
 	RecoveryWait time.Duration
+	// UnconfirmedRecoveryWait takes the place of RecoveryWait until EarlierTermsEnded is
+	// called. It is the longest time for which an earlier leader may extend leases, and
+	// the length of a lease.
+	UnconfirmedRecoveryWait time.Duration
 	// EarlierAuthority is the longest time for which an earlier leader may still
 	// start tasks.
 	EarlierAuthority time.Duration
--- a/internal/version/election/term.go
+++ b/internal/version/election/term.go
@@ -23,6 +23,8 @@
 	// LargestCPUShare is the largest CPU share, in cores, among the instances known
 	// to the holder, or 0 if it is unknown.
 	LargestCPUShare float64
+	// Voters are the instances that confirm the holder while it can't renew the term.
+	Voters []Voter
 	// EndOffset is the log offset that follows the record.
 	EndOffset int64
 }
