entry: count a renewal whose reply was lost from its first attempt

What callers could see: a task that runs twice after lost replies of the log and a change of leader. Cause: a renewal is refused because an earlier one without a reply is stored; the leader then counted its authority from the refused retry, while the next leader counts from the record, which is older. With attempts at 0 and 0.9 s and a claim at 1.5 s, leases reach 9.4 s and the next leader waits until 9.0 s. Found by the search over a model of the terms (shortest trace: a lost reply, a tick, the resolving read, a claim).

The oldest attempt without an answer counts, and the next renewal follows at once. TestRenewalWithLostReplyCountsFromItsFirstAttempt failed without the line: renew_test.go: 0 (time.Duration) != 1s.

--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -70,52 +70,79 @@
 	l.endTerm(reason)
 }
 
+// renewalState is what is known about the renewals of a term. The goroutine that renews
+// the term owns it.
+type renewalState struct {
+	// held is the term as the log has it, as far as known.
+	held election.Term
+	// firstUnanswered is when the oldest renewal was sent that got no answer since the
+	// last one that did, or nil.
+	firstUnanswered *boottime.Moment
+}
+
 // renewPeriodically renews the term until ctx ends or the instance drains. It ends
 // the leadership if another term has begun.
 func (l *leadership) renewPeriodically(ctx context.Context) {
 	ticker := time.NewTicker(renewalPeriod)
 	defer ticker.Stop()
-	heldTerm := l.term
+	state := renewalState{held: l.term}
 	for {
 		select {
 		case <-ticker.C:
 		case <-l.renewalRequests:
 		case <-l.entry.draining:
-			l.releaseAndStepDown(ctx, heldTerm)
+			l.releaseAndStepDown(ctx, state.held)
 			return
 		case <-ctx.Done():
-			l.releaseIfSteppedDown(heldTerm)
+			l.releaseIfSteppedDown(state.held)
 			return
 		}
-		renewalSent := boottime.Now()
-		refusals := l.fenceRefusals.Load()
-		heldTerm.LargestCPUShare = max(l.entry.options.CPUShare, l.entry.leaders.largestCPUShare())
-		attempt := heldTerm
-		attempt.Voters = l.nextVoters(heldTerm.Voters)
-		next, err := l.tryRenew(ctx, attempt)
-		if err == nil {
-			heldTerm = next
-			l.confirmation.quorum.Store(&election.Quorum{Stored: heldTerm.Voters})
-			l.renewalEndOffset.Store(heldTerm.EndOffset)
-			l.lastRenewal.Store(&renewalSent)
-			l.refusalsChecked.Store(refusals)
-			// Other instances compare the newest record in the log with the one
-			// that the leader reported, to tell a leader that still renews from
-			// one that has ended.
-			l.entry.leaders.notifyLinks()
-			continue
-		}
+		err := l.renew(ctx, &state)
 		if errors.Is(err, errTermReplaced) {
 			l.endTerm(err)
 			return
 		}
-		if ctx.Err() == nil {
-			l.entry.options.Journal.Retrying("renewal of "+cellName(heldTerm.Cell), err)
+		if err != nil && ctx.Err() == nil {
+			l.entry.options.Journal.Retrying("renewal of "+cellName(state.held.Cell), err)
 			time.AfterFunc(renewalRetryPause, l.requestRenewal)
 		}
 	}
 }
 
+// renew tries once to renew the term and records a success.
+func (l *leadership) renew(ctx context.Context, state *renewalState) error {
+	sent := boottime.Now()
+	refusals := l.fenceRefusals.Load()
+	attempt := state.held
+	attempt.LargestCPUShare = max(l.entry.options.CPUShare, l.entry.leaders.largestCPUShare())
+	attempt.Voters = l.nextVoters(state.held.Voters)
+	renewed, earlier, err := l.tryRenew(ctx, attempt)
+	if err != nil {
+		if state.firstUnanswered == nil && store.ReasonOf(err) == store.Unanswered {
+			state.firstUnanswered = &sent
+		}
+		return err
+	}
+	if earlier {
+		// The next leader counts from the record that the log holds, which may be the
+		// oldest renewal without an answer.
+		if state.firstUnanswered != nil {
+			sent = *state.firstUnanswered
+		}
+		l.requestRenewal()
+	}
+	state.held = renewed
+	state.firstUnanswered = nil
+	l.confirmation.quorum.Store(&election.Quorum{Stored: renewed.Voters})
+	l.renewalEndOffset.Store(renewed.EndOffset)
+	l.lastRenewal.Store(&sent)
+	l.refusalsChecked.Store(refusals)
+	// Other instances compare the newest record in the log with the one that the leader
+	// reported, to tell a leader that still renews from one that has ended.
+	l.entry.leaders.notifyLinks()
+	return nil
+}
+
 // releaseAndStepDown gives up the term once the log has recorded the release. If it
 // gave up the term earlier, no other instance could claim the cell while the log is
 // unreachable, and the leases of running tasks would expire.
@@ -183,14 +210,15 @@
 
 // tryRenew tries once to renew the term and returns the term with its new record. If
 // the log already holds a newer record, an earlier renewal without a reply has
-// succeeded or another claim has won. It then returns the term as the log has it, or
-// errTermReplaced.
-func (l *leadership) tryRenew(ctx context.Context, heldTerm election.Term) (election.Term, error) {
+// succeeded or another claim has won. It then returns the term as the log has it, with
+// earlier set, or errTermReplaced.
+func (l *leadership) tryRenew(ctx context.Context, heldTerm election.Term) (renewed election.Term, earlier bool, err error) {
 	callCtx, cancel := context.WithTimeout(ctx, logCallTimeout)
 	defer cancel()
-	next, err := term.Renew(callCtx, l.entry.options.Log, heldTerm)
+	renewed, err = term.Renew(callCtx, l.entry.options.Log, heldTerm)
 	if err == nil || store.ReasonOf(err) != store.EndMismatch {
-		return next, err
+		return renewed, false, err
 	}
-	return l.readHeldTerm(ctx, heldTerm)
+	renewed, err = l.readHeldTerm(ctx, heldTerm)
+	return renewed, true, err
 }
--- a/internal/entry/renew_test.go
+++ b/internal/entry/renew_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -8,7 +9,9 @@
 
 	"poplarvalve/internal/connection/workerlink"
 	"poplarvalve/internal/process/jobspec"
+	"poplarvalve/internal/process/store"
 	"poplarvalve/internal/version/cell"
+	"poplarvalve/test/virtualtime"
 )
 
 // Guards against a replaced leader that starts tasks of workers which it takes for lost,
@@ -37,3 +40,41 @@
 	l.tick()
 	assert.Equal(t, len(l.cell.TakeEffects(now.Add(time.Second)).Starts), 1, "a worker that refuses everything stops no others")
 }
+
+// lostReplyLog stores the first append but loses its reply, and then answers as a log that
+// holds its record.
+type lostReplyLog struct {
+	store.Log
+	stored []store.Record
+}
+
+func (l *lostReplyLog) Append(_ context.Context, _ store.Partition, records []store.Record, _ store.Condition) (int64, error) {
+	if l.stored == nil {
+		l.stored = records
+		l.stored[0].Offset = 10
+		return 0, &store.Error{Reason: store.Unanswered}
+	}
+	return 0, &store.Error{Reason: store.EndMismatch, Expected: 11}
+}
+
+func (l *lostReplyLog) Newest(context.Context, store.Partition) ([]store.Record, int64, error) {
+	return l.stored, 11, nil
+}
+
+// Guards against a leader that counts its authority from a retry, while the next leader counts
+// from the record of the first attempt and waits for too short a time.
+func TestRenewalWithLostReplyCountsFromItsFirstAttempt(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		l := testTermLeadership(t)
+		defer l.entry.options.Journal.Close()
+		l.renewalRequests = make(chan struct{}, 1)
+		l.entry.options.Log = &lostReplyLog{}
+		state := renewalState{held: l.term}
+		assert.Equal(t, store.ReasonOf(l.renew(t.Context(), &state)), store.Unanswered)
+		time.Sleep(time.Second)
+		assert.NilError(t, l.renew(t.Context(), &state))
+		assert.Equal(t, l.sinceRenewal().Round(10*time.Millisecond), time.Second)
+		assert.Equal(t, len(l.renewalRequests), 1, "the next renewal isn't requested at once")
+		assert.Equal(t, state.held.EndOffset, int64(11))
+	})
+}
