cell, platform: a cut list of ends proves nothing about what it leaves out

A worker lists 500 ends at a time. The leader took each report for complete: a run that was neither running nor among the listed ends counted as lost and its task was started again, although it had ended done beyond the page. The next leader took the first page for all that an earlier term had started, and a start without an answer was settled as "did not arrive" by such a page.

The decoder now says whether a report is complete: a list of 500 ends may be cut. Absence from a report that may be cut proves only that the run is over:

- The run stays with its task, with its reserved size, in the new phase "over", until its end is listed or a complete report shows that there is none.
It is not taken for stalled, not blamed for a later crash of the worker, and its duration is not learned.
- A start in doubt stays in doubt.
- A worker keeps tasks of earlier terms waiting until it has sent a complete report, also beyond the recovery wait if it has answered in this term: the wait assumes that leases expire, and this term extends them.

The acknowledgement itself needed no change: the session asks for the next page as soon as the page before is stored. Tests hold that down.

--- a/internal/connection/workerlink/session.go
+++ b/internal/connection/workerlink/session.go
@@ -49,6 +49,8 @@
 	Incarnation int64
 	Running     []cell.RunReport
 	Ended       []cell.RunEnd
+	// Complete is set if Ended lists all ends after the acknowledged one.
+	Complete bool
 }
 
 // WorkerClient is a client of one worker. An error of type *RefusedError means that
@@ -426,6 +428,7 @@
 		Token:       order.Token,
 		Running:     answer.Running,
 		Ended:       answer.Ended,
+		Complete:    answer.Complete,
 	}
 	report.LeaseUntil = order.leaseEnd(sent)
 	return report
--- a/internal/connection/workerlink/session_test.go
+++ b/internal/connection/workerlink/session_test.go
@@ -25,6 +25,8 @@
 	networkDelay time.Duration
 	renewals     []RenewalOrder
 	ended        []cell.RunEnd
+	// maxListed is the number of ends in one answer, or 0 for no limit.
+	maxListed int
 	// openRenewals is the number of lease renewals without an answer.
 	openRenewals atomic.Int64
 }
@@ -34,7 +36,7 @@
 	defer f.openRenewals.Add(-1)
 	f.mu.Lock()
 	f.renewals = append(f.renewals, order)
-	unresponsive, networkDelay, ended := f.unresponsive, f.networkDelay, f.ended
+	unresponsive, networkDelay, ended, maxListed := f.unresponsive, f.networkDelay, f.ended, f.maxListed
 	f.mu.Unlock()
 	if unresponsive {
 		<-ctx.Done()
@@ -58,7 +60,10 @@
 	case <-ctx.Done():
 		return RenewalAnswer{}, ctx.Err()
 	}
-	return RenewalAnswer{Clock: 1000, Incarnation: 1, Ended: listed}, nil
+	if maxListed > 0 && len(listed) > maxListed {
+		listed = listed[:maxListed]
+	}
+	return RenewalAnswer{Clock: 1000, Incarnation: 1, Ended: listed, Complete: maxListed == 0 || len(listed) < maxListed}, nil
 }
 
 func (f *fakeWorker) Start(ctx context.Context, _ Grant, order cell.StartOrder) (int64, error) {
@@ -250,6 +255,45 @@
 	})
 }
 
+// Guards against pages of ends that are not requested any more once the store has been away
+// for a while, and against a report that loses the mark of a page that may be cut.
+func TestPagesOfEndsGoOnOnceEndsAreStored(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		worker, recorder := &fakeWorker{maxListed: 4}, &recordingSink{}
+		for number := int64(1); number <= 10; number++ {
+			worker.ended = append(worker.ended, cell.RunEnd{Number: number, Reason: cell.EndSucceeded})
+		}
+		session := Open(ctx, "w", worker, recorder, 7)
+		newestReport := func() cell.Report {
+			recorder.mu.Lock()
+			defer recorder.mu.Unlock()
+			return recorder.reports[len(recorder.reports)-1]
+		}
+		stored := int64(0)
+		for _, page := range []struct {
+			first, last int64
+			complete    bool
+		}{{1, 4, false}, {5, 8, false}, {9, 10, true}} {
+			time.Sleep(6 * time.Second)
+			report := newestReport()
+			assert.Equal(t, report.Ended[0].Number, page.first)
+			assert.Equal(t, report.Ended[len(report.Ended)-1].Number, page.last)
+			assert.Equal(t, report.Complete, page.complete)
+			for _, order := range worker.receivedRenewals() {
+				assert.Assert(t, order.AcknowledgedEnd <= stored, "end %d was acknowledged while %d ends were stored", order.AcknowledgedEnd, stored)
+			}
+			stored = page.last
+			session.AcknowledgeEnds(1, stored)
+		}
+		time.Sleep(6 * time.Second)
+		assert.Equal(t, len(newestReport().Ended), 0)
+		session.Close()
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // A start order without an answer may have been carried out, so its outcome must
 // be unknown and not refused. Only a report requested with a higher token than
 // the order's can resolve it: under the same token the order might still arrive.
--- a/internal/version/cell/cell.go
+++ b/internal/version/cell/cell.go
@@ -23,10 +23,11 @@
 	// a new version of the tree.
 	storedJobs atomic.Pointer[iradix.Tree[*job]]
 
-	// recovering holds the workers that may have runs of earlier terms and have
-	// not answered in this term.
-	recovering       map[WorkerID]bool
-	recoveryDeadline time.Time
+	// recovering holds the workers that may have runs of earlier terms, or ends of
+	// them, and have sent no complete report in this term. partlyRecovered holds those
+	// of them whose leases this term has extended.
+	recovering, partlyRecovered map[WorkerID]bool
+	recoveryDeadline            time.Time
 	// authorityEnd is when no earlier leader starts tasks any more.
 	authorityEnd time.Time
 	// registryRead is set once the registry has been read in this term.
@@ -85,6 +86,8 @@
 		recovering: map[WorkerID]bool{},
 		durations:  newDurationModel(),
 		pressures:  newPressureModel(),
+
+		partlyRecovered: map[WorkerID]bool{},
 	}
 	c.storedJobs.Store(iradix.New[*job]())
 	return c
--- a/internal/version/cell/cell_test.go
+++ b/internal/version/cell/cell_test.go
@@ -41,7 +41,7 @@
 }
 
 func newReport(worker WorkerID, at time.Time, listed ...RunReport) Report {
-	return Report{Worker: worker, Incarnation: 1, Sent: at, Token: 1, Running: listed}
+	return Report{Worker: worker, Incarnation: 1, Sent: at, Token: 1, Running: listed, Complete: true}
 }
 
 // takeStored returns the effects of all events, and with them the starts that are ordered
--- a/internal/version/cell/crash.go
+++ b/internal/version/cell/crash.go
@@ -154,7 +154,7 @@
 func (c *Cell) handleReplacement(now time.Time, w *worker) {
 	w.replacedAt = now
 	w.unresponsive = true
-	delete(c.recovering, w.info.ID)
+	c.endRecovery(w)
 	c.judgeCrash(now, w, w.crashSuspects())
 	c.dropEarlierSuspects(w)
 	for _, r := range w.runs {
@@ -228,7 +228,7 @@
 	}
 	t.crashes++
 	for _, later := range t.runs {
-		if later != r && !later.outlastedProbation() {
+		if later != r && later.phase != over && !later.outlastedProbation() {
 			later.startProbation()
 			c.addSuspect(later)
 		}
--- a/internal/version/cell/crash_test.go
+++ b/internal/version/cell/crash_test.go
@@ -159,7 +159,7 @@
 		f.cell.MarkUnresponsive(f.now, id, time.Time{})
 		return
 	}
-	report := Report{Worker: id, Incarnation: m.info.Incarnation, Sent: f.now, Token: 1, LeaseUntil: f.now.Add(crashLease), Ended: m.ended}
+	report := Report{Worker: id, Incarnation: m.info.Incarnation, Sent: f.now, Token: 1, LeaseUntil: f.now.Add(crashLease), Ended: m.ended, Complete: true}
 	for _, task := range m.tasks() {
 		report.Running = append(report.Running, RunReport{Task: task, Run: m.running[task].number, Percent: 100})
 	}
@@ -697,7 +697,7 @@
 	sent := f.now
 	f.crash(f.machine(old.worker.info.ID))
 	f.run(f.downFor + time.Second)
-	f.cell.ApplyReport(f.now, Report{Worker: old.worker.info.ID, Incarnation: 1, Sent: sent, Token: 1, Running: []RunReport{{Task: firstTaskID(), Run: 1}}})
+	f.cell.ApplyReport(f.now, Report{Worker: old.worker.info.ID, Incarnation: 1, Sent: sent, Token: 1, Running: []RunReport{{Task: firstTaskID(), Run: 1}}, Complete: true})
 	assert.Equal(t, len(f.cell.jobs[jobA].occurrences[0].steps[0].tasks[0].runs), 1)
 	f.run(time.Second)
 	assert.Equal(t, f.starts[firstTaskID()], 2)
--- a/internal/version/cell/job.go
+++ b/internal/version/cell/job.go
@@ -111,6 +111,8 @@
 	stopping
 	// planned: the start order is issued once the run is stored.
 	planned
+	// over: the worker doesn't run it any more, but has not listed its end yet.
+	over
 )
 
 // run is one start of a task on one worker.
@@ -125,7 +127,7 @@
 	// for a second run.
 	readySince time.Time
 	// runningSince is when the cell learned that the worker has the run. Every
-	// report on a lease renewal sent later lists the run or its end.
+	// complete report on a lease renewal sent later lists the run or its end.
 	runningSince time.Time
 	// startToken is the fencing token of a start order in doubt.
 	startToken  int64
--- a/internal/version/cell/liveness_test.go
+++ b/internal/version/cell/liveness_test.go
@@ -310,21 +310,26 @@
 			return
 		}
 		s.addFault("log up")
-		s.storeDown = false
 		if expire {
 			for _, w := range s.workers {
 				w.listed = nil
 			}
 			s.registryChanged = true
 		}
-		writes := s.delayedWrites
-		s.delayedWrites = nil
-		for _, write := range writes {
-			write()
-		}
+		s.storeUp()
 	})
 }
 
+// storeUp ends an outage of the log.
+func (s *simulation) storeUp() {
+	s.storeDown = false
+	writes := s.delayedWrites
+	s.delayedWrites = nil
+	for _, write := range writes {
+		write()
+	}
+}
+
 func (s *simulation) loseMessages(rate float64) {
 	s.addFault("messages are lost")
 	s.lossRate = rate
@@ -418,6 +423,12 @@
 var firstTokenFlag = flag.Bool("liveness-first-token", false, "open each session of a term with the first token of the term")
 var heldOrdersFlag = flag.Bool("liveness-held-orders", false, "let late orders reach the next incarnation of their worker")
 
+var listedFlag = flag.Int("liveness-listed", testMaxListedEnds, "number of ends that a worker lists at a time; 0 means all")
+
+// listedEnds are the limits with which seeds run that a fault has shown: each limit makes
+// another day of a seed.
+var listedEnds = []int{0, testMaxListedEnds}
+
 // faultKinds are the kinds of faults that a day may have.
 var faultKinds = map[string]func(s *simulation, day time.Duration){
 	"capacity":  func(s *simulation, day time.Duration) { s.every(day, 2000, 8000, s.shrinkCapacity) },
@@ -461,7 +472,9 @@
 func TestNothingRunsTwiceBesideEarlierLeader(t *testing.T) {
 	for kind, seeds := range map[string][]uint64{"crash": {2, 7, 34, 35, 94}, "loss": {12, 32, 35}, "cut": {19, 29}} {
 		for _, seed := range seeds {
-			t.Run(fmt.Sprintf("%s, seed %d", kind, seed), func(t *testing.T) { testLiveness(t, seed, besideEarlierLeader+","+kind) })
+			for _, listed := range listedEnds {
+				t.Run(fmt.Sprintf("%s, seed %d, listed %d", kind, seed, listed), func(t *testing.T) { testLiveness(t, seed, besideEarlierLeader+","+kind, listed) })
+			}
 		}
 	}
 }
@@ -474,7 +487,7 @@
 		first, count = *seedFlag, 1
 	}
 	for seed := first; seed < first+count; seed++ {
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { testLiveness(t, seed, *kindsFlag) })
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { testLiveness(t, seed, *kindsFlag, *listedFlag) })
 	}
 }
 
@@ -482,7 +495,9 @@
 // fail ran on them.
 func TestStartableTasksStartAmongFailingJobs(t *testing.T) {
 	for _, seed := range []uint64{1026, 1027} {
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { testLiveness(t, seed, "failing,failing") })
+		for _, listed := range listedEnds {
+			t.Run(fmt.Sprintf("seed %d, listed %d", seed, listed), func(t *testing.T) { testLiveness(t, seed, "failing,failing", listed) })
+		}
 	}
 }
 
@@ -506,10 +521,12 @@
 }
 
 // testLiveness runs one simulated day with the given kinds of faults, separated by
-// commas, or with some that the seed chooses.
-func testLiveness(t *testing.T, seed uint64, faults string) {
+// commas, or with some that the seed chooses. Workers list so many ends at a time, or all
+// if that is 0.
+func testLiveness(t *testing.T, seed uint64, faults string, listed int) {
 	r := rand.New(rand.NewPCG(seed, 7))
 	s := newSimulation(t, seed, 8+r.IntN(10))
+	s.maxListedEnds = listed
 	s.firstTokenOnly, s.heldOrdersReachNextIncarnation = *firstTokenFlag, *heldOrdersFlag
 	kinds := strings.Split(faults, ",")
 	if faults == "" {
--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -44,6 +44,7 @@
 			c.handleUnlistedRun(now, r, report)
 		}
 	}
+	c.recordRecovery(w, report.Complete)
 	if len(report.Ended) > 0 {
 		c.acknowledge(w)
 	}
@@ -68,7 +69,32 @@
 	}
 	c.dropEarlierSuspects(w)
 	c.markInUse(w)
+}
+
+// recordRecovery notes how much of what an earlier term started a report has shown. If
+// its list of ends is cut, tasks of that term may have ended beyond it.
+func (c *Cell) recordRecovery(w *worker, complete bool) {
+	if !c.recovering[w.info.ID] {
+		return
+	}
+	if complete {
+		c.endRecovery(w)
+	} else {
+		c.partlyRecovered[w.info.ID] = true
+	}
+}
+
+// awaitsFirstAnswer reports whether an earlier leader may still extend the leases of the
+// worker.
+func (c *Cell) awaitsFirstAnswer(w *worker) bool {
+	return c.recovering[w.info.ID] && !c.partlyRecovered[w.info.ID]
+}
+
+// endRecovery notes that the cell knows all that an earlier term started on a worker, or
+// that its leases have expired.
+func (c *Cell) endRecovery(w *worker) {
 	delete(c.recovering, w.info.ID)
+	delete(c.partlyRecovered, w.info.ID)
 }
 
 // acknowledge allows the worker to discard its ends once they are stored.
@@ -116,7 +142,7 @@
 	for _, r := range w.runs {
 		// A start order in flight may still arrive at the new incarnation. A
 		// report under a higher token resolves it.
-		if r.phase == running || r.phase == stopping {
+		if r.hasStarted() || r.phase == over {
 			c.recordLostRun(now, r, "worker restarted")
 		}
 	}
@@ -153,8 +179,12 @@
 }
 
 // handleUnlistedRun removes a run that a report does not list, if the report
-// proves that the run does not exist.
+// proves that the run does not exist and has not ended.
 func (c *Cell) handleUnlistedRun(now time.Time, r *run, report Report) {
+	if !report.Complete {
+		c.markOver(r, report)
+		return
+	}
 	switch r.phase {
 	case inDoubt:
 		if report.Token > r.startToken {
@@ -162,13 +192,22 @@
 			c.requeueUnstarted(now, r)
 			r.task.recordFailedWorker(r.worker)
 		}
-	case running, stopping:
+	case running, stopping, over:
 		if r.runningSince.Before(report.Sent) {
 			c.recordLostRun(now, r, "not listed")
 		}
 	}
 }
 
+// markOver notes that a run has ended, by a report that may not list its end. The run
+// keeps its reserved size until its end is listed.
+func (c *Cell) markOver(r *run, report Report) {
+	if r.hasStarted() && r.runningSince.Before(report.Sent) {
+		r.phase = over
+		c.dropSuspect(r)
+	}
+}
+
 // applyEnd applies one end. It ignores ends that were applied before.
 func (c *Cell) applyEnd(now time.Time, w *worker, end RunEnd) {
 	if end.Number <= w.lastEndNumber {
@@ -179,7 +218,9 @@
 	if r := w.findRun(end.Task, end.Run); r != nil {
 		duration = now.Sub(r.runningSince)
 		r.recordRunEnd(end.Reason, now)
-		c.durations.recordEnd(r, end.Reason, duration)
+		if r.phase != over { // Otherwise it ended some time ago.
+			c.durations.recordEnd(r, end.Reason, duration)
+		}
 		c.removeRun(r)
 	}
 	j := c.jobs[end.Task.Job]
--- a/internal/version/cell/schedule.go
+++ b/internal/version/cell/schedule.go
@@ -80,10 +80,13 @@
 }
 
 // recoveryDone reports whether tasks of earlier terms may be started: every
-// worker that may have runs of those terms has answered, or the recovery wait
-// is over.
+// worker that may have runs of those terms, or ends of them, has reported all, or the
+// recovery wait is over and the leases of the others have expired.
 func (c *Cell) recoveryDone(now time.Time) bool {
-	return c.registryRead && len(c.recovering) == 0 || !now.Before(c.recoveryDeadline)
+	if now.Before(c.recoveryDeadline) {
+		return c.registryRead && len(c.recovering) == 0
+	}
+	return len(c.partlyRecovered) == 0
 }
 
 // mayRunElsewhere reports whether a worker that has not answered in this term may have
--- a/internal/version/cell/simulation_test.go
+++ b/internal/version/cell/simulation_test.go
@@ -66,6 +66,9 @@
 	earlier         *Cell
 	earlierSessions map[WorkerID]*simSession
 	earlierRenewal  time.Time
+	// maxListedEnds is the number of ends that a worker lists at a time, or 0 if it lists
+	// all. cutReports counts the reports that left out ends.
+	maxListedEnds, cutReports int
 	// trace records all decisions; it is printed when a check fails.
 	trace []string
 }
@@ -252,6 +255,8 @@
 	testAuthorityPeriod = 4 * time.Second
 	// testTokensPerTerm is the number of fencing tokens of a term.
 	testTokensPerTerm = 100_000
+	// testMaxListedEnds is small, so that the lists of ends are often cut.
+	testMaxListedEnds = 3
 )
 
 func newSimulation(t *testing.T, seed uint64, workers int) *simulation {
@@ -266,6 +271,9 @@
 		startable:  map[TaskID]time.Time{},
 		lastRunAt:  map[TaskID]time.Time{},
 		writeDelay: 5 * time.Millisecond,
+
+		maxListedEnds: testMaxListedEnds,
+
 		stored: storedState{
 			jobs:     map[jobspec.ID]JobRecord{},
 			progress: map[jobspec.ID]ProgressRecord{},
@@ -631,6 +639,11 @@
 			report.Ended = append(report.Ended, end)
 		}
 	}
+	if s.maxListedEnds > 0 && len(report.Ended) > s.maxListedEnds {
+		report.Ended = report.Ended[:s.maxListedEnds]
+		s.cutReports++
+	}
+	report.Complete = s.maxListedEnds == 0 || len(report.Ended) < s.maxListedEnds
 	return report
 }
 
@@ -1165,6 +1178,7 @@
 // second.
 func BenchmarkSecondOfLoad(b *testing.B) {
 	s := newSimulation(&testing.T{}, 1, 48)
+	s.maxListedEnds = 0
 	s.startTerm()
 	s.advance(time.Second)
 	for range 40 {
--- a/internal/version/cell/tick.go
+++ b/internal/version/cell/tick.go
@@ -25,7 +25,7 @@
 // registered. A start order whose outcome is not known yet may have granted a later
 // lease, so it waits for that outcome.
 func (c *Cell) expireLeases(now time.Time, w *worker) {
-	if !w.unresponsive || now.Before(w.leaseUntil) || c.recovering[w.info.ID] && now.Before(c.recoveryDeadline) || w.hasStartInFlight() {
+	if !w.unresponsive || now.Before(w.leaseUntil) || c.awaitsFirstAnswer(w) && now.Before(c.recoveryDeadline) || w.hasStartInFlight() {
 		return
 	}
 	if len(w.runs) > 0 {
@@ -34,13 +34,13 @@
 	for _, r := range w.runs {
 		c.recordLostRun(now, r, "lease over")
 	}
+	c.endRecovery(w)
 	if w.registered {
 		c.markIdle(w)
 	} else if c.registryRead {
 		delete(c.workers, w.info.ID)
 		c.workersByID = nil
 		c.workersChanged = true
-		delete(c.recovering, w.info.ID)
 		c.write.RemovedWorkers = append(c.write.RemovedWorkers, w.info.ID)
 		c.addEvent(DecisionEvent{Event: "worker gone", Worker: w.info.ID})
 	}
--- a/internal/version/cell/types.go
+++ b/internal/version/cell/types.go
@@ -172,8 +172,13 @@
 	// LeaseUntil is the time by which the leases of all runs on the worker have
 	// expired, unless one of them is extended.
 	LeaseUntil time.Time
-	Running    []RunReport
-	Ended      []RunEnd
+	// Running lists all runs on the worker.
+	Running []RunReport
+	// Ended lists the ends that the worker keeps, those with the lowest numbers first.
+	// Complete is set if none is missing. Otherwise a run that is in neither list may
+	// have ended in any way.
+	Ended    []RunEnd
+	Complete bool
 }
 
 // StartOutcome is the result of sending a start order.
--- a/test/fleet/worker.go
+++ b/test/fleet/worker.go
@@ -10,6 +10,10 @@
 	"time"
 )
 
+// maxListedEnds is the number of ended runs in one reply to a lease renewal. It is the
+// platform's: the adapter recognizes a list that may be cut by its length.
+const maxListedEnds = 500
+
 // Worker emulates one worker over HTTP. Each of its runs takes the time
 // RunDuration and then ends as done.
 type Worker struct {
@@ -34,6 +38,8 @@
 	// column is the number of the end.
 	endedRuns     [][]any
 	lastEndNumber int64
+	// cutReports counts the replies that left out ended runs.
+	cutReports int
 	// highestRun is the highest run identifier of each task that ended or was
 	// stopped. The worker refuses to start that run and earlier ones.
 	highestRun map[string]int64
@@ -256,6 +262,22 @@
 	return w.Started[task]
 }
 
+// EndRuns ends all current runs as done.
+func (w *Worker) EndRuns() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for task, run := range w.runs {
+		w.endRunLocked(task, run.runID, "done")
+	}
+}
+
+// CutReports returns how many replies to lease renewals left out ended runs.
+func (w *Worker) CutReports() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cutReports
+}
+
 // StartedTasks returns how many tasks have started on the worker.
 func (w *Worker) StartedTasks() int {
 	w.mu.Lock()
@@ -465,8 +487,8 @@
 	writeJSON(rw, http.StatusOK, map[string]any{"clock_ms": w.clockMillis()})
 }
 
-// serveLeaseRenewal reports the current runs, and the runs that ended after the
-// last end that the caller has seen. If none has, it waits up to wait_ms for
+// serveLeaseRenewal reports the current runs, and the first maxListedEnds runs that ended
+// after the last end that the caller has seen. If none has, it waits up to wait_ms for
 // one.
 func (w *Worker) serveLeaseRenewal(rw http.ResponseWriter, r *http.Request) {
 	order, accepted := w.acceptOrder(rw, r)
@@ -534,6 +556,10 @@
 			ended = append(ended, row)
 		}
 	}
+	if len(ended) > maxListedEnds {
+		ended = ended[:maxListedEnds]
+		w.cutReports++
+	}
 	return map[string]any{"clock_ms": w.clockMillis(), "born": w.startedAt.Load().UnixMilli(), "running": running, "ended": ended},
 		len(ended), w.runEnded
 }
