--- a/internal/version/cell/cell.go
+++ b/internal/version/cell/cell.go
@@ -23,11 +23,12 @@
 	// a new version of the tree.
 	storedJobs atomic.Pointer[iradix.Tree[*job]]
 
-	// recovering holds the workers that may have runs of earlier terms and have
-	// not answered in this term.
-	recovering       map[WorkerID]bool
-	recoveryDeadline time.Time
-	recoveryStart    time.Time
+	// recovering holds the workers that may have runs of earlier terms, or ends of
+	// them, and have sent no complete report in this term. partlyRecovered holds those
+	// of them whose leases this term has extended.
+	recovering, partlyRecovered map[WorkerID]bool
+	recoveryDeadline            time.Time
+	recoveryStart               time.Time
 	// recoveryEndReported is set once the end of that wait is logged.
 	recoveryEndReported bool
 	// authorityEnd is when no earlier leader starts tasks any more.
@@ -88,6 +89,8 @@
 		recovering: map[WorkerID]bool{},
 		durations:  newDurationModel(),
 		pressures:  newPressureModel(),
+
+		partlyRecovered: map[WorkerID]bool{},
 	}
 	c.storedJobs.Store(iradix.New[*job]())
 	return c
