cell: log the workers that are waited out before their leases are expired

The line came after expireLeases had ended their recovery, so that a silent worker was never named. TestWorkerThatIsWaitedOutIsLogged failed before.

--- a/internal/version/cell/recovery_test.go
+++ b/internal/version/cell/recovery_test.go
@@ -189,3 +189,22 @@
 		})
 	}
 }
+
+// Guards against an end of the wait that the log doesn't show: an overlap could not be traced
+// to the worker that was given up.
+func TestWorkerThatIsWaitedOutIsLogged(t *testing.T) {
+	c := newRecoveringCell(testRecord(1))
+	waitedOut := func(now time.Time) (workers []WorkerID) {
+		c.Tick(now)
+		for _, event := range c.TakeEffects(now).Events {
+			if event.Event == "worker waited out" {
+				workers = append(workers, event.Worker)
+			}
+		}
+		return workers
+	}
+	c.ApplyReport(testStart, newReport(testWorker, testStart))
+	assert.Equal(t, len(waitedOut(testStart.Add(8*time.Second-time.Millisecond))), 0)
+	assert.DeepEqual(t, waitedOut(testStart.Add(8*time.Second)), []WorkerID{otherWorker})
+	assert.Equal(t, len(waitedOut(testStart.Add(9*time.Second))), 0)
+}
--- a/internal/version/cell/tick.go
+++ b/internal/version/cell/tick.go
@@ -9,10 +9,10 @@
 func (c *Cell) Tick(now time.Time) {
 	c.openDueJobs(now)
 	c.saveLearned(now)
+	c.reportRecoveryEnd(now)
 	for _, w := range c.sortedWorkers() {
 		c.expireLeases(now, w)
 	}
-	c.reportRecoveryEnd(now)
 	c.repeatStops(now)
 	c.relieveServices(now)
 	c.forgetLosses(now)
@@ -55,7 +55,7 @@
 	}
 	c.recoveryEndReported = true
 	for _, w := range c.sortedWorkers() {
-		if c.recovering[w.info.ID] {
+		if c.awaitsFirstAnswer(w) {
 			c.addEvent(DecisionEvent{Event: "worker waited out", Worker: w.info.ID})
 		}
 	}
