--- a/internal/connection/workerlink/session_test.go
+++ b/internal/connection/workerlink/session_test.go
@@ -356,3 +356,33 @@
 		assert.Equal(t, s.newGrant().LeaseUntil, 1500+LeaseDuration.Milliseconds())
 	})
 }
+
+// Guards against a lease end that is lost with an abandoned renewal: the runs would be given up
+// and started again while their lease runs on.
+func TestAbandonedRenewalKeepsItsLeaseEnd(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		worker, recorder := &fakeWorker{}, &recordingSink{}
+		session := Open(ctx, "w", worker, recorder, 7)
+		time.Sleep(2*idleWait + idleWait/2)
+		sent := time.Now().Add(-idleWait / 2)
+		renewals := len(worker.receivedRenewals())
+		assert.Assert(t, worker.receivedRenewals()[renewals-1].LeaseUntil > 0)
+		recorder.unauthorized.Store(true)
+		session.Resolve()
+		synctest.Wait()
+		assert.Equal(t, len(worker.receivedRenewals()), renewals+1)
+		recorder.mu.Lock()
+		known := time.Time{}
+		for _, report := range recorder.reports {
+			if report.LeaseUntil.After(known) {
+				known = report.LeaseUntil
+			}
+		}
+		recorder.mu.Unlock()
+		assert.Assert(t, !known.Before(latestLeaseEnd(sent)), "the abandoned renewal extended the lease until %v, reported is %v", latestLeaseEnd(sent), known)
+		session.Close()
+		cancel()
+		synctest.Wait()
+	})
+}
