cell: take a lease as over only once the term was renewed after its end

What callers saw: a task runs twice. Cause, of the same class as the leases of a cut-off leader: a leader gave up the runs on a silent worker when their leases were over by its own clock, and started their tasks again, for up to 4 s after its last renewal of the term. A next leader may have claimed the cell 1.1 s after that renewal and extended the same leases. The wait for silent workers of earlier terms ended in the same way.

A lease, or that wait, now counts as over only once a renewal of the term was accepted that was sent after its end: no later term had begun then. The leader asks for that renewal at once, so that the delay is one call to the log.

Tests of expiring leases now renew the term first, as a leader does. Found by review.

--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -280,6 +280,9 @@
 	l.updateConfirmation(now)
 	l.reportLeaseAuthority(now)
 	l.cell.Tick(now)
+	if l.cell.AwaitsRenewal() {
+		l.requestRenewal()
+	}
 	switch {
 	case l.entry.leaders.newestKnownEpoch(l.term.Cell) > l.term.Epoch:
 		l.endTerm(errTermReplaced)
--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -137,6 +137,7 @@
 	l.renewalEndOffset.Store(renewed.EndOffset)
 	l.lastRenewal.Store(&sent)
 	l.refusalsChecked.Store(refusals)
+	l.post(func(_ time.Time, c *cell.Cell) { c.TermRenewed(sent.Time()) })
 	// Other instances compare the newest record in the log with the one that the leader
 	// reported, to tell a leader that still renews from one that has ended.
 	l.entry.leaders.notifyLinks()
--- a/internal/process/boottime/boottime.go
+++ b/internal/process/boottime/boottime.go
@@ -46,6 +46,9 @@
 	return now.at.Sub(m.at) + now.suspended - m.suspended
 }
 
+// Time returns the reading of the local clock at m.
+func (m Moment) Time() time.Time { return m.at }
+
 // Suspended returns how long the machine has been suspended since m.
 func (m Moment) Suspended() time.Duration { return Now().suspended - m.suspended }
 
--- a/internal/version/cell/cell.go
+++ b/internal/version/cell/cell.go
@@ -31,6 +31,9 @@
 	recoveryStart               time.Time
 	// recoveryEndReported is set once the end of that wait is logged.
 	recoveryEndReported bool
+	// renewedAt is when the newest renewal of the term that the log has accepted was sent.
+	renewedAt     time.Time
+	awaitsRenewal bool
 	// authorityEnd is when no earlier leader starts tasks any more.
 	authorityEnd time.Time
 	// registryRead is set once the registry has been read in this term.
@@ -149,6 +152,35 @@
 	}
 }
 
+// TermRenewed records that the log has accepted a renewal of the term that was sent at sent.
+// No later term had begun then.
+func (c *Cell) TermRenewed(sent time.Time) {
+	if sent.After(c.renewedAt) {
+		c.renewedAt = sent
+	}
+}
+
+// isOver reports whether a time has passed, and a renewal of the term was sent after it.
+// Without the renewal, a later leader may have extended what ended then by the clock.
+func (c *Cell) isOver(now, end time.Time) bool {
+	if now.Before(end) {
+		return false
+	}
+	if c.renewedAt.Before(end) {
+		c.awaitsRenewal = true
+		return false
+	}
+	return true
+}
+
+// AwaitsRenewal reports whether a decision has waited for the next renewal of the term since
+// the last call.
+func (c *Cell) AwaitsRenewal() bool {
+	awaits := c.awaitsRenewal
+	c.awaitsRenewal = false
+	return awaits
+}
+
 // acceptedTime converts a stored time. It never returns a time after now: the
 // clock of the earlier leader that stored the time may have run ahead.
 func (c *Cell) acceptedTime(now time.Time, millis int64) time.Time {
--- a/internal/version/cell/cell_test.go
+++ b/internal/version/cell/cell_test.go
@@ -72,6 +72,7 @@
 	c.Tick(now)
 	assert.Equal(t, len(takeStarts(c, now)), 0)
 	now = testStart.Add(testLease)
+	c.TermRenewed(now)
 	c.Tick(now)
 	assert.Equal(t, len(takeStarts(c, now)), 1, "the lease has expired")
 }
@@ -181,6 +182,7 @@
 	c.ApplyStartResult(now, StartResult{Worker: order.Worker, Task: order.Task, Run: order.Run, Outcome: StartUnknown, LeaseUntil: now.Add(testLease)})
 	c.Tick(now.Add(testLease - 1))
 	assert.Equal(t, len(takeStarts(c, now.Add(testLease-1))), 0, "the run may still have its lease")
+	c.TermRenewed(now.Add(testLease))
 	c.Tick(now.Add(testLease))
 	assert.Equal(t, len(takeStarts(c, now.Add(testLease))), 1)
 }
@@ -200,10 +202,29 @@
 	c.MarkUnresponsive(now, order.Worker, time.Time{})
 	c.Tick(leaseUntil.Add(-1))
 	assert.Equal(t, len(takeStarts(c, leaseUntil.Add(-1))), 0)
+	c.TermRenewed(leaseUntil)
 	c.Tick(leaseUntil)
 	assert.Equal(t, len(takeStarts(c, leaseUntil)), 1)
 }
 
+// Guards against two runs of a task: a leader that does not reach the log gives up a silent
+// worker by its clock, while the next leader has adopted the run and extends its lease.
+func TestLeaseIsNotOverBeforeTermIsRenewed(t *testing.T) {
+	c := newRestoredCell(testRecord(3))
+	c.ApplyReport(testStart, newReport(testWorker, testStart, RunReport{Task: firstTaskID(), Run: 1}))
+	c.ApplyReport(testStart, newReport(otherWorker, testStart))
+	c.MarkUnresponsive(testStart, testWorker, time.Time{})
+	end := testStart.Add(testLease)
+	c.TermRenewed(end.Add(-1))
+	now := end.Add(time.Second)
+	c.Tick(now)
+	assert.Equal(t, len(takeStarts(c, now)), 0, "the term may have ended before the lease")
+	assert.Assert(t, c.AwaitsRenewal())
+	c.TermRenewed(end)
+	c.Tick(now)
+	assert.Equal(t, len(takeStarts(c, now)), 1)
+}
+
 // A start order without an answer may still arrive later. Only a report under a
 // higher token proves that it can't; starting the task before that could run it
 // twice.
--- a/internal/version/cell/crash_test.go
+++ b/internal/version/cell/crash_test.go
@@ -120,6 +120,7 @@
 	for _, w := range f.cell.Workers() {
 		f.renew(w.ID)
 	}
+	f.cell.TermRenewed(f.now)
 	f.cell.Tick(f.now)
 	effects := f.cell.TakeEffects(f.now)
 	f.store(effects.Write)
@@ -735,6 +736,7 @@
 	f.cell.MarkUnresponsive(f.now, info.ID, f.now.Add(crashLease))
 	f.cell.MarkReplaced(f.now, info.ID)
 	assert.Equal(t, len(takeStarts(f.cell, f.now)), 0)
+	f.cell.TermRenewed(f.now.Add(crashLease))
 	f.cell.Tick(f.now.Add(crashLease))
 	assert.Equal(t, len(takeStarts(f.cell, f.now.Add(crashLease))), 1)
 }
--- a/internal/version/cell/recovery_test.go
+++ b/internal/version/cell/recovery_test.go
@@ -54,7 +54,9 @@
 	c := newRecoveringCell(testRecord(3))
 	assert.Equal(t, len(sightAndEnd(c, testAuthority-time.Millisecond, 2, EndStopped)), 0)
 	now := testStart.Add(8 * time.Second)
-	assert.Equal(t, len(takeStarts(c, now)), 1)
+	assert.Equal(t, len(takeStarts(c, now)), 0, "the term may have ended before the wait")
+	c.TermRenewed(now)
+	assert.Equal(t, len(takeStarts(c, now.Add(retryPause))), 1)
 }
 
 // Guards against a step that waits for silent workers although no earlier leader has
@@ -136,6 +138,7 @@
 	inUse := c.TakeEffects(testStart).Write
 	c.MarkUnresponsive(testStart, testWorker, time.Time{})
 	now := testStart.Add(testLease)
+	c.TermRenewed(now)
 	c.Tick(now)
 	idle := c.TakeEffects(now).Write
 	assert.Equal(t, idle.Workers[0].Idle, true)
@@ -184,7 +187,9 @@
 			if test.endedAt < bound {
 				c.EarlierTermsEnded(testStart.Add(test.endedAt))
 			}
+			c.TermRenewed(testStart.Add(test.startsAt - time.Millisecond))
 			assert.Assert(t, !c.recoveryDone(testStart.Add(test.startsAt-time.Millisecond)))
+			c.TermRenewed(testStart.Add(test.startsAt))
 			assert.Assert(t, c.recoveryDone(testStart.Add(test.startsAt)))
 		})
 	}
@@ -195,6 +200,7 @@
 func TestWorkerThatIsWaitedOutIsLogged(t *testing.T) {
 	c := newRecoveringCell(testRecord(1))
 	waitedOut := func(now time.Time) (workers []WorkerID) {
+		c.TermRenewed(now)
 		c.Tick(now)
 		for _, event := range c.TakeEffects(now).Events {
 			if event.Event == "worker waited out" {
--- a/internal/version/cell/schedule.go
+++ b/internal/version/cell/schedule.go
@@ -83,7 +83,7 @@
 // worker that may have runs of those terms, or ends of them, has reported all, or the
 // recovery wait is over and the leases of the others have expired.
 func (c *Cell) recoveryDone(now time.Time) bool {
-	if now.Before(c.recoveryDeadline) {
+	if !c.isOver(now, c.recoveryDeadline) {
 		return c.registryRead && len(c.recovering) == 0
 	}
 	return len(c.partlyRecovered) == 0
--- a/internal/version/cell/simulation_test.go
+++ b/internal/version/cell/simulation_test.go
@@ -422,6 +422,7 @@
 	}
 	if !s.storeDown && c == s.cell {
 		s.lastRenewal = s.now
+		c.TermRenewed(s.now)
 	}
 	renewal := s.lastRenewal
 	if c == s.earlier {
--- a/internal/version/cell/tick.go
+++ b/internal/version/cell/tick.go
@@ -26,7 +26,14 @@
 // registered. A start order whose outcome is not known yet may have granted a later
 // lease, so it waits for that outcome.
 func (c *Cell) expireLeases(now time.Time, w *worker) {
-	if !w.unresponsive || now.Before(w.leaseUntil) || c.awaitsFirstAnswer(w) && now.Before(c.recoveryDeadline) || w.hasStartInFlight() {
+	if !w.unresponsive || now.Before(w.leaseUntil) || w.hasStartInFlight() {
+		return
+	}
+	end := w.leaseUntil
+	if c.awaitsFirstAnswer(w) && end.Before(c.recoveryDeadline) {
+		end = c.recoveryDeadline
+	}
+	if !c.isOver(now, end) {
 		return
 	}
 	if len(w.runs) > 0 {
@@ -50,7 +57,7 @@
 // reportRecoveryEnd logs the workers that the cell stops waiting for: their leases of
 // earlier terms are over.
 func (c *Cell) reportRecoveryEnd(now time.Time) {
-	if c.recoveryEndReported || now.Before(c.recoveryDeadline) {
+	if c.recoveryEndReported || !c.isOver(now, c.recoveryDeadline) {
 		return
 	}
 	c.recoveryEndReported = true
--- a/internal/version/cell/waiting_test.go
+++ b/internal/version/cell/waiting_test.go
@@ -35,6 +35,7 @@
 	assert.Equal(t, len(waitingEvents(c.TakeEffects(now))), 0)
 
 	now = testStart.Add(8 * time.Second)
+	c.TermRenewed(now)
 	c.Tick(now)
 	assert.DeepEqual(t, waitingEvents(c.TakeEffects(now)), []string{"1 not renewed, 1 draining"})
 }
