workerlink: keep the end of the lease that an abandoned renewal granted

A renewal that is abandoned for a report with a higher token may have extended the lease. If the renewal in its place extended none and was answered, the end of the first one was dropped, and the runs counted as lost up to 1.4 s early. Found by review.

--- a/internal/connection/workerlink/session.go
+++ b/internal/connection/workerlink/session.go
@@ -389,8 +389,8 @@
 	case <-s.resolveSignal:
 		renewal.cancel()
 		report, err := s.renewLease(ctx, 0, extend)
-		if err != nil && report.LeaseUntil.IsZero() {
-			report.LeaseUntil = order.leaseEnd(renewal.sent)
+		if end := order.leaseEnd(renewal.sent); end.After(report.LeaseUntil) {
+			report.LeaseUntil = end
 		}
 		return report, err
 	}
