entry: read the term once also if the leader is heard of first

What operators would see: after rolling restarts, running work lapses in an outage of the log, since the restarted instances confirm no term. Cause: an instance that the leader reaches before its first read of the term keeps to its link and never reads it. It now reads the term in any case. TestInstanceThatHearsOfTheLeaderFirstReadsTheTerm failed before. Found by review.

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -48,6 +48,7 @@
 func (e *Entry) followCell(ctx context.Context, number int) {
 	var observation election.TermObservation
 	var backoff pollBackoff
+	e.spawn(func() { e.readFirstTerm(ctx, number) })
 	for ctx.Err() == nil {
 		if e.leaders.isolated() {
 			// Let an instance lead that the others can reach.
@@ -69,6 +70,18 @@
 	}
 }
 
+// readFirstTerm reads the cell's term until that has succeeded once. Before that the instance
+// confirms no term, and it reads none while it is linked to a leader of which it has heard.
+func (e *Entry) readFirstTerm(ctx context.Context, number int) {
+	var backoff pollBackoff
+	backoff.wait(ctx, nil) // The instance reads the term at once unless it knows a leader.
+	for ctx.Err() == nil && !e.leaders.hasRead(number) {
+		if _, _, err := e.readTerm(ctx, number); err != nil {
+			backoff.wait(ctx, err)
+		}
+	}
+}
+
 // pollBackoff counts the consecutive reads that the log refused in order to limit
 // the rate of calls.
 type pollBackoff struct{ rateLimited int }
--- a/internal/entry/leaders.go
+++ b/internal/entry/leaders.go
@@ -147,6 +147,12 @@
 	})
 }
 
+// hasRead reports whether this process has read the term of a cell from the log.
+func (l *leaderDirectory) hasRead(cell int) bool {
+	_, read := l.table.Load().readEpochs[cell]
+	return read
+}
+
 // recordHeard records the epoch of a term that another instance knows. It has no effect
 // before the first recordRead.
 func (l *leaderDirectory) recordHeard(term cellcodec.KnownTerm) {
