entry: a cut read of the registry is not taken for the whole

A poll of the registry passed on what one read returned. Tasks were started there until a later poll.

A poll now reads up to the end of the registry before it passes anything on, and keeps what has changed until it could be passed on. This costs one read more at the beginning of a term. Records that are no longer kept are read again once in a poll, as before.

The stand-in for the log cuts reads at max_kb, like the platform.

--- a/internal/entry/registry.go
+++ b/internal/entry/registry.go
@@ -19,7 +19,9 @@
 	// be read again.
 	nextOffset int64
 	// workers holds the newest entry of each worker that could be decoded.
-	workers   map[string]cell.WorkerInfo
+	workers map[string]cell.WorkerInfo
+	// changed is set while workers differs from what poll last returned.
+	changed   bool
 	reachable bool
 }
 
@@ -32,44 +34,63 @@
 func (r *registryReader) poll(ctx context.Context) (infos []cell.WorkerInfo, changed bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, logCallTimeout)
 	defer cancel()
-	changed, err = r.read(ctx)
+	err = r.read(ctx)
 	if (err == nil) != r.reachable && ctx.Err() != context.Canceled {
 		r.reachable = err == nil
 		r.entry.options.Journal.DependencyChanged("worker registry", r.reachable, err)
 	}
-	if err != nil || !changed {
+	if err != nil || !r.changed {
 		return nil, false, err
 	}
+	r.changed = false
 	for _, info := range r.workers {
 		infos = append(infos, info)
 	}
 	return withoutFutureStarts(time.Now(), infos), true, nil
 }
 
-// read reads the records from nextOffset on. If they are no longer retained, it
-// reads the newest record of each worker instead.
-func (r *registryReader) read(ctx context.Context) (changed bool, err error) {
-	log := r.entry.options.Log
-	if r.nextOffset < 0 {
-		records, end, err := log.Newest(ctx, r.entry.options.Registry)
-		if err != nil {
-			return false, err
+// read reads the records from nextOffset on, up to the end of the registry. If they are no
+// longer retained, it reads the newest record of each worker first. The pages of these are
+// not a snapshot, and a read may be cut: before the end, workers may be in an earlier state
+// than one that was seen already.
+func (r *registryReader) read(ctx context.Context) error {
+	newest := r.nextOffset < 0
+	if newest {
+		if err := r.readNewest(ctx); err != nil {
+			return err
 		}
-		r.keepListed(records)
-		r.apply(records)
-		r.nextOffset = end
-		return true, nil
 	}
-	batch, err := log.Read(ctx, r.entry.options.Registry, r.nextOffset, 0)
-	if isExpired(err) {
-		r.nextOffset = -1
-		return r.read(ctx)
+	for {
+		batch, err := r.entry.options.Log.Read(ctx, r.entry.options.Registry, r.nextOffset, 0)
+		if isExpired(err) {
+			r.nextOffset = -1
+			if newest {
+				return nil // The next poll reads them again.
+			}
+			return r.read(ctx)
+		}
+		if err != nil {
+			return err
+		}
+		r.nextOffset = batch.NextOffset
+		r.apply(batch.Records)
+		if len(batch.Records) == 0 || batch.NextOffset >= batch.EndOffset {
+			return nil
+		}
 	}
+}
+
+// readNewest reads the newest record of each worker.
+func (r *registryReader) readNewest(ctx context.Context) error {
+	records, end, err := r.entry.options.Log.Newest(ctx, r.entry.options.Registry)
 	if err != nil {
-		return false, err
+		return err
 	}
-	r.nextOffset = batch.NextOffset
-	return r.apply(batch.Records), nil
+	r.keepListed(records)
+	r.apply(records)
+	r.nextOffset = end
+	r.changed = true
+	return nil
 }
 
 // keepListed forgets the workers of which the registry has no record any more.
@@ -81,10 +102,10 @@
 	maps.DeleteFunc(r.workers, func(key string, _ cell.WorkerInfo) bool { return !listed[key] })
 }
 
-// apply applies the records of the cell's workers and reports whether any worker
-// has changed. Records of workers in other cells are not decoded, to save time. A record
+// apply applies the records of the cell's workers and notes whether any worker has
+// changed. Records of workers in other cells are not decoded, to save time. A record
 // that can't be decoded leaves the newest good entry of its worker in force.
-func (r *registryReader) apply(records []store.Record) (changed bool) {
+func (r *registryReader) apply(records []store.Record) {
 	cells := r.entry.leaders.Cells()
 	for _, record := range records {
 		if cellOf(record.Key, cells) != r.cell {
@@ -92,7 +113,7 @@
 		}
 		if record.Err == nil && len(record.Value) == 0 {
 			delete(r.workers, record.Key)
-			changed = true
+			r.changed = true
 			continue
 		}
 		info, err := decodeRecord(record, r.entry.options.Decoder.Worker)
@@ -101,11 +122,10 @@
 			continue
 		}
 		if known, found := r.workers[record.Key]; !found || !known.Equal(info) {
-			changed = true
+			r.changed = true
 		}
 		r.workers[record.Key] = info
 	}
-	return changed
 }
 
 // decodeRecord decodes a record of another process. A panic in decode costs only the
--- a/internal/entry/registry_test.go
+++ b/internal/entry/registry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -186,3 +187,76 @@
 	assert.DeepEqual(t, pollIDs(t, reader), []cell.WorkerID{"i-1", "i-2"})
 	assert.Equal(t, reader.nextOffset, int64(2))
 }
+
+// earlyEndLog returns from Newest the end that the registry had before its first record, as
+// if the pages had been read while all records were written.
+type earlyEndLog struct{ store.Log }
+
+func (l earlyEndLog) Newest(ctx context.Context, from store.Partition) ([]store.Record, int64, error) {
+	records, _, err := l.Log.Newest(ctx, from)
+	return records, 0, err
+}
+
+// bigEntry returns a valid entry of 12 KB, so that a hundred of them exceed one read.
+func bigEntry() []byte {
+	return bytes.Replace(goodEntry(), []byte(`"zone":"z"`), []byte(`"zone":"`+strings.Repeat("z", 12<<10)+`"`), 1)
+}
+
+// After pages that were not a snapshot, a read that was cut brought back a worker that had
+// left: the leader started tasks there until the next read.
+func TestCutReadDoesNotBringBackWorkerThatLeft(t *testing.T) {
+	emulatedLog, reader := newTestReader(t)
+	reader.entry.options.Log = earlyEndLog{reader.entry.options.Log}
+	emulatedLog.AppendRecord(registryTopic, "i-1", goodEntry())
+	for range 100 {
+		emulatedLog.AppendRecord(registryTopic, "i-2", bigEntry())
+	}
+	emulatedLog.AppendRecord(registryTopic, "i-1", nil)
+	for range 3 {
+		assert.DeepEqual(t, pollIDs(t, reader), []cell.WorkerID{"i-2"})
+	}
+}
+
+// A worker that drains was used until several reads later, because each poll took one cut
+// read for all that had changed.
+func TestPollReadsAllThatHasChanged(t *testing.T) {
+	for _, records := range []int{80, 85, 90, 300} { // Each read takes some 85 of them.
+		emulatedLog, reader := newTestReader(t)
+		emulatedLog.AppendRecord(registryTopic, "i-1", goodEntry())
+		pollIDs(t, reader)
+		for range records {
+			emulatedLog.AppendRecord(registryTopic, "i-2", bigEntry())
+		}
+		emulatedLog.AppendRecord(registryTopic, "i-1", bytes.Replace(goodEntry(), []byte("ready"), []byte("draining"), 1))
+		pollIDs(t, reader)
+		assert.Assert(t, reader.workers["i-1"].Draining, "after %d records", records)
+	}
+}
+
+// failingReadLog fails the given number of reads.
+type failingReadLog struct {
+	store.Log
+	failures int
+}
+
+func (l *failingReadLog) Read(ctx context.Context, from store.Partition, offset int64, wait time.Duration) (store.Batch, error) {
+	if l.failures > 0 {
+		l.failures--
+		return store.Batch{}, &store.Error{Reason: store.Unavailable}
+	}
+	return l.Log.Read(ctx, from, offset, wait)
+}
+
+// A change that was read before a call failed must reach the leader with the next poll, not
+// with the next change.
+func TestChangeBeforeFailedReadIsPassedOnLater(t *testing.T) {
+	emulatedLog, reader := newTestReader(t)
+	reader.entry.options.Log = &failingReadLog{Log: reader.entry.options.Log, failures: 1}
+	emulatedLog.AppendRecord(registryTopic, "i-1", goodEntry())
+	_, changed, err := reader.poll(t.Context())
+	assert.Assert(t, err != nil && !changed)
+	infos, changed, err := reader.poll(t.Context())
+	assert.NilError(t, err)
+	assert.Assert(t, changed)
+	assert.Equal(t, len(infos), 1)
+}
--- a/test/fleet/log.go
+++ b/test/fleet/log.go
@@ -228,13 +228,18 @@
 }
 
 // serveRead sends the records from an offset on, after the end offset and the
-// first offset, which take 16 bytes. If there are none, it waits for the next
+// first offset, which take 16 bytes. It sends at least one record and stops before
+// max_kb. If there are none, it waits for the next
 // append for up to wait_ms. It answers with status 410 if the offset has been
 // dropped.
 func (l *Log) serveRead(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	from, _ := strconv.Atoi(query.Get("from"))
 	wait, _ := strconv.Atoi(query.Get("wait_ms"))
+	maxKB, err := strconv.Atoi(query.Get("max_kb"))
+	if err != nil {
+		maxKB = 1024
+	}
 	deadline := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		if l.refuseIfDown(w) {
@@ -250,6 +255,9 @@
 		encoded := binary.BigEndian.AppendUint64(nil, uint64(p.endOffset()))
 		encoded = binary.BigEndian.AppendUint64(encoded, uint64(p.firstOffset))
 		for _, record := range p.records[min(from-p.firstOffset, len(p.records)):] {
+			if len(encoded) > 16 && len(encoded)+len(record)+4 > maxKB<<10 {
+				break
+			}
 			encoded = binary.BigEndian.AppendUint32(encoded, uint32(len(record)))
 			encoded = append(encoded, record...)
 		}
