--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"slices"
 	"time"
 )
@@ -39,10 +40,10 @@
 			listed[r] = true
 		}
 	}
-	for _, r := range w.runs {
-		if !listed[r] {
-			c.handleUnlistedRun(now, r, report)
-		}
+	if report.Complete {
+		c.handleUnlistedRuns(now, w, listed, report)
+	} else {
+		c.markOver(now, w, listed, report)
 	}
 	c.recordRecovery(w, report.Complete)
 	if len(report.Ended) > 0 {
@@ -178,33 +179,41 @@
 	}
 }
 
-// handleUnlistedRun removes a run that a report does not list, if the report
-// proves that the run does not exist and has not ended.
-func (c *Cell) handleUnlistedRun(now time.Time, r *run, report Report) {
-	if !report.Complete {
-		c.markOver(r, report)
-		return
-	}
-	switch r.phase {
-	case inDoubt:
-		if report.Token > r.startToken {
-			c.recordLostRun(now, r, "start did not arrive")
-			c.requeueUnstarted(now, r)
-			r.task.recordFailedWorker(r.worker)
+// handleUnlistedRuns removes the runs that a complete report does not list, if the report
+// proves that they do not exist and have not ended.
+func (c *Cell) handleUnlistedRuns(now time.Time, w *worker, listed map[*run]bool, report Report) {
+	for _, r := range w.runs {
+		if listed[r] {
+			continue
 		}
-	case running, stopping, over:
-		if r.runningSince.Before(report.Sent) {
-			c.recordLostRun(now, r, "not listed")
+		switch r.phase {
+		case inDoubt:
+			if report.Token > r.startToken {
+				c.recordLostRun(now, r, "start did not arrive")
+				c.requeueUnstarted(now, r)
+				r.task.recordFailedWorker(r.worker)
+			}
+		case running, stopping, over:
+			if r.runningSince.Before(report.Sent) {
+				c.recordLostRun(now, r, "not listed")
+			}
 		}
 	}
 }
 
-// markOver notes that a run has ended, by a report that may not list its end. The run
-// keeps its reserved size until its end is listed.
-func (c *Cell) markOver(r *run, report Report) {
-	if r.hasStarted() && r.runningSince.Before(report.Sent) {
-		r.phase = over
-		c.dropSuspect(r)
+// markOver notes that the runs which a report does not list as running have ended. The
+// report may leave out their ends; they keep their reserved size until these are listed.
+func (c *Cell) markOver(now time.Time, w *worker, listed map[*run]bool, report Report) {
+	marked := 0
+	for _, r := range w.runs {
+		if !listed[r] && r.hasStarted() && r.runningSince.Before(report.Sent) {
+			r.phase = over
+			c.dropSuspect(r)
+			marked++
+		}
+	}
+	if marked > 0 {
+		c.addEvent(DecisionEvent{Event: "ends not listed", Worker: w.info.ID, Outcome: fmt.Sprintf("%d runs over", marked), Age: now.Sub(report.Sent)})
 	}
 }
 
