--- a/internal/entry/registry_test.go
+++ b/internal/entry/registry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -186,3 +187,82 @@
 	assert.DeepEqual(t, pollIDs(t, reader), []cell.WorkerID{"i-1", "i-2"})
 	assert.Equal(t, reader.nextOffset, int64(2))
 }
+
+// cutLog returns at most two records from each read, and from Newest the end that the
+// registry had before its first record, as if the pages had been read while all records were
+// written.
+type cutLog struct{ store.Log }
+
+func (l cutLog) Newest(ctx context.Context, from store.Partition) ([]store.Record, int64, error) {
+	records, _, err := l.Log.Newest(ctx, from)
+	return records, 0, err
+}
+
+func (l cutLog) Read(ctx context.Context, from store.Partition, offset int64, wait time.Duration) (store.Batch, error) {
+	batch, err := l.Log.Read(ctx, from, offset, wait)
+	if cut := len(batch.Records) - 2; cut > 0 {
+		batch.Records = batch.Records[:2]
+		batch.NextOffset -= int64(cut)
+	}
+	return batch, err
+}
+
+// After pages that were not a snapshot, a read that was cut brought back a worker that had
+// left: the leader started tasks there until the next read.
+func TestCutReadDoesNotBringBackWorkerThatLeft(t *testing.T) {
+	emulatedLog, reader := newTestReader(t)
+	reader.entry.options.Log = cutLog{reader.entry.options.Log}
+	emulatedLog.AppendRecord(registryTopic, "i-1", goodEntry())
+	for range 3 {
+		emulatedLog.AppendRecord(registryTopic, "i-2", goodEntry())
+	}
+	emulatedLog.AppendRecord(registryTopic, "i-1", nil)
+	for range 3 {
+		assert.DeepEqual(t, pollIDs(t, reader), []cell.WorkerID{"i-2"})
+	}
+}
+
+// A worker that drains was used until several reads later, because each poll took one cut
+// read for all that had changed.
+func TestPollReadsAllThatHasChanged(t *testing.T) {
+	for before := range 6 {
+		emulatedLog, reader := newTestReader(t)
+		reader.entry.options.Log = cutLog{reader.entry.options.Log}
+		emulatedLog.AppendRecord(registryTopic, "i-1", goodEntry())
+		pollIDs(t, reader)
+		for range before {
+			emulatedLog.AppendRecord(registryTopic, "i-2", goodEntry())
+		}
+		emulatedLog.AppendRecord(registryTopic, "i-1", bytes.Replace(goodEntry(), []byte("ready"), []byte("draining"), 1))
+		pollIDs(t, reader)
+		assert.Assert(t, reader.workers["i-1"].Draining, "after %d records", before)
+	}
+}
+
+// failingReadLog fails the given number of reads.
+type failingReadLog struct {
+	store.Log
+	failures int
+}
+
+func (l *failingReadLog) Read(ctx context.Context, from store.Partition, offset int64, wait time.Duration) (store.Batch, error) {
+	if l.failures > 0 {
+		l.failures--
+		return store.Batch{}, &store.Error{Reason: store.Unavailable}
+	}
+	return l.Log.Read(ctx, from, offset, wait)
+}
+
+// A change that was read before a call failed must reach the leader with the next poll, not
+// with the next change.
+func TestChangeBeforeFailedReadIsPassedOnLater(t *testing.T) {
+	emulatedLog, reader := newTestReader(t)
+	reader.entry.options.Log = &failingReadLog{Log: reader.entry.options.Log, failures: 1}
+	emulatedLog.AppendRecord(registryTopic, "i-1", goodEntry())
+	_, changed, err := reader.poll(t.Context())
+	assert.Assert(t, err != nil && !changed)
+	infos, changed, err := reader.poll(t.Context())
+	assert.NilError(t, err)
+	assert.Assert(t, changed)
+	assert.Equal(t, len(infos), 1)
+}
