cellcodec: store a worker whose name is as long as a key may be

Cause: the record of a worker has the key "w/" and its name. The registry takes names of up to 255 bytes, and the decoder accepts them (as TestEntryThatIsNotTextIsRejected asks), but the log takes no key of more than 255 bytes. The append was refused as invalid, which ended the term of every leader that read the entry.

Change: the end of a name that does not fit is replaced by its hash; the record itself holds the whole name. Keys of names of up to 253 bytes stay as they are. WorkerInfo.Check states the bounds of a registry entry.

The test and the fuzz target FuzzDecoders, whose check of a stored worker now includes the limits of the log, fail without the change:

--- FAIL: TestWorkerWithLongestNameCanBeStored (0.00s) odd_test.go:277: assertion failed: expression is false: len(records[0].Key) <= 255 && ... --- FAIL: FuzzDecoders/seed#14 (0.00s) platform_test.go:220: assertion failed: expression is false: len(records[0].Key) <= 255 && ...

--- a/internal/connection/cellcodec/cellcodec.go
+++ b/internal/connection/cellcodec/cellcodec.go
@@ -4,6 +4,8 @@
 package cellcodec
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"math"
 	"strings"
 
@@ -56,7 +58,7 @@
 		}
 	}
 	for _, worker := range write.Workers {
-		if err := addRecord(workerKeyPrefix+string(worker.ID), worker); err != nil {
+		if err := addRecord(workerKey(worker.ID), worker); err != nil {
 			return nil, err
 		}
 	}
@@ -68,12 +70,27 @@
 	return append(records, removalRecords(write)...), nil
 }
 
+// maxKeyBytes is the length of the longest key that the log takes.
+const maxKeyBytes = 255
+
+// workerKey returns the key of a worker's record. A hash takes the place of the end of a
+// name that is too long for a key; the record itself holds the whole name.
+func workerKey(id cell.WorkerID) string {
+	key := workerKeyPrefix + string(id)
+	if len(key) <= maxKeyBytes {
+		return key
+	}
+	hash := sha256.Sum256([]byte(id))
+	end := hex.EncodeToString(hash[:])
+	return key[:maxKeyBytes-len(end)] + end
+}
+
 // removalRecords returns records with an empty value, which remove the keys of
 // workers and jobs that the write removes.
 func removalRecords(write cell.WriteBatch) []store.Record {
 	var records []store.Record
 	for _, worker := range write.RemovedWorkers {
-		records = append(records, store.Record{Key: workerKeyPrefix + string(worker)})
+		records = append(records, store.Record{Key: workerKey(worker)})
 	}
 	for _, id := range write.RemovedJobs {
 		records = append(records, store.Record{Key: progressKeyPrefix + string(id)}, store.Record{Key: jobKeyPrefix + string(id)})
--- a/internal/version/cell/types.go
+++ b/internal/version/cell/types.go
@@ -25,6 +25,7 @@
 	"slices"
 	"time"
 
+	"poplarvalve/internal/process/fault"
 	"poplarvalve/internal/process/jobspec"
 )
 
@@ -110,6 +111,31 @@
 	Idle bool `cbor:"10,keyasint,omitempty"`
 }
 
+const (
+	// MaxWorkerIDBytes, MaxWorkerAddressBytes and MaxWorkerTextBytes limit the name, the
+	// address and all texts of a registry entry. The first two are also stored with
+	// each run that may crash the worker.
+	MaxWorkerIDBytes      = 255
+	MaxWorkerAddressBytes = 64
+	MaxWorkerTextBytes    = 64 << 10
+)
+
+// Check returns a failure of kind TooLarge if the entry is too large to be stored.
+func (w WorkerInfo) Check() error {
+	if len(w.ID) > MaxWorkerIDBytes || len(w.Address) > MaxWorkerAddressBytes {
+		return fault.New(fault.TooLarge, "the name has %d bytes and the address %d; the limits are %d and %d bytes",
+			len(w.ID), len(w.Address), MaxWorkerIDBytes, MaxWorkerAddressBytes)
+	}
+	text := len(w.ID) + len(w.Address) + len(w.Pool) + len(w.Zone) + len(w.Rack)
+	for _, label := range w.Labels {
+		text += 1 + len(label)
+	}
+	if text > MaxWorkerTextBytes {
+		return fault.New(fault.TooLarge, "the texts of the entry have %d bytes; the limit is %d bytes", text, MaxWorkerTextBytes)
+	}
+	return nil
+}
+
 // Equal reports whether two registry entries are equal in every field.
 func (w WorkerInfo) Equal(other WorkerInfo) bool {
 	return w.ID == other.ID && w.Address == other.Address && w.Pool == other.Pool && w.Zone == other.Zone && w.Rack == other.Rack &&
