entry: go on with the term when the log refuses a record for its size

Cause: an append that the log refused for the size of one record counted as final, like one refused because a later writer exists.

Change: - store: reason TooLarge, apart from Fenced; Limits says what the log takes. The settings have record_bytes and call_bytes of the platform; without them its documented values hold. - cellcodec: records above the limit are told apart when they are encoded. - entry: an append that is refused for what it contains is divided until the record at fault stands alone; that one is kept back, logged and counted (records_kept_back_total). A batch is sent in several appends if one can't hold it. All else goes on.

The filled-in template of the settings test gets sizes instead of "20" for the two byte limits, because 20 bytes are out of range; its assertions stay.

--- a/cmd/poplarvalved/entry.go
+++ b/cmd/poplarvalved/entry.go
@@ -125,7 +125,7 @@
 	return entry.Options{
 		Self:          d.self,
 		CPUShare:      s.CPUShare,
-		Log:           platform.NewLogClient(s.LogAddress.String(), client),
+		Log:           platform.NewLogClient(s.LogAddress.String(), client).WithLimits(s.LogLimits),
 		Configuration: platform.ConfigurationPartition,
 		Registry:      platform.RegistryPartition,
 		Decoder:       platform.Decoder{},
@@ -137,6 +137,7 @@
 			MaxLease:          s.MaxLease,
 			EndedJobRetention: s.EndedJobRetention,
 			RemoteFactor:      s.RemoteFactor,
+			Log:               s.LogLimits,
 		},
 		Journal: d.journal,
 		Metrics: counters,
--- a/internal/connection/cellcodec/cellcodec.go
+++ b/internal/connection/cellcodec/cellcodec.go
@@ -36,8 +36,42 @@
 }
 
 // EncodeWriteBatch returns the log records for a write, in the order in which
-// they must be appended. Its errors are of kind Internal.
-func EncodeWriteBatch(write cell.WriteBatch) ([]store.Record, error) {
+// they must be appended, and apart from them those that exceed the limits of the log.
+// Its errors are of kind Internal.
+func EncodeWriteBatch(write cell.WriteBatch, limits store.Limits) (records, tooLarge []store.Record, err error) {
+	all, err := encodeWriteBatch(write)
+	if err != nil {
+		return nil, nil, err
+	}
+	for _, record := range all {
+		if limits.Check(record) != nil {
+			tooLarge = append(tooLarge, record)
+		} else {
+			records = append(records, record)
+		}
+	}
+	return records, tooLarge, nil
+}
+
+// OwnerOf returns what a stored record is about. It is the zero RecordOwner for the
+// learned estimates.
+func OwnerOf(record store.Record) cell.RecordOwner {
+	if strings.HasPrefix(record.Key, workerKeyPrefix) {
+		var worker cell.WorkerInfo
+		if storedDecoding.Unmarshal(record.Value, &worker) != nil {
+			return cell.RecordOwner{} // The removal of a record.
+		}
+		return cell.RecordOwner{Worker: worker.ID}
+	}
+	for _, prefix := range []string{jobKeyPrefix, progressKeyPrefix} {
+		if id, found := strings.CutPrefix(record.Key, prefix); found {
+			return cell.RecordOwner{Job: jobspec.ID(id)}
+		}
+	}
+	return cell.RecordOwner{}
+}
+
+func encodeWriteBatch(write cell.WriteBatch) ([]store.Record, error) {
 	var records []store.Record
 	addRecord := func(key string, value any) error {
 		encoded, err := cbor.Marshal(value)
@@ -70,19 +104,16 @@
 	return append(records, removalRecords(write)...), nil
 }
 
-// maxKeyBytes is the length of the longest key that the log takes.
-const maxKeyBytes = 255
-
 // workerKey returns the key of a worker's record. A hash takes the place of the end of a
 // name that is too long for a key; the record itself holds the whole name.
 func workerKey(id cell.WorkerID) string {
 	key := workerKeyPrefix + string(id)
-	if len(key) <= maxKeyBytes {
+	if len(key) <= store.MaxKeyBytes {
 		return key
 	}
 	hash := sha256.Sum256([]byte(id))
 	end := hex.EncodeToString(hash[:])
-	return key[:maxKeyBytes-len(end)] + end
+	return key[:store.MaxKeyBytes-len(end)] + end
 }
 
 // removalRecords returns records with an empty value, which remove the keys of
@@ -93,7 +124,8 @@
 		records = append(records, store.Record{Key: workerKey(worker)})
 	}
 	for _, id := range write.RemovedJobs {
-		records = append(records, store.Record{Key: progressKeyPrefix + string(id)}, store.Record{Key: jobKeyPrefix + string(id)})
+		// Without its progress, a job that is still stored would run again.
+		records = append(records, store.Record{Key: jobKeyPrefix + string(id)}, store.Record{Key: progressKeyPrefix + string(id)})
 	}
 	return records
 }
--- a/internal/connection/cellcodec/cellcodec_test.go
+++ b/internal/connection/cellcodec/cellcodec_test.go
@@ -5,14 +5,16 @@
 
 	"gotest.tools/v3/assert"
 
+	"poplarvalve/internal/process/store"
 	"poplarvalve/internal/version/cell"
 )
 
 // storeAndDecode returns the state that the next leader reads after a write.
 func storeAndDecode(t *testing.T, write cell.WriteBatch) CellState {
 	t.Helper()
-	records, err := EncodeWriteBatch(write)
+	records, tooLarge, err := EncodeWriteBatch(write, store.Limits{RecordBytes: 1 << 30, CallBytes: 1 << 30})
 	assert.NilError(t, err)
+	assert.Equal(t, len(tooLarge), 0)
 	state, err := DecodeCell(records)
 	assert.NilError(t, err)
 	return state
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -68,6 +68,9 @@
 	// RemoteFactor is the factor by which a task takes longer if it does not run
 	// in the rack that holds its data.
 	RemoteFactor float64
+	// Log holds the sizes above which the log refuses an append. The zero value stands
+	// for store.DefaultLimits.
+	Log store.Limits
 }
 
 // Entry is one entry instance. It is created by New and runs from Start to Stop.
@@ -93,6 +96,9 @@
 
 // New returns an instance that does no work until Start is called.
 func New(options Options) *Entry {
+	if options.Limits.Log == (store.Limits{}) {
+		options.Limits.Log = store.DefaultLimits
+	}
 	e := &Entry{
 		options:         options,
 		manifest:        publish.New[manifest.Manifest](nil),
--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -169,7 +169,9 @@
 // restores the cell from the records that they stored.
 func (l *leadership) recover(ctx context.Context) error {
 	options := l.entry.options
+	l.writer.limits = options.Limits.Log
 	l.writer.onRetry = func(err error) { options.Journal.Retrying("append", err) }
+	l.writer.onKeptBack = func(record store.Record, err error) { options.Journal.RecordKeptBack(record.Key, err) }
 	if err := l.writer.fence(ctx); err != nil {
 		return err
 	}
@@ -195,9 +197,13 @@
 	now := time.Now()
 	l.cell.Restore(now, state.Jobs, state.Progress, withoutFutureStarts(now, state.Workers))
 	l.cell.RestoreLearned(state.Learned)
-	l.writer.onStored = func(number uint64, took time.Duration) {
+	l.writer.onStored = func(number uint64, keptBack []cell.RecordOwner, took time.Duration) {
 		options.Metrics.AppendFinished(took)
-		l.post(func(now time.Time, c *cell.Cell) { c.MarkStored(now, number) })
+		options.Metrics.RecordsKeptBack(len(keptBack))
+		l.post(func(now time.Time, c *cell.Cell) {
+			c.MarkKeptBack(now, keptBack)
+			c.MarkStored(now, number)
+		})
 	}
 	l.writer.onFatalError = l.endTerm
 	options.Journal.Recovered(l.term.Cell, l.term.Epoch, len(state.Jobs), len(state.Workers))
--- a/internal/entry/registry.go
+++ b/internal/entry/registry.go
@@ -96,6 +96,9 @@
 			continue
 		}
 		info, err := decodeRecord(record, r.entry.options.Decoder.Worker)
+		if err == nil {
+			err = info.Check()
+		}
 		if err != nil {
 			r.entry.skipRecord(metrics.SourceRegistry, record.Key, err)
 			continue
--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -30,6 +30,7 @@
 	log       store.Log
 	partition store.Partition
 	producer  store.Writer
+	limits    store.Limits
 
 	// inFlightSince is the time at which the append in progress was first sent,
 	// in Unix nanoseconds, or 0 if none is in progress.
@@ -39,12 +40,14 @@
 	queue  []cell.WriteBatch
 	wakeup chan struct{}
 
-	// onStored is called after each append: all writes up to number are stored,
-	// and the append took the given time. onFatalError is called when no further
+	// onStored is called when all writes up to number are stored but for the records
+	// of keptBack, which took the given time. onKeptBack is called for each of these
+	// records before. onFatalError is called when no further
 	// write can be stored in this term. Both are called from the writer's
 	// goroutine. onRetry is called with the error of each failed append or read
 	// that is going to be retried.
-	onStored     func(number uint64, took time.Duration)
+	onStored     func(number uint64, keptBack []cell.RecordOwner, took time.Duration)
+	onKeptBack   func(record store.Record, err error)
 	onFatalError func(err error)
 	onRetry      func(err error)
 }
@@ -54,6 +57,7 @@
 		log:       log,
 		partition: store.Partition{Topic: cellTopic, Part: number},
 		producer:  store.Writer{Producer: "leader", Epoch: epoch},
+		limits:    store.DefaultLimits,
 		wakeup:    make(chan struct{}, 1),
 	}
 }
@@ -96,22 +100,22 @@
 		}
 		for {
 			w.waitForBatch(ctx)
-			records, last, err := w.takeBatch()
+			batch, err := w.takeBatch()
 			if err != nil {
 				w.onFatalError(err)
 				return
 			}
-			if last == 0 {
+			if batch.last == 0 {
 				break
 			}
 			start := time.Now()
-			if err := w.appendUntilResolved(ctx, records); err != nil {
+			if err := w.appendBatch(ctx, &batch); err != nil {
 				if ctx.Err() == nil {
 					w.onFatalError(err)
 				}
 				return
 			}
-			w.onStored(last, time.Since(start))
+			w.onStored(batch.last, batch.keptBack, time.Since(start))
 		}
 	}
 }
@@ -144,26 +148,77 @@
 	return len(w.queue) > 0 && !slices.ContainsFunc(w.queue, func(write cell.WriteBatch) bool { return write.Urgent })
 }
 
-// takeBatch removes writes from the queue until they have at least
-// maxRecordsPerAppend records or the queue is empty. It returns their records and
-// the number of the last write, or 0 if the queue was empty.
-func (w *writer) takeBatch() (records []store.Record, last uint64, err error) {
+// batch is a number of writes that are stored together.
+type batch struct {
+	records []store.Record
+	// last is the number of the last write, or 0 if there is none.
+	last uint64
+	// keptBack lists the owners of the records that the log does not take.
+	keptBack []cell.RecordOwner
+}
+
+// takeBatch removes writes from the queue until they fill an append or the queue is
+// empty.
+func (w *writer) takeBatch() (batch, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for len(w.queue) > 0 && len(records) < maxRecordsPerAppend {
-		encoded, err := cellcodec.EncodeWriteBatch(w.queue[0])
+	var taken batch
+	for len(w.queue) > 0 && len(taken.records) < maxRecordsPerAppend && w.limits.FittingRecords(taken.records) == len(taken.records) {
+		records, tooLarge, err := cellcodec.EncodeWriteBatch(w.queue[0], w.limits)
 		if err != nil {
-			return nil, 0, err
+			return batch{}, err
+		}
+		for _, record := range tooLarge {
+			w.keepBack(&taken, record, w.limits.Check(record))
 		}
-		records = append(records, encoded...)
-		last = w.queue[0].Number
+		taken.records = append(taken.records, records...)
+		taken.last = w.queue[0].Number
 		w.queue = w.queue[1:]
 	}
-	return records, last, nil
+	return taken, nil
+}
+
+// keepBack leaves a record out of a batch.
+func (w *writer) keepBack(b *batch, record store.Record, err error) {
+	w.onKeptBack(record, err)
+	b.keptBack = append(b.keptBack, cellcodec.OwnerOf(record))
+}
+
+// appendBatch appends the records of a batch, in several appends if they are too large
+// for one.
+func (w *writer) appendBatch(ctx context.Context, b *batch) error {
+	rest := b.records
+	for len(rest) > 0 {
+		count := max(1, w.limits.FittingRecords(rest))
+		if err := w.appendDivided(ctx, b, rest[:count]); err != nil {
+			return err
+		}
+		rest = rest[count:]
+	}
+	return nil
+}
+
+// appendDivided appends records. If the log refuses them for what they contain, each
+// half is appended by itself, so that only the record at fault is kept back.
+func (w *writer) appendDivided(ctx context.Context, b *batch, records []store.Record) error {
+	err := w.appendUntilResolved(ctx, records)
+	switch {
+	case !isContentError(err):
+		return err
+	case len(records) == 1:
+		w.keepBack(b, records[0], err)
+		return nil
+	}
+	middle := len(records) / 2
+	if err := w.appendDivided(ctx, b, records[:middle]); err != nil {
+		return err
+	}
+	return w.appendDivided(ctx, b, records[middle:])
 }
 
 // appendUntilResolved repeats an append under the same sequence number until its
-// outcome is known. The error has reason Fenced, or is that of ctx.
+// outcome is known. The error is of kind Fenced, shows that the log refuses the records,
+// or is that of ctx.
 func (w *writer) appendUntilResolved(ctx context.Context, records []store.Record) error {
 	if len(records) == 0 && w.producer.Sequence > 0 {
 		return nil
@@ -176,6 +231,9 @@
 			w.producer.Sequence++
 			return nil
 		}
+		if isContentError(err) {
+			return err
+		}
 		if isFinalError(err) {
 			return fault.Wrap(fault.Fenced, err, "appending with sequence number %d in epoch %d", w.producer.Sequence, w.producer.Epoch)
 		}
@@ -211,7 +269,7 @@
 		select {
 		case err := <-results:
 			unanswered--
-			if err == nil || isFinalError(err) || unanswered == 0 {
+			if err == nil || isFinalError(err) || isContentError(err) || unanswered == 0 {
 				return err
 			}
 		case <-resendTicker.C:
@@ -226,13 +284,16 @@
 // log replies within 4 ms, and within 65 ms to another region.
 const resendDelay = 250 * time.Millisecond
 
-// isFinalError reports whether an error shows that the append was not executed and
-// never will be.
+// isFinalError reports whether an error shows that no append of the term will be
+// executed any more.
 func isFinalError(err error) bool {
-	switch store.ReasonOf(err) {
-	case store.Fenced, store.Rejected, store.OutOfSequence:
-		return true
-	default:
-		return false
-	}
+	reason := store.ReasonOf(err)
+	return reason == store.Fenced || reason == store.OutOfSequence
+}
+
+// isContentError reports whether an error shows that the log takes no append of these
+// records, whoever sends it.
+func isContentError(err error) bool {
+	reason := store.ReasonOf(err)
+	return reason == store.TooLarge || reason == store.Rejected
 }
--- a/internal/process/logging/journal.go
+++ b/internal/process/logging/journal.go
@@ -202,6 +202,12 @@
 	j.limitedInfo(&j.skips).Str("source", source).Str("key", key).Str("error", errorText(err)).Msg("record skipped")
 }
 
+// RecordKeptBack logs that a record of the instance was not stored, because the log does
+// not take it.
+func (j *Journal) RecordKeptBack(key string, err error) {
+	j.limitedInfo(&j.skips).Str("key", key).Str("error", errorText(err)).Msg("record kept back")
+}
+
 // errorText returns the text of an error, cut at maxErrorTextBytes.
 func errorText(err error) string {
 	text := err.Error()
--- a/internal/process/metrics/entry.go
+++ b/internal/process/metrics/entry.go
@@ -22,6 +22,7 @@
 	crashes       prometheus.Counter
 	jobsGivenUp   prometheus.Counter
 	droppedLines  prometheus.Counter
+	keptBack      prometheus.Counter
 	// skippedRecords is indexed by RecordSource.
 	skippedRecords [sourceCount]prometheus.Counter
 }
@@ -67,6 +68,7 @@
 		throttles:    newCounter("task_paces_total", "Pace orders sent to backend servers."),
 		crashes:      newCounter("worker_crashes_total", "Backend servers that crashed, as far as a later one at their address shows."),
 		jobsGivenUp:  newCounter("jobs_given_up_total", "Jobs that failed because a task crashed its backend servers."),
+		keptBack:     newCounter("records_kept_back_total", "Records that were not stored because the log does not take them."),
 		droppedLines: newCounter("log_lines_dropped_total", "Log lines left out because there were too many."),
 	}
 	requests := newCounterVec("job_requests_total", "Requests about jobs, by how they were answered.", "operation", "verdict")
@@ -81,7 +83,7 @@
 			e.requests[operation][verdict] = requests.WithLabelValues(name, verdictName)
 		}
 	}
-	e.registry.MustRegister(requests, latency, e.appendSeconds, e.starts, e.stops, e.throttles, e.crashes, e.jobsGivenUp, e.droppedLines, skipped,
+	e.registry.MustRegister(requests, latency, e.appendSeconds, e.starts, e.stops, e.throttles, e.crashes, e.jobsGivenUp, e.droppedLines, e.keptBack, skipped,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return e
 }
@@ -110,6 +112,9 @@
 // log.
 func (e *EntryMetrics) AppendFinished(took time.Duration) { e.appendSeconds.Observe(took.Seconds()) }
 
+// RecordsKeptBack adds the number of records that the log did not take.
+func (e *EntryMetrics) RecordsKeptBack(records int) { e.keptBack.Add(float64(records)) }
+
 // OrdersSent adds the numbers of orders sent to workers: orders to start a
 // task, to stop one, and to change the throttle of one.
 func (e *EntryMetrics) OrdersSent(starts, stops, throttles int) {
--- a/internal/process/settings/entry.go
+++ b/internal/process/settings/entry.go
@@ -9,6 +9,7 @@
 	"gopkg.in/ini.v1"
 
 	"poplarvalve/internal/process/fault"
+	"poplarvalve/internal/process/store"
 )
 
 // EntrySettings holds the settings of an entry instance, which schedules
@@ -24,6 +25,8 @@
 	OperatorAddress netip.AddrPort
 	// LogAddress is the address of the platform's log.
 	LogAddress netip.AddrPort
+	// LogLimits are the sizes above which the log refuses an append.
+	LogLimits store.Limits
 	// AdviceAddress is the address of the service that knows which workers the
 	// policy of a queue allows. It is the zero AddrPort, which is invalid, if
 	// the deployment has no such service.
@@ -78,6 +81,7 @@
 		LinkAddress:       r.address("instance", "link_address"),
 		OperatorAddress:   r.address("instance", "operator_address"),
 		LogAddress:        r.address("log", "address"),
+		LogLimits:         r.logLimits(),
 		AdviceAddress:     r.optionalAddress("advice", "address"),
 		Memory:            int(r.number("limits", "memory_mb", 16, 1<<20)),
 		CPUShare:          r.number("limits", "cpu_share", 0.01, 1024),
@@ -134,6 +138,27 @@
 	return value
 }
 
+const (
+	// minRecordBytes and maxCallBytes are the limits of the sizes that the log takes.
+	minRecordBytes = 1 << 10
+	maxCallBytes   = 1 << 30
+)
+
+// logLimits returns store.DefaultLimits for the values that are missing or empty.
+func (r *entryReader) logLimits() store.Limits {
+	limits := store.DefaultLimits
+	if r.parsed.Section("log").Key("record_bytes").String() != "" {
+		limits.RecordBytes = int(r.number("log", "record_bytes", minRecordBytes, maxCallBytes))
+	}
+	if r.parsed.Section("log").Key("call_bytes").String() != "" {
+		limits.CallBytes = int(r.number("log", "call_bytes", minRecordBytes, maxCallBytes))
+	}
+	if limits.CallBytes < limits.RecordBytes+store.RecordLengthBytes {
+		r.report("log", "call_bytes", "the value is below record_bytes and the length of a record, %d bytes", store.RecordLengthBytes)
+	}
+	return limits
+}
+
 // maxSettingSeconds is the upper limit of all durations, which is one day.
 const maxSettingSeconds = 24 * 3600
 
--- a/internal/process/settings/entry_test.go
+++ b/internal/process/settings/entry_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"poplarvalve/internal/process/store"
 )
 
 // filledTemplate returns the deployment's template of the settings file with a
@@ -20,6 +22,8 @@
 	text = strings.ReplaceAll(text, "{{ip}}:{{internal_ports.1}}", "10.0.0.1:7701")
 	text = regexp.MustCompile(`(address = ?)\{\{[^}]*\}\}`).ReplaceAllString(text, "${1}10.0.0.1:8000")
 	text = regexp.MustCompile(`(name) = \{\{[^}]*\}\}`).ReplaceAllString(text, "$1 = x")
+	text = regexp.MustCompile(`(record_bytes|call_bytes) = \{\{[^}]*\}\}`).ReplaceAllString(text, "$1 = 3000")
+	text = strings.Replace(text, "call_bytes = 3000", "call_bytes = 30000", 1)
 	return regexp.MustCompile(`\{\{[^}]*\}\}`).ReplaceAllString(text, "20")
 }
 
@@ -30,6 +34,7 @@
 	assert.Equal(t, len(problems), 0, "%v", problems)
 	assert.Equal(t, s.MaxLease, 20*time.Millisecond)
 	assert.Equal(t, s.Grace, 20*time.Second)
+	assert.Equal(t, s.LogLimits, store.Limits{RecordBytes: 3000, CallBytes: 30000})
 	assert.Equal(t, s.LinkAddress.String(), "10.0.0.1:7700")
 }
 
@@ -43,3 +48,23 @@
 	_, problems = ParseEntrySettings("file", nil)
 	assert.Assert(t, len(problems) >= 9)
 }
+
+// A settings file of an earlier version has no limits of the log. The instance must start,
+// with the limits that the platform states, and must refuse limits that contradict each
+// other.
+func TestMissingLogLimitsHaveDefaults(t *testing.T) {
+	withLimits := func(record, call string) string {
+		text := strings.Replace(filledTemplate(t), "record_bytes = 3000", "record_bytes = "+record, 1)
+		return strings.Replace(text, "call_bytes = 30000", "call_bytes = "+call, 1)
+	}
+	s, problems := ParseEntrySettings("file", []byte(withLimits("", "")))
+	assert.Equal(t, len(problems), 0, "%v", problems)
+	assert.Equal(t, s.LogLimits, store.Limits{RecordBytes: 262144, CallBytes: 2097152})
+	for _, c := range []struct {
+		record, call string
+		problems     int
+	}{{"1024", "1028", 0}, {"1024", "1027", 1}, {"1023", "30000", 1}, {"many", "30000", 1}} {
+		_, problems := ParseEntrySettings("file", []byte(withLimits(c.record, c.call)))
+		assert.Equal(t, len(problems) > 0, c.problems > 0, "%v: %v", c, problems)
+	}
+}
--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -99,6 +99,9 @@
 	// Expired means that the requested records are no longer kept, or that the
 	// partition ends before them.
 	Expired Reason = "expired"
+	// TooLarge means that a record, a key or the records of one call exceed the
+	// limits of the log, and that it did nothing.
+	TooLarge Reason = "too_large"
 	// Rejected means that the call itself is invalid.
 	Rejected Reason = "rejected"
 )
--- a/internal/version/cell/cell.go
+++ b/internal/version/cell/cell.go
@@ -51,6 +51,8 @@
 	// writeActions are run, in order, when their writes are stored.
 	lastWrite    uint64
 	writeActions []writeAction
+	// keptBack holds the owners of records that the log did not take.
+	keptBack map[RecordOwner]keptBackRecord
 
 	durations durationModel
 	pressures pressureModel
@@ -70,9 +72,10 @@
 }
 
 // writeAction is a callback that is run once the write with that number is
-// stored.
+// stored with the records of the owners.
 type writeAction struct {
 	number   uint64
+	owners   []RecordOwner
 	callback func(now time.Time)
 }
 
@@ -83,6 +86,7 @@
 		jobs:       map[jobspec.ID]*job{},
 		workers:    map[WorkerID]*worker{},
 		recovering: map[WorkerID]bool{},
+		keptBack:   map[RecordOwner]keptBackRecord{},
 		durations:  newDurationModel(),
 		pressures:  newPressureModel(),
 	}
@@ -217,7 +221,7 @@
 		if w.inUseWrite == number {
 			w.inUseWrite = 0
 		}
-	})
+	}, RecordOwner{Worker: w.info.ID})
 }
 
 func drainState(draining bool) string {
@@ -298,7 +302,7 @@
 	if known == nil {
 		c.acceptJob(now, JobRecord{ID: id, Job: *spec, Terms: terms, AcceptedMillis: now.UnixMilli()})
 	}
-	c.answerAfterWrite(request)
+	c.answerAfterWrite(request, id)
 	return SubmitPending
 }
 
@@ -311,7 +315,7 @@
 		c.storedJobs.Store(tree)
 		j.visibleState.CompareAndSwap(uint32(Hidden), uint32(Queued))
 		c.openSteps(now, j)
-	})
+	}, RecordOwner{Job: j.id})
 }
 
 // Cancel ends a job unless it has ended already. It returns false if there is no
@@ -328,7 +332,7 @@
 	if !j.state.IsFinal() {
 		c.endJob(now, j, Canceled)
 	}
-	c.answerAfterWrite(request)
+	c.answerAfterWrite(request, id)
 	return true
 }
 
@@ -364,7 +368,7 @@
 	c.afterWrite(func(now time.Time) {
 		j.visibleState.Store(uint32(state))
 		c.stopJobRuns(now, j)
-	})
+	}, RecordOwner{Job: j.id})
 }
 
 func (c *Cell) stopJobRuns(now time.Time, j *job) {
@@ -397,24 +401,32 @@
 	c.changedJobs = append(c.changedJobs, j)
 }
 
-// afterWrite runs callback once everything decided so far is stored.
-func (c *Cell) afterWrite(callback func(now time.Time)) {
-	c.writeActions = append(c.writeActions, writeAction{c.lastWrite + 1, callback})
+// afterWrite runs callback once everything decided so far about the owners is stored.
+func (c *Cell) afterWrite(callback func(now time.Time), owners ...RecordOwner) {
+	c.writeActions = append(c.writeActions, writeAction{c.lastWrite + 1, owners, callback})
 }
 
-func (c *Cell) answerAfterWrite(request uint64) {
+func (c *Cell) answerAfterWrite(request uint64, id jobspec.ID) {
 	c.write.Urgent = true
-	c.afterWrite(func(time.Time) { c.effects.AnswerableRequests = append(c.effects.AnswerableRequests, request) })
+	c.afterWrite(func(time.Time) { c.effects.AnswerableRequests = append(c.effects.AnswerableRequests, request) }, RecordOwner{Job: id})
 }
 
-// MarkStored records that all writes up to and including number are stored.
+// MarkStored records that all writes up to and including number are stored, but for the
+// records passed to MarkKeptBack.
 func (c *Cell) MarkStored(now time.Time, number uint64) {
+	c.forgetStoredOwners(number)
+	// Callbacks may add actions, but only for writes after number.
 	completed := 0
+	var waiting []writeAction
 	for completed < len(c.writeActions) && c.writeActions[completed].number <= number {
-		c.writeActions[completed].callback(now)
+		if action := c.writeActions[completed]; c.waits(action) {
+			waiting = append(waiting, action)
+		} else {
+			action.callback(now)
+		}
 		completed++
 	}
-	c.writeActions = slices.Delete(c.writeActions, 0, completed)
+	c.writeActions = slices.Replace(c.writeActions, 0, completed, waiting...)
 }
 
 // TakeEffects starts the tasks that can be started, and returns the effects of
--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -45,7 +45,7 @@
 		}
 	}
 	if len(report.Ended) > 0 {
-		c.acknowledge(w)
+		c.acknowledge(w, report.Ended)
 	}
 	c.throttleBestEffort(now, w)
 }
@@ -71,10 +71,17 @@
 	delete(c.recovering, w.info.ID)
 }
 
-// acknowledge allows the worker to discard its ends once they are stored.
-func (c *Cell) acknowledge(w *worker) {
+// acknowledge allows the worker to discard its ends once they are stored. The worker
+// lists every end that it has not discarded.
+func (c *Cell) acknowledge(w *worker, ends []RunEnd) {
 	ack := Acknowledgement{w.info.ID, w.info.Incarnation, w.lastEndNumber}
-	c.afterWrite(func(time.Time) { c.effects.Acknowledgements = append(c.effects.Acknowledgements, ack) })
+	var owners []RecordOwner
+	for _, end := range ends {
+		if owner := (RecordOwner{Job: end.Task.Job}); !slices.Contains(owners, owner) {
+			owners = append(owners, owner)
+		}
+	}
+	c.afterWrite(func(time.Time) { c.effects.Acknowledgements = append(c.effects.Acknowledgements, ack) }, owners...)
 }
 
 // MarkUnresponsive records that a worker did not answer a lease renewal. The
--- a/internal/version/cell/schedule.go
+++ b/internal/version/cell/schedule.go
@@ -330,7 +330,7 @@
 	if t.mayCrashWorkers() {
 		c.addSuspect(r)
 	}
-	c.afterWrite(func(now time.Time) { c.sendPlanned(now, r, order) })
+	c.afterWrite(func(now time.Time) { c.sendPlanned(now, r, order) }, RecordOwner{Job: t.job().id})
 }
 
 // runsOnProbation reports whether the start of a task waits until it is stored. The
--- a/internal/version/cell/tick.go
+++ b/internal/version/cell/tick.go
@@ -4,11 +4,12 @@
 
 // Tick does the work that depends on time alone: it opens due occurrences, expires
 // leases, repeats stop orders that had no effect, relieves service tasks over their target,
-// forgets lost workers and ended jobs, stores the learned estimates, handles slow runs and
-// reports tasks that wait.
+// forgets lost workers and ended jobs, stores the learned estimates and what the log did
+// not take, handles slow runs and reports tasks that wait.
 func (c *Cell) Tick(now time.Time) {
 	c.openDueJobs(now)
 	c.saveLearned(now)
+	c.retryKeptBack(now)
 	for _, w := range c.sortedWorkers() {
 		c.expireLeases(now, w)
 	}
--- a/test/fleet/log.go
+++ b/test/fleet/log.go
@@ -29,6 +29,8 @@
 	responsesToLose int
 	// down makes the log refuse all calls.
 	down bool
+	// recordBytes and callBytes limit a record and the records of an append.
+	recordBytes, callBytes int
 }
 
 // partition is one partition of a topic. A record is one byte with the length of
@@ -60,7 +62,7 @@
 // NewLog starts an empty log on loopback. Topics are created when they are
 // first used.
 func NewLog() *Log {
-	l := &Log{partitions: map[string]*partition{}}
+	l := &Log{partitions: map[string]*partition{}, recordBytes: 262144, callBytes: 2097152}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /-/log-append", l.serveAppend)
 	mux.HandleFunc("GET /-/log-read", l.serveRead)
@@ -94,6 +96,32 @@
 	l.down = down
 }
 
+// SetRecordLimit makes the log refuse appends with a record of more than the given bytes.
+func (l *Log) SetRecordLimit(bytes int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.recordBytes = bytes
+}
+
+// withinLimits reports whether the body of an append consists of records within the
+// limits. The caller must hold l.mu.
+func (l *Log) withinLimits(body []byte) bool {
+	if len(body) > l.callBytes {
+		return false
+	}
+	for len(body) > 0 {
+		if len(body) < 4 {
+			return false
+		}
+		size := int(binary.BigEndian.Uint32(body))
+		if size < 1 || size > l.recordBytes || size > len(body)-4 || 1+int(body[4]) > size {
+			return false
+		}
+		body = body[4+size:]
+	}
+	return true
+}
+
 // DropHistory drops the records of a topic's partition 0, so that they can't be
 // read any more. The newest record of each key stays available to log-newest.
 func (l *Log) DropHistory(topic string) {
@@ -191,6 +219,9 @@
 func (l *Log) applyAppend(r *http.Request, body []byte) (status int, reply map[string]any, responseLost bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !l.withinLimits(body) {
+		return http.StatusBadRequest, map[string]any{"reason": "size"}, false
+	}
 	query := r.URL.Query()
 	p := l.findOrCreate(query.Get("topic"), query.Get("part"))
 	if expectedEnd := query.Get("at"); expectedEnd != "" && expectedEnd != strconv.Itoa(p.endOffset()) {
