cell: forget the oldest and least used estimates before they outgrow a record

Cause: saveLearned stores the estimates about all images ever named in one record, and nothing forgot an image.

Change: each estimate knows how often it was used to learn something, a use counting half after 10 minutes, and when last. Before a record is written, each kind is trimmed to a limit: 32 KiB of ratios of durations, 16 KiB of unloaded tails, 47 KiB of pairs; the record has at most 96 KiB (MaxLearnedBytes). Estimates of an earlier term that were not used in this one go first. A larger record of an earlier version is read and trimmed. No estimates are kept about an image with a name of more than 1,024 bytes.

The tests use only the interface of the cell, and on as without the change:

--- FAIL: TestRecordOfLearnedEstimatesIsBounded (0.10s) bounds_test.go:117: ... images of 71 bytes: the record has 335889 bytes --- FAIL: TestLearnedEstimatesInUseAreKept (0.14s) bounds_test.go:147: ... 2910323 bytes

--- /dev/null
+++ b/internal/connection/cellcodec/bounds_test.go
@@ -0,0 +1,148 @@
+package cellcodec
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"poplarvalve/internal/process/jobspec"
+	"poplarvalve/internal/process/store"
+	"poplarvalve/internal/version/cell"
+)
+
+// cellRun drives a cell with one large worker, on which each task that is started is done
+// at the next step. Its store takes whatever is written.
+type cellRun struct {
+	t       *testing.T
+	cell    *cell.Cell
+	now     time.Time
+	end     int64
+	running []cell.StartOrder
+	// largest holds the size of the largest record of each kind, by the first letters of
+	// its key.
+	largest map[string]int
+}
+
+const runWorker = cell.WorkerID("w")
+
+func newCellRun(t *testing.T, config cell.Config, start time.Time, restored CellState) *cellRun {
+	config.RemoteFactor = 1
+	config.EndedJobRetention = time.Hour
+	r := &cellRun{t: t, cell: cell.New(config), now: start, largest: map[string]int{}}
+	info := cell.WorkerInfo{ID: runWorker, Address: "10.0.0.1:1", Pool: "pool", Capacity: cell.Size{CPU: 1 << 30, MemoryMB: 1 << 30}}
+	r.cell.Restore(r.now, restored.Jobs, restored.Progress, nil)
+	r.cell.RestoreLearned(restored.Learned)
+	r.cell.UpdateWorkers(r.now, []cell.WorkerInfo{info})
+	r.report()
+	return r
+}
+
+// submit hands in a job of the queue q.
+func (r *cellRun) submit(number uint64, job jobspec.Job) jobspec.ID {
+	id := jobspec.ID(fmt.Sprintf("%016x", number))
+	r.cell.Submit(r.now, number, id, &job, cell.QueueTerms{Queue: "q", Pool: "pool", Attempts: 3, Stretch: 2})
+	r.takeEffects()
+	return id
+}
+
+// report lets the worker list its runs, and the ends of those that were running before.
+func (r *cellRun) report(reason ...cell.EndReason) {
+	report := cell.Report{Worker: runWorker, Incarnation: 1, Sent: r.now, Token: 1, LeaseUntil: r.now.Add(4 * time.Second)}
+	if len(reason) > 0 {
+		for _, order := range r.running {
+			r.end++
+			report.Ended = append(report.Ended, cell.RunEnd{Number: r.end, Task: order.Task, Run: order.Run, Reason: reason[0]})
+		}
+		r.running = nil
+	}
+	r.cell.ApplyReport(r.now, report)
+	r.takeEffects()
+}
+
+// step lets all running tasks be done and time pass.
+func (r *cellRun) step(passed time.Duration) {
+	r.now = r.now.Add(passed)
+	r.report(cell.EndSucceeded)
+	r.cell.Tick(r.now)
+	r.takeEffects()
+}
+
+// takeEffects stores all writes and starts all tasks that are ordered.
+func (r *cellRun) takeEffects() {
+	for {
+		effects := r.cell.TakeEffects(r.now)
+		for _, order := range effects.Starts {
+			r.running = append(r.running, order)
+			r.cell.ApplyStartResult(r.now, cell.StartResult{Worker: order.Worker, Task: order.Task, Run: order.Run, Outcome: cell.StartAccepted, Token: 1})
+		}
+		if effects.Write == nil {
+			return
+		}
+		r.store(*effects.Write)
+	}
+}
+
+func (r *cellRun) store(write cell.WriteBatch) {
+	records, _, err := EncodeWriteBatch(write, store.Limits{RecordBytes: 1 << 30, CallBytes: 1 << 30})
+	assert.NilError(r.t, err)
+	for _, record := range records {
+		kind, _, _ := strings.Cut(record.Key, "/")
+		r.largest[kind] = max(r.largest[kind], record.Size())
+	}
+	r.cell.MarkStored(r.now, write.Number)
+}
+
+// The estimates about all images ever named were one record. After some 2,000 images with
+// a digest the log took it no more, and each term ended over it 4 s after it had begun.
+func TestRecordOfLearnedEstimatesIsBounded(t *testing.T) {
+	for _, length := range []int{1, 71, 300, 1023, 1024, 1025, 100_000} {
+		r := newCellRun(t, cell.Config{Epoch: 1}, time.UnixMilli(1_000_000), CellState{})
+		images := 400_000 / length
+		for n := range uint64(max(2, min(64, images/64))) {
+			var job jobspec.Job
+			for i := range min(64, images) {
+				name := fmt.Sprintf("%d/%d/", n, i)
+				job.Steps = append(job.Steps, jobspec.Step{Count: 1, CPUMillis: 1, MemoryMB: 1, EstimateMillis: 100, Image: name + strings.Repeat("i", max(0, length-len(name)))})
+			}
+			r.submit(n, job)
+			r.step(100 * time.Millisecond)
+		}
+		r.step(5 * time.Second)
+		r.step(5 * time.Second)
+		assert.Assert(t, r.largest[learnedKey] <= cell.MaxLearnedBytes, "images of %d bytes: the record has %d bytes", length, r.largest[learnedKey])
+		assert.Assert(t, length > 1024 || r.largest[learnedKey] > 0, "images of %d bytes: nothing is stored", length)
+	}
+}
+
+// A record of an earlier version may be larger than the bound. What this term uses must be
+// kept, and the rest trimmed.
+func TestLearnedEstimatesInUseAreKept(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 36))
+	earlier := cell.LearnedRecord{UnloadedTails: map[string]float64{}, DurationRatios: map[string]float64{}}
+	for n := range 20_000 {
+		name := fmt.Sprintf("image-%d-%x", n, random.Uint64())
+		earlier.UnloadedTails[name] = 1
+		earlier.DurationRatios[name] = 1
+		earlier.Pairs = append(earlier.Pairs, cell.PressureRecord{ServiceImage: name, BestEffortImage: name, Coefficient: 0.1})
+	}
+	earlier.DurationRatios["used"] = 1.7
+	r := newCellRun(t, cell.Config{Epoch: 1}, time.UnixMilli(1_000_000), CellState{Learned: earlier})
+	for n := range uint64(3) {
+		r.submit(n, jobspec.Job{Steps: []jobspec.Step{{Count: 1, CPUMillis: 1, MemoryMB: 1, EstimateMillis: 100, Image: "used"}}})
+		r.step(170 * time.Millisecond)
+	}
+	r.now = r.now.Add(5 * time.Second)
+	r.cell.Tick(r.now)
+	r.now = r.now.Add(5 * time.Second)
+	r.cell.Tick(r.now)
+	write := r.cell.TakeEffects(r.now).Write
+	assert.Assert(t, write != nil && write.Learned != nil)
+	assert.Assert(t, write.Learned.DurationRatios["used"] > 1, "the estimate in use was trimmed")
+	r.store(*write)
+	assert.Assert(t, r.largest[learnedKey] <= cell.MaxLearnedBytes, "%d bytes", r.largest[learnedKey])
+	assert.Assert(t, len(write.Learned.UnloadedTails) > 100 && len(write.Learned.Pairs) > 100)
+}
--- a/internal/version/cell/besteffort.go
+++ b/internal/version/cell/besteffort.go
@@ -81,7 +81,9 @@
 		return
 	}
 	for _, s := range c.loadOf(w).services {
-		c.pressures.ensureEntry(s.image, t.spec().Image).lastTrial = now
+		entry := c.pressures.ensureEntry(s.image, t.spec().Image)
+		entry.lastTrial = now
+		entry.usage.mark(now)
 	}
 }
 
--- a/internal/version/cell/duration.go
+++ b/internal/version/cell/duration.go
@@ -5,10 +5,10 @@
 // durationModel holds, for each image, the learned ratio of the actual to the
 // estimated duration of its tasks.
 type durationModel struct {
-	ratios map[string]float64
+	ratios map[string]*imageEstimate
 }
 
-func newDurationModel() durationModel { return durationModel{ratios: map[string]float64{}} }
+func newDurationModel() durationModel { return durationModel{ratios: map[string]*imageEstimate{}} }
 
 // durationRatioWeight is the weight of the newest run in the moving average.
 const durationRatioWeight = 0.15
@@ -17,24 +17,29 @@
 // has ended. Estimates are wrong by a factor of up to two.
 const initialDurationRatio = 1.3
 
-func (m *durationModel) recordEnd(r *run, reason EndReason, duration time.Duration) {
+func (m *durationModel) recordEnd(now time.Time, r *run, reason EndReason, duration time.Duration) {
 	estimate := r.task.spec().EstimateMillis
 	if reason != EndSucceeded || estimate <= 0 || r.task.checkpoint != "" {
 		return
 	}
 	key := imageKey(r.task)
-	ratio, found := m.ratios[key]
-	if !found {
-		ratio = initialDurationRatio
+	if !keepsEstimates(key) {
+		return
+	}
+	ratio := m.ratios[key]
+	if ratio == nil {
+		ratio = &imageEstimate{value: initialDurationRatio}
+		m.ratios[key] = ratio
 	}
-	m.ratios[key] = ratio + durationRatioWeight*(float64(duration.Milliseconds())/float64(estimate)-ratio)
+	ratio.value += durationRatioWeight * (float64(duration.Milliseconds())/float64(estimate) - ratio.value)
+	ratio.usage.mark(now)
 }
 
 // expectedDuration returns the expected duration of a run of the task.
 func (m *durationModel) expectedDuration(t *task) time.Duration {
-	ratio, found := m.ratios[imageKey(t)]
-	if !found {
-		ratio = initialDurationRatio
+	ratio := initialDurationRatio
+	if learned := m.ratios[imageKey(t)]; learned != nil {
+		ratio = learned.value
 	}
 	return time.Duration(ratio * float64(t.spec().EstimateMillis) * float64(time.Millisecond))
 }
--- a/internal/version/cell/learned.go
+++ b/internal/version/cell/learned.go
@@ -1,24 +1,36 @@
 package cell
 
-import (
-	"maps"
-	"time"
-)
+import "time"
 
 // learnedSavePeriod is the time between two stored records of the learned
 // estimates. If a leader ends in between, the next one has to learn the newest
 // estimates again, but takes no wrong decision.
 const learnedSavePeriod = 4 * time.Second
 
+// MaxLearnedBytes is the maximum size of the stored record of the learned estimates.
+const MaxLearnedBytes = 96 << 10
+
 // RestoreLearned loads the estimates that an earlier leader stored.
 func (c *Cell) RestoreLearned(record LearnedRecord) {
 	for _, pair := range record.Pairs {
-		c.pressures.coefficients[imagePair{pair.ServiceImage, pair.BestEffortImage}] = &coefficient{mean: pair.Coefficient, variance: restoredVariance}
+		if keepsEstimates(pair.ServiceImage, pair.BestEffortImage) {
+			c.pressures.coefficients[imagePair{pair.ServiceImage, pair.BestEffortImage}] = &coefficient{mean: pair.Coefficient, variance: restoredVariance}
+		}
 	}
-	maps.Copy(c.pressures.unloadedTails, record.UnloadedTails)
-	maps.Copy(c.durations.ratios, record.DurationRatios)
+	restoreEstimates(c.pressures.unloadedTails, record.UnloadedTails)
+	restoreEstimates(c.durations.ratios, record.DurationRatios)
 }
 
+func restoreEstimates(estimates map[string]*imageEstimate, stored map[string]float64) {
+	for image, value := range stored {
+		if keepsEstimates(image) {
+			estimates[image] = &imageEstimate{value: value}
+		}
+	}
+}
+
+// saveLearned stores the estimates. The oldest and least used ones are forgotten if the
+// record would become too large.
 func (c *Cell) saveLearned(now time.Time) {
 	if c.learnedSavedAt.IsZero() {
 		c.learnedSavedAt = now
@@ -27,7 +39,10 @@
 		return
 	}
 	c.learnedSavedAt = now
-	record := &LearnedRecord{UnloadedTails: maps.Clone(c.pressures.unloadedTails), DurationRatios: maps.Clone(c.durations.ratios)}
+	trimPairs(now, c.pressures.coefficients, maxPairBytes)
+	trimImages(now, c.pressures.unloadedTails, maxTailBytes)
+	trimImages(now, c.durations.ratios, maxRatioBytes)
+	record := &LearnedRecord{UnloadedTails: storedEstimates(c.pressures.unloadedTails), DurationRatios: storedEstimates(c.durations.ratios)}
 	for images, entry := range c.pressures.coefficients {
 		if entry.variance >= trialVariance {
 			continue
@@ -36,3 +51,11 @@
 	}
 	c.write.Learned = record
 }
+
+func storedEstimates(estimates map[string]*imageEstimate) map[string]float64 {
+	stored := make(map[string]float64, len(estimates))
+	for image, estimate := range estimates {
+		stored[image] = estimate.value
+	}
+	return stored
+}
--- a/internal/version/cell/observe.go
+++ b/internal/version/cell/observe.go
@@ -25,7 +25,7 @@
 			continue
 		}
 		spec, tail := r.task.spec(), float64(r.measurement)
-		c.pressures.recordTail(spec.Image, tail)
+		c.pressures.recordTail(now, spec.Image, tail)
 		var s *serviceSample
 		samples, s = findOrAddSample(samples, r.task.step)
 		s.pressure += c.pressures.pressureAt(spec.Image, tail, spec.LatencyTargetMillis)
--- a/internal/version/cell/pressure.go
+++ b/internal/version/cell/pressure.go
@@ -68,6 +68,7 @@
 	mean, variance float64
 	// lastTrial is when a task of the pair was last placed.
 	lastTrial time.Time
+	usage     usage
 }
 
 // upperEstimate returns the mean plus a margin that grows with the uncertainty.
@@ -84,11 +85,11 @@
 	coefficients map[imagePair]*coefficient
 	// unloadedTails holds the lowest tail seen of each service image, in
 	// milliseconds.
-	unloadedTails map[string]float64
+	unloadedTails map[string]*imageEstimate
 }
 
 func newPressureModel() pressureModel {
-	return pressureModel{coefficients: map[imagePair]*coefficient{}, unloadedTails: map[string]float64{}}
+	return pressureModel{coefficients: map[imagePair]*coefficient{}, unloadedTails: map[string]*imageEstimate{}}
 }
 
 // lookup returns the coefficient of a pair, or the initial one if there is
@@ -101,20 +102,22 @@
 }
 
 // ensureEntry returns the stored coefficient of a pair and creates it on first
-// use.
+// use. That of images for which no estimates are kept is not stored.
 func (p *pressureModel) ensureEntry(service, bestEffort string) *coefficient {
 	entry := p.coefficients[imagePair{service, bestEffort}]
 	if entry == nil {
 		entry = &coefficient{mean: initialCoefficient, variance: initialCoefficientVariance}
-		p.coefficients[imagePair{service, bestEffort}] = entry
+		if keepsEstimates(service, bestEffort) {
+			p.coefficients[imagePair{service, bestEffort}] = entry
+		}
 	}
 	return entry
 }
 
 // unloadedTail returns the unloaded tail of a service image, in milliseconds.
 func (p *pressureModel) unloadedTail(image string, target float64) float64 {
-	if lowest, found := p.unloadedTails[image]; found {
-		return lowest
+	if lowest := p.unloadedTails[image]; lowest != nil {
+		return lowest.value
 	}
 	return initialUnloadedShare * target
 }
@@ -140,10 +143,17 @@
 	return pressureDeviation*pressureDeviation + rounding*rounding
 }
 
-func (p *pressureModel) recordTail(image string, tail float64) {
-	if lowest, found := p.unloadedTails[image]; !found || tail < lowest {
-		p.unloadedTails[image] = tail
+func (p *pressureModel) recordTail(now time.Time, image string, tail float64) {
+	if !keepsEstimates(image) {
+		return
 	}
+	lowest := p.unloadedTails[image]
+	if lowest == nil {
+		lowest = &imageEstimate{value: tail}
+		p.unloadedTails[image] = lowest
+	}
+	lowest.value = min(lowest.value, tail)
+	lowest.usage.mark(now)
 }
 
 // learn corrects the load estimate of a service step, and the coefficients of
@@ -166,6 +176,7 @@
 		gain := entry.variance * u.cores / totalVariance
 		entry.mean = math.Min(maxCoefficient, math.Max(0, entry.mean+gain*residual))
 		entry.variance = math.Max(minVariance, entry.variance*(1-gain*u.cores))
+		entry.usage.mark(now)
 	}
 	load.correct(at, residual, loadVariance/totalVariance)
 }
--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -186,7 +186,7 @@
 	if r := w.findRun(end.Task, end.Run); r != nil {
 		duration = now.Sub(r.runningSince)
 		r.recordRunEnd(end.Reason, now)
-		c.durations.recordEnd(r, end.Reason, duration)
+		c.durations.recordEnd(now, r, end.Reason, duration)
 		c.removeRun(r)
 	}
 	j := c.jobs[end.Task.Job]
