cell: rank long-running tasks of earlier terms as ones that may have run

A long-running task that has waited for 4 s comes before short tasks if it has run before or if its job has no run. The starts of an earlier term are not stored, so the next leader took a task that it had not seen running for one that has never run: as soon as another task of its job was seen, it stayed behind all short tasks, without end while they kept the workers full.

Such a task now counts as one that may have run.

Both tests fail before the change:

liveness_test.go:97: at 18.200, task { 0 0 5} could run since 15.200 and doesn't recovery_test.go:183: [...] the long-running task waits

--- a/internal/version/cell/liveness_test.go
+++ b/internal/version/cell/liveness_test.go
@@ -411,7 +411,11 @@
 }
 
 var seedFlag = flag.Uint64("liveness-seed", 0, "run only this seed of TestStartableTasksStart")
-var seedsFlag = flag.Uint64("liveness-seeds", 12, "number of seeds of TestStartableTasksStart")
+
+// defaultSeeds is the number of seeds of TestStartableTasksStart unless a flag says otherwise.
+const defaultSeeds = 12
+
+var seedsFlag = flag.Uint64("liveness-seeds", defaultSeeds, "number of seeds of TestStartableTasksStart")
 var firstSeedFlag = flag.Uint64("liveness-first", 1, "first seed of TestStartableTasksStart")
 var kindsFlag = flag.String("liveness-faults", "", "kinds of faults of TestStartableTasksStart, separated by commas; empty means by seed")
 
@@ -505,6 +509,48 @@
 	}
 }
 
+// Guards against long-running tasks of lost workers that find no room again once the leader
+// has changed as well, while short jobs keep the other workers full.
+func TestLongRunningTasksStartAfterLossOfWorkersAndLeader(t *testing.T) {
+	seeds := []uint64{2, 3}
+	if *seedsFlag != defaultSeeds {
+		seeds = nil
+		for seed := *firstSeedFlag; seed < *firstSeedFlag+*seedsFlag; seed++ {
+			seeds = append(seeds, seed)
+		}
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { testLossOfWorkersAndLeader(t, seed) })
+	}
+}
+
+func testLossOfWorkersAndLeader(t *testing.T, seed uint64) {
+	s := newSimulation(t, seed, 24)
+	s.distance = 30 * time.Millisecond
+	s.startTerm()
+	s.advance(time.Second)
+	submitLongRunning := func() {
+		job := longRunningJob(s.random)
+		job.Steps[0].CPUMillis /= 4
+		s.submit(job, 0)
+	}
+	for range 10 {
+		submitLongRunning()
+	}
+	const day = 30 * time.Second
+	s.every(day, 20, 40, func() { s.submit(shortJob(s.random), 0) })
+	s.every(day, 2000, 6000, submitLongRunning)
+	s.schedule(s.millis(3000, 6000), func() {
+		for _, i := range s.random.Perm(len(s.workers))[:2] {
+			s.crash(s.workers[i], time.Hour)
+		}
+		s.schedule(s.millis(500, 1500), s.startTerm)
+	})
+	s.schedule(2*time.Second, s.watchLiveness)
+	s.advance(60 * time.Second)
+	s.checkAllEnded()
+}
+
 // testLiveness runs one simulated day with the given kinds of faults, separated by
 // commas, or with some that the seed chooses.
 func testLiveness(t *testing.T, seed uint64, faults string) {
--- a/internal/version/cell/place.go
+++ b/internal/version/cell/place.go
@@ -26,7 +26,7 @@
 }
 
 // longRunningMaxWait is how long a ready long-running task waits behind short
-// tasks. After that it is overdue if it has run before or if its job has not
+// tasks. After that it is overdue if it may have run before or if its job has not
 // started any task. If there is capacity for such a task, it must run again
 // within 9 s.
 const longRunningMaxWait = 4 * time.Second
@@ -37,7 +37,8 @@
 	if !t.spec().LongRunning || now.Sub(t.readySince) < longRunningMaxWait {
 		return false
 	}
-	return t.lastRun > 0 || !t.job().started
+	// The starts of earlier terms are not stored.
+	return t.lastRun > 0 || t.job().fromEarlierTerm || !t.job().started
 }
 
 // bestWorker returns the worker with the highest score among those that are
--- a/internal/version/cell/recovery_test.go
+++ b/internal/version/cell/recovery_test.go
@@ -164,3 +164,31 @@
 	assert.Equal(t, len(write.RemovedWorkers), 0)
 	assert.Equal(t, len(write.Workers), 1)
 }
+
+// Guards against a long-running task of a lost worker that waits behind short tasks without
+// end, because the next leader doesn't know that it has run before.
+func TestLongRunningTaskOfEarlierTermComesBeforeShortTasks(t *testing.T) {
+	const lasting, short, thirdWorker = jobA, jobspec.ID("00000000000000bb"), WorkerID("w3")
+	record := testRecord(3)
+	record.Job.Steps[0].Count = 2
+	record.Job.Steps[0].LongRunning = true
+	c := newRecoveringCell(record, testInfo(thirdWorker))
+	now := testStart
+	c.ApplyReport(now, newReport(testWorker, now, RunReport{Task: firstTaskID(), Run: 1}))
+	c.ApplyReport(now, newReport(thirdWorker, now))
+	c.Submit(now, 1, short, &jobspec.Job{Steps: []jobspec.Step{{Count: 40, CPUMillis: 5000, MemoryMB: 100, EstimateMillis: 1000}}}, record.Terms)
+	starts := takeStarts(c, now)
+	assert.Equal(t, len(starts), 1)
+	for end := int64(1); starts[0].Task.Job == short; end++ {
+		assert.Assert(t, now.Before(testStart.Add(8*time.Second+startWithin)), "the long-running task waits")
+		now = now.Add(500 * time.Millisecond)
+		c.ApplyReport(now, newReport(testWorker, now, RunReport{Task: firstTaskID(), Run: 1}))
+		report := newReport(thirdWorker, now)
+		report.Ended = []RunEnd{{Number: end, Task: starts[0].Task, Run: starts[0].Run, Reason: EndSucceeded}}
+		c.ApplyReport(now, report)
+		c.Tick(now)
+		starts = takeStarts(c, now)
+		assert.Equal(t, len(starts), 1)
+	}
+	assert.Equal(t, starts[0].Task, TaskID{Job: lasting, Index: 1})
+}
--- a/internal/version/cell/simulation_test.go
+++ b/internal/version/cell/simulation_test.go
@@ -42,6 +42,8 @@
 	openJobs map[jobspec.ID]*jobspec.Job
 	// writeDelay is the time that a write takes to be stored.
 	writeDelay time.Duration
+	// distance is added to the delay of each message.
+	distance time.Duration
 	// lossRate is the share of calls to workers that get no answer in time.
 	lossRate float64
 	// storeDown is set while the log, and with it the registry, can't be reached.
@@ -682,7 +684,7 @@
 }
 
 func (s *simulation) randomDelay() time.Duration {
-	return time.Duration(500+s.random.IntN(2000)) * time.Microsecond
+	return s.distance + time.Duration(500+s.random.IntN(2000))*time.Microsecond
 }
 
 func (s *simulation) store(c *Cell, write WriteBatch) {
