cell: simulate networks that are split with leaders and workers on both sides

Now the network is split into up to three parts, in both directions or in one, with instances that tell each other of terms, confirm them late, restart and lead; the log is away for the part that is cut off, or for all; the registry is away for the part or not; leaders are replaced and killed several times. A rule says when a leader extends leases.

--- a/internal/version/cell/liveness_test.go
+++ b/internal/version/cell/liveness_test.go
@@ -32,7 +32,7 @@
 }
 
 func (s *simulation) checkLiveness() {
-	if s.storeDown || s.lossRate > 0 {
+	if s.storeDown || s.lossRate > 0 || s.network.isSplit() {
 		s.disturbedAt = s.now
 	}
 	if s.cell == nil || s.now.Sub(s.disturbedAt) < calmBefore {
@@ -203,7 +203,7 @@
 			line += fmt.Sprintf(" | known incarnation %d capacity %v reserved %v runs %d registered %v renewed %v unresponsive %v unknownRuns %v blocked %v failures %d trust %v", w.info.Incarnation,
 				w.info.Capacity, w.reserved, len(w.runs), w.registered, w.renewed, w.unresponsive, w.hasUnknownRuns, s.now.Before(w.startsBlockedUntil), w.health.weight(), w.trust(s.now))
 		}
-		if session := s.sessions[sw.info.ID]; session != nil {
+		if session := s.leader.sessions[sw.info.ID]; session != nil {
 			line += fmt.Sprintf(" | session token %d worker token %d closed %v", session.token, sw.token, session.closed)
 		}
 		lines = append(lines, line)
--- a/internal/version/cell/simulation_test.go
+++ b/internal/version/cell/simulation_test.go
@@ -26,11 +26,12 @@
 	events         eventHeap
 	lastEventOrder int
 
-	cell     *Cell
-	epoch    int64
-	workers  []*simWorker
-	sessions map[WorkerID]*simSession
-	stored   storedState
+	// cell is that of the present leader.
+	cell    *Cell
+	leader  *simLeader
+	epoch   int64
+	workers []*simWorker
+	stored  storedState
 	// answered holds the requests that were answered.
 	answered map[uint64]bool
 	requests uint64
@@ -47,7 +48,6 @@
 	// storeDown is set while the log, and with it the registry, can't be reached.
 	storeDown     bool
 	delayedWrites []func()
-	lastRenewal   time.Time
 	// registryChanged is set while the leader has not read the newest registry.
 	registryChanged bool
 	adviceBusyUntil time.Time
@@ -61,11 +61,12 @@
 	// heldOrdersReachNextIncarnation lets a new incarnation carry out orders that were
 	// sent to the last one and arrive late.
 	heldOrdersReachNextIncarnation bool
-	// earlier is the earlier leader while it still acts beside the present one, or nil.
-	// earlierSessions are its sessions, and earlierRenewal is its last renewal.
-	earlier         *Cell
-	earlierSessions map[WorkerID]*simSession
-	earlierRenewal  time.Time
+	// earlier holds the earlier leaders that still act beside the present one.
+	earlier []*simLeader
+	// network is the network of a simulation with partitions, or nil.
+	network *simNetwork
+	// fail ends the simulation when a guarantee is broken.
+	fail func(format string, args ...any)
 	// trace records all decisions; it is printed when a check fails.
 	trace []string
 }
@@ -143,6 +144,8 @@
 	// hiddenUntil is until when the present leader does not reach the worker; an earlier
 	// one does.
 	hiddenUntil time.Time
+	// side is the part of the network in which the worker is.
+	side int
 	// cut is set while no message passes between the worker and the leader or the
 	// registry.
 	cut bool
@@ -176,20 +179,63 @@
 	return total
 }
 
-// reachedBy reports whether messages pass between the worker and a leader.
+// simLeader is a leader and what bears on its term.
+type simLeader struct {
+	cell     *Cell
+	epoch    int64
+	sessions map[WorkerID]*simSession
+	// renewedAt is its last renewal.
+	renewedAt time.Time
+	// fenced is set once a worker has refused an order of an earlier leader.
+	fenced bool
+	// simTerm is used in simulations with partitions only.
+	simTerm
+}
+
+// reachedBy reports whether messages of a leader reach the worker.
 func (s *simulation) reachedBy(w *simWorker, c *Cell) bool {
-	return w.reachable() && (c == s.earlier || !s.now.Before(w.hiddenUntil))
+	return w.reachable() && (s.isEarlier(c) || !s.now.Before(w.hiddenUntil)) && s.network.passesToWorker(s.leaderOf(c), w)
+}
+
+// reaches reports whether messages of the worker reach a leader.
+func (s *simulation) reaches(w *simWorker, c *Cell) bool {
+	return w.reachable() && (s.isEarlier(c) || !s.now.Before(w.hiddenUntil)) && s.network.passesFromWorker(w, s.leaderOf(c))
+}
+
+// leaderOf returns the leader with a cell if it is the present one or one that still
+// acts, or nil.
+func (s *simulation) leaderOf(c *Cell) *simLeader {
+	if s.leader != nil && c == s.leader.cell {
+		return s.leader
+	}
+	for _, l := range s.earlier {
+		if c == l.cell {
+			return l
+		}
+	}
+	return nil
+}
+
+// isEarlier reports whether a cell is that of an earlier leader that still acts.
+func (s *simulation) isEarlier(c *Cell) bool {
+	l := s.leaderOf(c)
+	return l != nil && l != s.leader
 }
 
 // acts reports whether a cell is that of the present leader or of an earlier one that
 // still acts.
-func (s *simulation) acts(c *Cell) bool { return c == s.cell || c == s.earlier }
+func (s *simulation) acts(c *Cell) bool { return s.leaderOf(c) != nil }
 
 func (s *simulation) sessionsOf(c *Cell) map[WorkerID]*simSession {
-	if c == s.earlier {
-		return s.earlierSessions
+	if l := s.leaderOf(c); l != nil {
+		return l.sessions
 	}
-	return s.sessions
+	return nil
+}
+
+// endEarlier ends an earlier leader.
+func (s *simulation) endEarlier(l *simLeader) {
+	s.earlier = slices.DeleteFunc(s.earlier, func(other *simLeader) bool { return other == l })
 }
 
 // simSession is the leader's session with a worker.
@@ -243,9 +289,11 @@
 	testCallTimeout = 700 * time.Millisecond
 	// testRecoveryWait is how long a new leader waits for workers that don't answer.
 	testRecoveryWait = 8 * time.Second
-	testBusyWait     = 800 * time.Millisecond
-	testIdleWait     = 1400 * time.Millisecond
-	testHeartbeat    = 600 * time.Millisecond
+	// testStoreWait is how long a session waits for the log to store ends.
+	testStoreWait = 400 * time.Millisecond
+	testBusyWait  = 800 * time.Millisecond
+	testIdleWait  = 1400 * time.Millisecond
+	testHeartbeat = 600 * time.Millisecond
 	// testTermLease is the least time between the last renewal of a leader and the claim
 	// of the next one; testAuthorityPeriod is how long a leader starts tasks after it.
 	testTermLease       = 1500 * time.Millisecond
@@ -266,6 +314,7 @@
 		startable:  map[TaskID]time.Time{},
 		lastRunAt:  map[TaskID]time.Time{},
 		writeDelay: 5 * time.Millisecond,
+		fail:       t.Fatalf,
 		stored: storedState{
 			jobs:     map[jobspec.ID]JobRecord{},
 			progress: map[jobspec.ID]ProgressRecord{},
@@ -309,7 +358,7 @@
 	for _, w := range s.workers {
 		switch {
 		case s.storeDown:
-		case w.reachable() && !w.unlistedByFault:
+		case w.reachable() && !w.unlistedByFault && s.network.registers(w):
 			w.lastWrite = s.now
 			if w.listed == nil || !w.listed.Equal(w.info) {
 				entry := w.info
@@ -326,13 +375,18 @@
 
 // readRegistry passes a changed registry to the leader.
 func (s *simulation) readRegistry() {
-	if s.registryChanged && !s.storeDown && s.cell != nil {
+	if s.registryChanged && s.reachesLog(s.leader) {
 		s.registryChanged = false
 		s.updateWorkers()
 	}
 	s.schedule(300*time.Millisecond, s.readRegistry)
 }
 
+// reachesLog reports whether a leader reaches the log and the registry.
+func (s *simulation) reachesLog(l *simLeader) bool {
+	return l != nil && !s.storeDown && s.network.reachesLog(l)
+}
+
 func (s *simulation) updateWorkers() {
 	var infos []WorkerInfo
 	for _, w := range s.workers {
@@ -349,10 +403,15 @@
 func (s *simulation) startTerm() {
 	s.addFault("new leader")
 	s.earlier = nil
+	s.beginTerm(0)
+}
+
+// beginTerm begins a term of an instance from the stored state. Earlier leaders act on.
+func (s *simulation) beginTerm(instance int) {
 	s.schedule(testRecoveryWait-startWithin, func() { s.addFault("recovery of the new leader ends") })
 	s.epoch += 3
 	c := New(Config{Epoch: s.epoch, RecoveryWait: testRecoveryWait, EarlierAuthority: testRecoveryWait - testLease - testLeaseMargin, EndedJobRetention: time.Minute,
-		MaxEarlierLease: testLease + testLeaseMargin, RemoteFactor: 2})
+		UnconfirmedRecoveryWait: s.network.recoveryWait(), MaxEarlierLease: testLease + testLeaseMargin, RemoteFactor: 2})
 	var jobs []JobRecord
 	for _, id := range slices.Sorted(maps.Keys(s.stored.jobs)) {
 		jobs = append(jobs, s.stored.jobs[id])
@@ -367,9 +426,8 @@
 	}
 	c.Restore(s.now, jobs, progress, workers)
 	s.cell = c
-	s.sessions = map[WorkerID]*simSession{}
+	s.leader = &simLeader{cell: c, epoch: s.epoch, sessions: map[WorkerID]*simSession{}, renewedAt: s.now, simTerm: newSimTerm(s.now, instance)}
 	s.delayedWrites = nil
-	s.lastRenewal = s.now
 	s.adviceBusyUntil = time.Time{}
 	if s.storeDown {
 		s.storeDown = false // A leader is elected only while the log is reachable.
@@ -381,15 +439,11 @@
 // startTermBesideEarlier begins a term while the earlier leader, which reaches the log no
 // more, acts until its authority ends. Only that one reaches some of the workers.
 func (s *simulation) startTermBesideEarlier() {
-	earlier, sessions := s.cell, s.sessions
+	earlier := s.leader
 	s.startTerm()
-	s.earlier, s.earlierSessions = earlier, sessions
-	s.earlierRenewal = s.now.Add(-testTermLease)
-	s.schedule(testAuthorityPeriod-testTermLease, func() {
-		if s.earlier == earlier {
-			s.earlier = nil
-		}
-	})
+	s.earlier = []*simLeader{earlier}
+	earlier.renewedAt = s.now.Add(-testTermLease)
+	s.schedule(testAuthorityPeriod-testTermLease, func() { s.endEarlier(earlier) })
 	for _, w := range s.someWorkers() {
 		hidden := s.millis(1000, 12000)
 		w.hiddenUntil = s.now.Add(hidden)
@@ -402,24 +456,25 @@
 // pauseStartsIfEarlier handles a renewal that was refused as fenced: a leader starts
 // nothing more until it has renewed its term, which the earlier one can't.
 func (s *simulation) pauseStartsIfEarlier(c *Cell) {
-	if c == s.earlier {
-		s.earlierRenewal = s.now.Add(-testAuthorityPeriod)
+	if s.isEarlier(c) {
+		s.leaderOf(c).fenced = true
 		c.SetStartsEnabled(false)
 	}
 }
 
 func (s *simulation) tick(c *Cell) {
-	if !s.acts(c) {
+	l := s.leaderOf(c)
+	if l == nil {
 		return
 	}
-	if !s.storeDown && c == s.cell {
-		s.lastRenewal = s.now
+	if l == s.leader && s.reachesLog(l) {
+		l.renewedAt = s.now
 	}
-	renewal := s.lastRenewal
-	if c == s.earlier {
-		renewal = s.earlierRenewal
+	s.confirmTerm(l)
+	if !s.acts(c) {
+		return
 	}
-	c.SetStartsEnabled(s.now.Sub(renewal) < testAuthorityPeriod)
+	c.SetStartsEnabled(s.now.Sub(l.renewedAt) < testAuthorityPeriod && !l.fenced)
 	c.Tick(s.now)
 	s.applyEffects(c)
 	s.schedule(100*time.Millisecond, func() { s.tick(c) })
@@ -435,18 +490,18 @@
 	slices.SortFunc(infos, func(a, b WorkerInfo) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	for _, info := range infos {
 		known[info.ID] = true
-		if existing := s.sessions[info.ID]; existing != nil && !existing.closed {
+		if existing := s.leader.sessions[info.ID]; existing != nil && !existing.closed {
 			continue
 		}
 		token := s.epoch * testTokensPerTerm
-		if earlier := s.sessions[info.ID]; earlier != nil && !s.firstTokenOnly {
+		if earlier := s.leader.sessions[info.ID]; earlier != nil && !s.firstTokenOnly {
 			token = earlier.token + 1
 		}
 		session := &simSession{cell: c, worker: s.worker(info.ID), token: token, extend: true}
-		s.sessions[info.ID] = session
+		s.leader.sessions[info.ID] = session
 		s.schedule(s.randomDelay(), func() { s.renewLease(session, 0) })
 	}
-	for id, session := range s.sessions {
+	for id, session := range s.leader.sessions {
 		if !known[id] {
 			session.closed = true
 		}
@@ -458,6 +513,10 @@
 	if session.closed || !s.acts(session.cell) {
 		return
 	}
+	if !s.mayExtend(s.leaderOf(session.cell)) {
+		s.schedule(50*time.Millisecond, func() { s.renewLease(session, 0) })
+		return
+	}
 	w, token, sent := session.worker, session.token, s.now
 	extend := session.extend && session.knowsClock
 	leaseEnd := time.Time{}
@@ -522,7 +581,7 @@
 		incarnation := w.incarnation
 		answered := false
 		respond := func() {
-			if answered || w.incarnation != incarnation || !s.reachedBy(w, session.cell) {
+			if answered || w.incarnation != incarnation || !s.reaches(w, session.cell) {
 				return
 			}
 			answered = true
@@ -561,7 +620,10 @@
 
 // pauseAfter returns the pause between a report and the next renewal.
 func (s *simulation) pauseAfter(report Report) time.Duration {
-	if len(report.Ended) > 0 {
+	switch {
+	case len(report.Ended) > 0 && s.network.isSplit():
+		return testStoreWait
+	case len(report.Ended) > 0:
 		return 2*s.writeDelay + 20*time.Millisecond
 	}
 	return time.Millisecond
@@ -659,7 +721,7 @@
 		s.sendStop(c, order)
 	}
 	for _, ack := range effects.Acknowledgements {
-		if w := s.worker(ack.Worker); w.incarnation == ack.Incarnation && w.reachable() {
+		if w := s.worker(ack.Worker); w.incarnation == ack.Incarnation && w.reachable() && s.network.passesToWorker(s.leaderOf(c), w) {
 			w.acknowledgedEnd = max(w.acknowledgedEnd, ack.Number)
 		}
 	}
@@ -689,7 +751,7 @@
 	if c != s.cell {
 		return // A write of an earlier leader is fenced off.
 	}
-	if s.storeDown {
+	if !s.reachesLog(s.leader) {
 		s.delayedWrites = append(s.delayedWrites, func() { s.store(c, write) })
 		return
 	}
@@ -793,7 +855,7 @@
 		}
 		if returnDelay >= 0 {
 			s.schedule(returnDelay, func() {
-				if s.reachedBy(w, c) && w.incarnation == incarnation {
+				if s.reaches(w, c) && w.incarnation == incarnation {
 					answer(outcome, reason)
 				}
 			})
@@ -965,10 +1027,10 @@
 		}
 	}
 	if running > 1 && !spec.Speculative {
-		s.t.Fatalf("task %v has %d runs at a time: %s", id, running, s.taskTrace(id))
+		s.fail("task %v has %d runs at a time: %s", id, running, s.taskTrace(id))
 	}
 	if s.done[id] && !spec.Speculative {
-		s.t.Fatalf("task %v started after it was done: %s", id, s.taskTrace(id))
+		s.fail("task %v started after it was done: %s", id, s.taskTrace(id))
 	}
 }
 
