--- a/internal/connection/workerlink/session.go
+++ b/internal/connection/workerlink/session.go
@@ -83,10 +83,11 @@
 	RenewalUnanswered(worker cell.WorkerID, leaseUntil time.Time, err error)
 	// StartResult handles the outcome of a start order.
 	StartResult(result cell.StartResult)
-	// Authorized reports whether starts and lease renewals may be sent. It is
-	// false while another leader may have replaced the sender without the
-	// sender knowing.
+	// Authorized reports whether lease renewals may be sent, and MayStart whether starts
+	// may be. They are false while another leader may have replaced the sender without
+	// the sender knowing.
 	Authorized() bool
+	MayStart() bool
 }
 
 const (
@@ -485,7 +486,7 @@
 func (s *Session) Start(ctx context.Context, order cell.StartOrder) {
 	grant := s.newGrant()
 	sent := time.Now()
-	if !s.sink.Authorized() {
+	if !s.sink.MayStart() {
 		s.sink.StartResult(cell.StartResult{Worker: order.Worker, Task: order.Task, Run: order.Run,
 			Token: grant.Token, Outcome: cell.StartRefused, Refusal: cell.RefusedNotSent})
 		return
--- a/internal/connection/workerlink/session_test.go
+++ b/internal/connection/workerlink/session_test.go
@@ -98,6 +98,7 @@
 }
 
 func (s *recordingSink) Authorized() bool { return !s.unauthorized.Load() }
+func (s *recordingSink) MayStart() bool   { return !s.unauthorized.Load() }
 
 func (s *recordingSink) Report(report cell.Report) {
 	s.mu.Lock()
--- a/internal/entry/authority.go
+++ b/internal/entry/authority.go
@@ -44,13 +44,17 @@
 	if l.entry.leaders.newestKnownEpoch(l.term.Cell) > l.term.Epoch {
 		return election.NoAuthority
 	}
-	return election.AuthorityToExtend(l.sinceRenewal(), startAuthorityPeriod, time.Since(*l.confirmation.majoritySince.Load()))
+	renewalAuthority := startAuthorityPeriod
+	if l.releasing.Load() {
+		renewalAuthority = 0
+	}
+	return election.AuthorityToExtend(l.sinceRenewal(), renewalAuthority, time.Since(*l.confirmation.majoritySince.Load()))
 }
 
 // needsConfirmation reports whether the voters have not confirmed the term yet or its newest
 // renewal is late.
 func (l *leadership) needsConfirmation() bool {
-	return !l.confirmation.earlierBlocked.Load() || l.sinceRenewal() > 2*renewalPeriod
+	return !l.confirmation.earlierBlocked.Load() || l.sinceRenewal() > 2*renewalPeriod || l.releasing.Load()
 }
 
 // updateConfirmation applies what the voters have confirmed.
--- a/internal/entry/authority_test.go
+++ b/internal/entry/authority_test.go
@@ -142,3 +142,31 @@
 		assert.Assert(t, l.entry.leaders.WantsConfirmation(), "the term is not renewed")
 	})
 }
+
+// Guards against starts for as long as a majority confirms the term: the next leader relies on
+// it that they end 4 s after the renewal.
+func TestMajorityDoesNotProlongStarts(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		l := testTermLeadership(t)
+		defer l.entry.options.Journal.Close()
+		assert.Assert(t, l.MayStart())
+		time.Sleep(startAuthorityPeriod + time.Millisecond)
+		hear(l.entry.leaders, 2, 5, time.Now())
+		l.updateConfirmation(time.Now())
+		assert.Assert(t, l.Authorized() && !l.MayStart())
+	})
+}
+
+// Guards against a leader that goes on after a release whose reply was lost: another instance
+// claims a released term at once, and waits for less than 4 s and a lease.
+func TestReleasedTermNeedsMajority(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		l := testTermLeadership(t)
+		defer l.entry.options.Journal.Close()
+		l.releasing.Store(true)
+		assert.Assert(t, !l.Authorized() && !l.MayStart())
+		hear(l.entry.leaders, 2, 5, time.Now())
+		l.updateConfirmation(time.Now())
+		assert.Assert(t, l.Authorized() && !l.MayStart())
+	})
+}
--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -51,6 +51,9 @@
 	// lastRenewal is the time at which the last claim or renewal that the log has
 	// accepted was sent.
 	lastRenewal atomic.Pointer[boottime.Moment]
+	// releasing is set once a release of the term was sent: another instance may claim the
+	// cell at once.
+	releasing atomic.Bool
 	// extendedLeases counts the answered renewals that extended the leases of a worker,
 	// since authorityLogged.
 	extendedLeases  atomic.Int64
@@ -273,7 +276,7 @@
 // is known or another instance should lead.
 func (l *leadership) tick() {
 	now := time.Now()
-	l.cell.SetStartsEnabled(l.sinceRenewal() < startAuthorityPeriod && !l.mayBeReplaced())
+	l.cell.SetStartsEnabled(l.MayStart() && !l.mayBeReplaced())
 	if !l.Authorized() {
 		l.requestRenewal()
 	}
--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -34,6 +34,12 @@
 	return l.lastRenewal.Load().Suspended() < suspensionTolerance && l.leaseAuthority() != election.NoAuthority
 }
 
+// MayStart implements workerlink.Sink. The next leader relies on it that starts end sooner
+// than lease renewals: a majority of the voters does not prolong them.
+func (l *leadership) MayStart() bool {
+	return l.Authorized() && l.sinceRenewal() < startAuthorityPeriod && !l.releasing.Load()
+}
+
 // recordFenceRefusal pauses starts until the term is renewed: a worker that refuses an
 // order as fenced may follow a later leader. Only the first refusal of each worker counts,
 // so that a worker that refuses all orders does not stop the others.
@@ -134,8 +140,9 @@
 	state.held = renewed
 	state.firstUnanswered = nil
 	l.confirmation.quorum.Store(&election.Quorum{Stored: renewed.Voters})
-	l.renewalEndOffset.Store(renewed.EndOffset)
+	// In this order: with the old time, the new record would look like a stalled term.
 	l.lastRenewal.Store(&sent)
+	l.renewalEndOffset.Store(renewed.EndOffset)
 	l.refusalsChecked.Store(refusals)
 	l.post(func(_ time.Time, c *cell.Cell) { c.TermRenewed(sent.Time()) })
 	// Other instances compare the newest record in the log with the one that the leader
@@ -148,6 +155,7 @@
 // gave up the term earlier, no other instance could claim the cell while the log is
 // unreachable, and the leases of running tasks would expire.
 func (l *leadership) releaseAndStepDown(ctx context.Context, heldTerm election.Term) {
+	l.releasing.Store(true)
 	for ctx.Err() == nil {
 		next, err := l.tryRelease(ctx, heldTerm)
 		switch {
