--- a/internal/entry/authority.go
+++ b/internal/entry/authority.go
@@ -44,11 +44,11 @@
 	if l.entry.leaders.newestKnownEpoch(l.term.Cell) > l.term.Epoch {
 		return election.NoAuthority
 	}
-	renewalAuthority := startAuthorityPeriod
+	sinceRenewal := l.sinceRenewal()
 	if l.releasing.Load() {
-		renewalAuthority = 0
+		sinceRenewal = max(sinceRenewal, startAuthorityPeriod)
 	}
-	return election.AuthorityToExtend(l.sinceRenewal(), renewalAuthority, time.Since(*l.confirmation.majoritySince.Load()))
+	return election.AuthorityToExtend(sinceRenewal, startAuthorityPeriod, time.Since(*l.confirmation.majoritySince.Load()))
 }
 
 // needsConfirmation reports whether the voters have not confirmed the term yet or its newest
