cell: store the progress of a job with many tasks in parts

Cause: the finished tasks of a job were one record, written whole at each change.

Change: the progress of a job with more than 64 open tasks is stored in parts, one for each block of 64 tasks of a step, beside a record without tasks. A part is written when a task of its block has changed. What is stored of a task is bounded, and with it every record: a checkpoint of more than 512 bytes is not kept, 6 suspect runs are stored, and a task fails its job after 128 failures at the latest. The parts come before the record of the job in a write, so that one that an earlier version wrote stays in force until all parts are stored; parts of a final job or a completed occurrence are removed after it. Parts have the form of that record, so that an earlier version still reads them. Records of jobs that no longer exist are removed by the next leader.

--- a/internal/connection/cellcodec/cellcodec.go
+++ b/internal/connection/cellcodec/cellcodec.go
@@ -6,6 +6,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"fmt"
 	"math"
 	"strings"
 
@@ -64,7 +65,8 @@
 		return cell.RecordOwner{Worker: worker.ID}
 	}
 	for _, prefix := range []string{jobKeyPrefix, progressKeyPrefix} {
-		if id, found := strings.CutPrefix(record.Key, prefix); found {
+		if rest, found := strings.CutPrefix(record.Key, prefix); found {
+			id, _, _ := strings.Cut(rest, "/")
 			return cell.RecordOwner{Job: jobspec.ID(id)}
 		}
 	}
@@ -87,7 +89,7 @@
 		}
 	}
 	for _, progress := range write.Progress {
-		if err := addRecord(progressKeyPrefix+string(progress.ID), progress); err != nil {
+		if err := addRecord(progressKey(progress.ID, progress.Part), progress); err != nil {
 			return nil, err
 		}
 	}
@@ -116,6 +118,15 @@
 	return key[:store.MaxKeyBytes-len(end)] + end
 }
 
+// progressKey returns the key of the record of a job's progress, or of one part of it.
+func progressKey(id jobspec.ID, part *cell.PartID) string {
+	key := progressKeyPrefix + string(id)
+	if part == nil {
+		return key
+	}
+	return fmt.Sprintf("%s/%d.%d.%d", key, part.Occurrence, part.Step, part.Block)
+}
+
 // removalRecords returns records with an empty value, which remove the keys of
 // workers and jobs that the write removes.
 func removalRecords(write cell.WriteBatch) []store.Record {
@@ -125,7 +136,10 @@
 	}
 	for _, id := range write.RemovedJobs {
 		// Without its progress, a job that is still stored would run again.
-		records = append(records, store.Record{Key: jobKeyPrefix + string(id)}, store.Record{Key: progressKeyPrefix + string(id)})
+		records = append(records, store.Record{Key: jobKeyPrefix + string(id)}, store.Record{Key: progressKey(id, nil)})
+	}
+	for _, removed := range write.RemovedParts {
+		records = append(records, store.Record{Key: progressKey(removed.Job, &removed.Part)})
 	}
 	return records
 }
--- a/internal/version/cell/cell.go
+++ b/internal/version/cell/cell.go
@@ -81,6 +81,7 @@
 
 // New returns an empty cell.
 func New(config Config) *Cell {
+	config.BlockTasks = cmp.Or(config.BlockTasks, BlockTasks)
 	c := &Cell{
 		config:     config,
 		jobs:       map[jobspec.ID]*job{},
@@ -100,17 +101,12 @@
 func (c *Cell) Restore(now time.Time, jobs []JobRecord, progress []ProgressRecord, workers []WorkerInfo) {
 	tree := c.storedJobs.Load().Txn()
 	for _, record := range jobs {
-		j := newJob(record, c.acceptedTime(now, record.AcceptedMillis))
+		j := c.addJob(record, c.acceptedTime(now, record.AcceptedMillis))
 		j.fromEarlierTerm = true
-		c.jobs[j.id] = j
 		tree.Insert([]byte(j.id), j)
 	}
 	c.storedJobs.Store(tree.Commit())
-	for _, record := range progress {
-		if j := c.jobs[record.ID]; j != nil {
-			j.restoreProgress(record)
-		}
-	}
+	c.restoreAllProgress(progress)
 	for _, record := range jobs {
 		j := c.jobs[record.ID]
 		j.visibleState.Store(uint32(j.state))
@@ -307,8 +303,7 @@
 }
 
 func (c *Cell) acceptJob(now time.Time, record JobRecord) {
-	j := newJob(record, now)
-	c.jobs[j.id] = j
+	j := c.addJob(record, now)
 	c.write.Jobs = append(c.write.Jobs, record)
 	c.afterWrite(func(now time.Time) {
 		tree, _, _ := c.storedJobs.Load().Insert([]byte(j.id), j)
@@ -442,7 +437,7 @@
 func (c *Cell) collectWrite() {
 	for _, j := range c.changedJobs {
 		j.changed = false
-		c.write.Progress = append(c.write.Progress, j.progressRecord())
+		c.writeProgress(j)
 	}
 	c.changedJobs = nil
 	if c.write.isEmpty() && !c.hasUnwrittenAction() {
@@ -462,7 +457,7 @@
 }
 
 func (w *WriteBatch) isEmpty() bool {
-	return w.Learned == nil && len(w.Jobs)+len(w.Progress)+len(w.Workers)+len(w.RemovedWorkers)+len(w.RemovedJobs) == 0
+	return w.Learned == nil && len(w.Jobs)+len(w.Progress)+len(w.Workers)+len(w.RemovedWorkers)+len(w.RemovedJobs)+len(w.RemovedParts) == 0
 }
 
 func (c *Cell) addEvent(event DecisionEvent) { c.effects.Events = append(c.effects.Events, event) }
--- a/internal/version/cell/crash.go
+++ b/internal/version/cell/crash.go
@@ -98,7 +98,7 @@
 		return
 	}
 	t.suspects = append(t.suspects, r)
-	c.markChanged(t.job())
+	c.markTaskChanged(t)
 }
 
 // dropSuspect removes a run that can't crash its worker any more, or whose crash was
@@ -111,7 +111,7 @@
 	}
 	t.suspects = slices.Concat(t.suspects[:index], t.suspects[index+1:])
 	if !t.job().state.IsFinal() {
-		c.markChanged(t.job())
+		c.markTaskChanged(t)
 	}
 }
 
@@ -120,7 +120,7 @@
 func (c *Cell) storeStarted(r *run) {
 	switch {
 	case slices.Contains(r.task.suspects, r):
-		c.markChanged(r.task.job())
+		c.markTaskChanged(r.task)
 	case r.worker.unresponsive:
 		c.addSuspect(r)
 	}
@@ -236,7 +236,7 @@
 	if r.hasStarted() {
 		t.confirmedCrashes++
 	}
-	c.markChanged(t.job())
+	c.markTaskChanged(t)
 	outcome := fmt.Sprintf("%d workers crashed", t.crashes)
 	if t.crashes < t.uncertainCrashLimit() && (t.crashes < limit || t.confirmedCrashes < confirmedCrashMinimum) {
 		c.addEvent(DecisionEvent{Event: "task implicated", Task: t.id(), Run: r.number, Worker: r.worker.info.ID, Outcome: outcome})
@@ -291,7 +291,7 @@
 	}
 	for _, stored := range record.Suspects {
 		t := j.findTask(TaskID{j.id, stored.Occurrence, stored.Step, stored.Index})
-		if t == nil || t.done {
+		if t == nil || t.done || slices.ContainsFunc(t.suspects, func(r *run) bool { return r.number == stored.Run }) {
 			continue
 		}
 		w := c.suspectWorker(now, stored)
@@ -396,7 +396,7 @@
 		return
 	}
 	r.task.crashes, r.task.confirmedCrashes = 0, 0
-	c.markChanged(r.task.job())
+	c.markTaskChanged(r.task)
 	c.addEvent(DecisionEvent{Event: "task cleared", Task: r.task.id(), Run: r.number, Worker: r.worker.info.ID})
 }
 
--- a/internal/version/cell/crash_test.go
+++ b/internal/version/cell/crash_test.go
@@ -69,7 +69,7 @@
 func newCrashFleet(t *testing.T, machines int) *crashFleet {
 	f := &crashFleet{t: t, now: testStart, deadly: map[TaskID]bool{}, downFor: 3200 * time.Millisecond, runTime: time.Second,
 		events: map[string]int{}, starts: map[TaskID]int{}, crashes: map[TaskID]int{}, done: map[TaskID]bool{},
-		stored: storedState{jobs: map[jobspec.ID]JobRecord{}, progress: map[jobspec.ID]ProgressRecord{}, workers: map[WorkerID]WorkerInfo{}}}
+		stored: storedState{jobs: map[jobspec.ID]JobRecord{}, progress: map[string]ProgressRecord{}, workers: map[WorkerID]WorkerInfo{}}}
 	for n := range machines {
 		info := testInfo(WorkerID(fmt.Sprint("w", n)))
 		info.Address = fmt.Sprint("10.0.0.", n)
@@ -579,12 +579,12 @@
 	f.run(f.downFor + 100*time.Millisecond)
 	assert.Equal(t, f.starts[firstTaskID()], 2)
 	assert.Equal(t, f.storedCrashes(firstTaskID()), 1)
-	assert.Assert(t, f.stored.progress[jobA].Suspects[0].Worker != "", "the worker of the current run is not stored")
+	assert.Assert(t, f.stored.progress[string(jobA)].Suspects[0].Worker != "", "the worker of the current run is not stored")
 }
 
 // storedCrashes returns the crashes under a task that the next leader will know.
 func (f *crashFleet) storedCrashes(id TaskID) int {
-	for _, record := range f.stored.progress[id.Job].Crashes {
+	for _, record := range f.stored.progress[string(id.Job)].Crashes {
 		if record.Step == id.Step && record.Index == id.Index {
 			return record.Crashes
 		}
@@ -664,9 +664,9 @@
 		}
 	}
 	f.run(5 * time.Second)
-	assert.Equal(t, len(f.stored.progress[jobA].Crashes), 1)
+	assert.Equal(t, len(f.stored.progress[string(jobA)].Crashes), 1)
 	f.run(probationPeriod)
-	assert.Equal(t, len(f.stored.progress[jobA].Crashes), 0)
+	assert.Equal(t, len(f.stored.progress[string(jobA)].Crashes), 0)
 	assert.Equal(t, f.starts[firstTaskID()], 2)
 	for _, w := range f.cell.workers {
 		assert.Equal(t, w.implicatedRuns, 0)
@@ -850,7 +850,7 @@
 	f.run(200 * time.Millisecond)
 	f.cell.MarkUnresponsive(f.now, f.machines[0].info.ID, time.Time{})
 	f.step()
-	assert.Equal(t, len(f.stored.progress[jobA].Suspects), 1)
+	assert.Equal(t, len(f.stored.progress[string(jobA)].Suspects), 1)
 	f.takeOver(2)
 	f.run(time.Second)
 	assert.Equal(t, f.events["task implicated"], 0)
--- a/internal/version/cell/job.go
+++ b/internal/version/cell/job.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +13,8 @@
 	spec       *jobspec.Job
 	terms      QueueTerms
 	acceptedAt time.Time
+	// blockTasks is Config.BlockTasks.
+	blockTasks int
 	// visibleState is the State that callers see. Lookup reads it from other
 	// threads.
 	visibleState atomic.Uint32
@@ -29,6 +30,10 @@
 	endedAt        time.Time
 	changed        bool
 	health         *jobHealth
+	// inParts is set once the progress of the job is stored in parts. storedParts holds
+	// the parts that are stored or about to be.
+	inParts     bool
+	storedParts map[PartID]bool
 }
 
 // occurrence is one execution of all steps of a job.
@@ -58,6 +63,9 @@
 	runsPerWorker map[WorkerID]int
 	// userLoad estimates the pressure that the users of a service step cause.
 	userLoad loadEstimate
+	// changedBlocks holds the blocks of tasks whose progress has changed since it was
+	// last written, if the job is stored in parts.
+	changedBlocks map[int]bool
 }
 
 // task is one task of a step.
@@ -180,12 +188,21 @@
 		spec:        &spec,
 		terms:       record.Terms,
 		acceptedAt:  acceptedAt,
+		blockTasks:  BlockTasks,
 		health:      &jobHealth{},
 		state:       Queued,
 		occurrences: map[int]*occurrence{},
 	}
 }
 
+// addJob adds a job that is not known yet.
+func (c *Cell) addJob(record JobRecord, acceptedAt time.Time) *job {
+	j := newJob(record, acceptedAt)
+	j.blockTasks = c.config.BlockTasks
+	c.jobs[j.id] = j
+	return j
+}
+
 // ensureOccurrence returns an occurrence and creates it with its tasks on first
 // use.
 func (j *job) ensureOccurrence(number int) *occurrence {
@@ -256,90 +273,6 @@
 	return true
 }
 
-// progressRecord returns the record of the job's current progress.
-func (j *job) progressRecord() ProgressRecord {
-	record := ProgressRecord{ID: j.id, State: j.state, Started: j.started, NextOccurrence: j.nextOccurrence}
-	if !j.endedAt.IsZero() {
-		record.EndedMillis = j.endedAt.UnixMilli()
-	}
-	if j.state.IsFinal() {
-		return record
-	}
-	for _, o := range j.occurrences {
-		for _, s := range o.steps {
-			record.Tasks = appendTaskRecords(record.Tasks, s)
-			record.Crashes = appendCrashRecords(record.Crashes, s)
-			record.Suspects = appendSuspectRecords(record.Suspects, s)
-		}
-	}
-	return record
-}
-
-func appendTaskRecords(to []TaskRecord, s *step) []TaskRecord {
-	for _, t := range s.tasks {
-		if !t.done && len(t.failedRuns) == 0 && t.checkpoint == "" {
-			continue
-		}
-		to = append(to, TaskRecord{
-			Occurrence: s.occurrence.number, Step: s.index, Index: t.index,
-			Done: t.done, FailedRuns: slices.Clone(t.failedRuns), LastRun: t.lastRun, Checkpoint: t.checkpoint,
-		})
-	}
-	return to
-}
-
-func appendCrashRecords(to []CrashRecord, s *step) []CrashRecord {
-	for _, t := range s.tasks {
-		if t.crashes > 0 && !t.done {
-			to = append(to, CrashRecord{Occurrence: s.occurrence.number, Step: s.index, Index: t.index, Crashes: t.crashes, Confirmed: t.confirmedCrashes})
-		}
-	}
-	return to
-}
-
-func appendSuspectRecords(to []SuspectRecord, s *step) []SuspectRecord {
-	for _, t := range s.tasks {
-		if t.done {
-			continue
-		}
-		for _, r := range t.suspects {
-			info := r.worker.info
-			to = append(to, SuspectRecord{
-				Occurrence: s.occurrence.number, Step: s.index, Index: t.index,
-				Run: r.number, Worker: info.ID, Address: info.Address, Incarnation: info.Incarnation, Started: r.hasStarted(),
-			})
-		}
-	}
-	return to
-}
-
-// restoreProgress applies a stored record to a newly created job.
-func (j *job) restoreProgress(record ProgressRecord) {
-	j.state = record.State
-	j.started = record.Started
-	j.nextOccurrence = record.NextOccurrence
-	if record.EndedMillis != 0 {
-		j.endedAt = time.UnixMilli(record.EndedMillis)
-	}
-	for _, stored := range record.Tasks {
-		t := j.findTask(TaskID{j.id, stored.Occurrence, stored.Step, stored.Index})
-		if t == nil {
-			continue
-		}
-		t.failedRuns = stored.FailedRuns
-		t.lastRun = stored.LastRun
-		t.checkpoint = stored.Checkpoint
-		if stored.Done {
-			t.markDone()
-		}
-	}
-	for _, stored := range record.Crashes {
-		if t := j.findTask(TaskID{j.id, stored.Occurrence, stored.Step, stored.Index}); t != nil {
-			t.crashes, t.confirmedCrashes = stored.Crashes, stored.Confirmed
-		}
-	}
-}
-
 // markDone marks the task as done. The task must not be done already.
 func (t *task) markDone() {
 	t.done = true
--- a/internal/version/cell/keptback.go
+++ b/internal/version/cell/keptback.go
@@ -58,6 +58,11 @@
 	if State(j.visibleState.Load()) == Hidden {
 		c.write.Jobs = append(c.write.Jobs, JobRecord{ID: j.id, Job: *j.spec, Terms: j.terms, AcceptedMillis: j.acceptedAt.UnixMilli()})
 	}
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			s.markAllBlocks()
+		}
+	}
 	c.markChanged(j)
 }
 
--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -154,8 +154,9 @@
 }
 
 func (c *Cell) keepCheckpoint(t *task, checkpoint string) {
-	if checkpoint != "" && t.spec().Checkpointing {
+	if checkpoint != "" && len(checkpoint) <= MaxCheckpointBytes && t.spec().Checkpointing {
 		t.checkpoint = checkpoint
+		t.step.markBlock(t.block())
 	}
 }
 
@@ -199,7 +200,7 @@
 	}
 	t.lastRun = max(t.lastRun, end.Run)
 	c.markStarted(j)
-	c.markChanged(j)
+	c.markTaskChanged(t)
 	if end.Reason != EndSucceeded {
 		c.addEvent(DecisionEvent{Event: "run ended", Task: end.Task, Run: end.Run, Worker: w.info.ID, Outcome: string(end.Reason), Age: duration})
 	}
@@ -217,7 +218,7 @@
 	case EndFailed:
 		t.countFailure(end.Run)
 		t.recordFailedWorker(w)
-		if !t.spec().LongRunning && len(t.failedRuns) >= max(1, t.job().terms.Attempts) {
+		if !t.spec().LongRunning && len(t.failedRuns) >= min(max(1, t.job().terms.Attempts), maxAttempts) {
 			c.addEvent(DecisionEvent{Event: "job failed", Task: t.id(), Run: end.Run, Worker: w.info.ID})
 			c.endJob(now, t.job(), Failed)
 			return
--- a/internal/version/cell/simulation_test.go
+++ b/internal/version/cell/simulation_test.go
@@ -40,6 +40,8 @@
 	// openJobs holds the submitted jobs that had not ended when they were last looked
 	// at.
 	openJobs map[jobspec.ID]*jobspec.Job
+	// blockTasks is the number of tasks in a part of the stored progress.
+	blockTasks int
 	// writeDelay is the time that a write takes to be stored.
 	writeDelay time.Duration
 	// lossRate is the share of calls to workers that get no answer in time.
@@ -96,17 +98,68 @@
 // storedState is the state in the log, which survives a change of the leader.
 type storedState struct {
 	jobs     map[jobspec.ID]JobRecord
-	progress map[jobspec.ID]ProgressRecord
+	progress map[string]ProgressRecord
 	workers  map[WorkerID]WorkerInfo
 }
 
+// progressKeyOf returns the key under which the progress of a job, or a part of it, is
+// stored.
+func progressKeyOf(id jobspec.ID, part *PartID) string {
+	if part == nil {
+		return string(id)
+	}
+	return fmt.Sprintf("%s/%d.%d.%d", id, part.Occurrence, part.Step, part.Block)
+}
+
+// checkProgress checks that all that is known of a cell's tasks is stored: a change of a
+// task in a part that was not written would be lost with the leader.
+func (s *storedState) checkProgress(t *testing.T, c *Cell) {
+	stored := map[TaskID]TaskRecord{}
+	crashes := map[TaskID]CrashRecord{}
+	suspects := map[TaskID][]int64{}
+	for _, key := range slices.Sorted(maps.Keys(s.progress)) {
+		record := s.progress[key]
+		for _, r := range record.Tasks {
+			stored[TaskID{record.ID, r.Occurrence, r.Step, r.Index}] = r
+		}
+		for _, r := range record.Crashes {
+			crashes[TaskID{record.ID, r.Occurrence, r.Step, r.Index}] = r
+		}
+		for _, r := range record.Suspects {
+			id := TaskID{record.ID, r.Occurrence, r.Step, r.Index}
+			suspects[id] = append(suspects[id], r.Run)
+		}
+	}
+	for id, j := range c.jobs {
+		if _, found := s.jobs[id]; !found || j.changed || j.state.IsFinal() {
+			continue
+		}
+		for _, o := range j.occurrences {
+			for _, step := range o.steps {
+				for _, task := range step.tasks {
+					known := stored[task.id()]
+					assert.Equal(t, known.Done, task.done, "task %v", task.id())
+					if task.done {
+						continue
+					}
+					assert.Assert(t, slices.Equal(known.FailedRuns, task.failedRuns), "task %v: failed runs %v, want %v", task.id(), known.FailedRuns, task.failedRuns)
+					assert.Equal(t, crashes[task.id()].Crashes, task.crashes, "task %v", task.id())
+					for _, r := range task.suspects {
+						assert.Assert(t, slices.Contains(suspects[task.id()], r.number), "task %v: suspect run %d", task.id(), r.number)
+					}
+				}
+			}
+		}
+	}
+}
+
 // apply stores what a write contains.
 func (s *storedState) apply(write WriteBatch) {
 	for _, job := range write.Jobs {
 		s.jobs[job.ID] = job
 	}
 	for _, progress := range write.Progress {
-		s.progress[progress.ID] = progress
+		s.progress[progressKeyOf(progress.ID, progress.Part)] = progress
 	}
 	for _, info := range write.Workers {
 		s.workers[info.ID] = info
@@ -116,7 +169,10 @@
 	}
 	for _, id := range write.RemovedJobs {
 		delete(s.jobs, id)
-		delete(s.progress, id)
+		delete(s.progress, progressKeyOf(id, nil))
+	}
+	for _, removed := range write.RemovedParts {
+		delete(s.progress, progressKeyOf(removed.Job, &removed.Part))
 	}
 }
 
@@ -258,6 +314,7 @@
 	s := &simulation{
 		t:          t,
 		random:     rand.New(rand.NewPCG(seed, 1)),
+		blockTasks: []int{BlockTasks, 1, 2, 3}[seed%4],
 		now:        time.UnixMilli(1_000_000),
 		answered:   map[uint64]bool{},
 		done:       map[TaskID]bool{},
@@ -268,7 +325,7 @@
 		writeDelay: 5 * time.Millisecond,
 		stored: storedState{
 			jobs:     map[jobspec.ID]JobRecord{},
-			progress: map[jobspec.ID]ProgressRecord{},
+			progress: map[string]ProgressRecord{},
 			workers:  map[WorkerID]WorkerInfo{},
 		},
 	}
@@ -352,7 +409,7 @@
 	s.schedule(testRecoveryWait-startWithin, func() { s.addFault("recovery of the new leader ends") })
 	s.epoch += 3
 	c := New(Config{Epoch: s.epoch, RecoveryWait: testRecoveryWait, EarlierAuthority: testRecoveryWait - testLease - testLeaseMargin, EndedJobRetention: time.Minute,
-		MaxEarlierLease: testLease + testLeaseMargin, RemoteFactor: 2})
+		MaxEarlierLease: testLease + testLeaseMargin, RemoteFactor: 2, BlockTasks: s.blockTasks})
 	var jobs []JobRecord
 	for _, id := range slices.Sorted(maps.Keys(s.stored.jobs)) {
 		jobs = append(jobs, s.stored.jobs[id])
@@ -694,6 +751,9 @@
 		return
 	}
 	s.stored.apply(write)
+	if c.lastWrite == write.Number {
+		s.stored.checkProgress(s.t, c)
+	}
 	c.MarkStored(s.now, write.Number)
 	s.applyEffects(c)
 }
@@ -1100,7 +1160,7 @@
 func (s *simulation) checkAllEnded() {
 	for id, job := range s.stored.jobs {
 		state, found := s.cell.Lookup(id)
-		if !found && s.stored.progress[id].State.IsFinal() {
+		if !found && s.stored.progress[string(id)].State.IsFinal() {
 			continue // It was forgotten after its retention; the removal is not stored yet.
 		}
 		assert.Assert(s.t, found, "job %s is lost", id)
--- a/internal/version/cell/suspects_test.go
+++ b/internal/version/cell/suspects_test.go
@@ -32,7 +32,7 @@
 		f.step()
 	}
 	f.checkGivenUp(firstTaskID())
-	assert.Equal(t, len(f.stored.progress[jobA].Suspects), 0)
+	assert.Equal(t, len(f.stored.progress[string(jobA)].Suspects), 0)
 }
 
 // listed returns the registry's entries of the machines that are up.
@@ -153,6 +153,6 @@
 	}
 	f.takeOver(2)
 	f.run(300 * time.Millisecond)
-	assert.Equal(t, len(f.stored.progress[jobA].Suspects), 1)
+	assert.Equal(t, len(f.stored.progress[string(jobA)].Suspects), 1)
 	assert.Assert(t, f.cell.jobs[jobA].occurrences[0].steps[0].tasks[0].runs[0].implicated)
 }
--- a/internal/version/cell/types.go
+++ b/internal/version/cell/types.go
@@ -319,6 +319,8 @@
 	// deleted.
 	RemovedWorkers []WorkerID
 	RemovedJobs    []jobspec.ID
+	// RemovedParts names the parts of the progress of jobs that are deleted.
+	RemovedParts []RemovedPart
 	// Learned replaces the stored estimates about images; nil leaves them
 	// unchanged.
 	Learned *LearnedRecord
@@ -415,8 +417,8 @@
 	AcceptedMillis int64 `cbor:"4,keyasint"`
 }
 
-// ProgressRecord is the stored progress of a job. A newer record replaces the
-// earlier one.
+// ProgressRecord is the stored progress of a job, or a part of it. A newer record replaces
+// the earlier one.
 type ProgressRecord struct {
 	ID    jobspec.ID `cbor:"1,keyasint"`
 	State State      `cbor:"2,keyasint"`
@@ -431,6 +433,8 @@
 	Crashes []CrashRecord `cbor:"7,keyasint,omitempty"`
 	// Suspects holds the suspect runs of tasks that are not done.
 	Suspects []SuspectRecord `cbor:"8,keyasint,omitempty"`
+	// Part is set in a part of the progress, which holds only the tasks of one block.
+	Part *PartID `cbor:"9,keyasint,omitempty"`
 }
 
 // CrashRecord is the number of workers that crashed under a task, for Confirmed of which
@@ -496,4 +500,7 @@
 	// RemoteFactor is the factor by which a task takes longer when it runs
 	// outside its data rack.
 	RemoteFactor float64
+	// BlockTasks is the number of tasks in a part of a job's progress. 0 stands for the
+	// constant BlockTasks.
+	BlockTasks int
 }
