cell: hold room for long-running tasks of earlier terms

While such tasks wait for silent workers, up to RecoveryWait after a change of leader, new long-running tasks took the free places and never returned them.

Long-running tasks that are ranked behind waiting ones now leave their CPU and places free, beside the reserve for short tasks. Short tasks use that room meanwhile, since they return it. The line "task waiting" names the rank and the held room.

Failed before the change:

TestNewLongRunningTasksLeaveRoomForWaitingOnes recovery_test.go:220: assertion failed: 4 (int) != 2 (int) TestNewLongRunningJobIsNotHeldUpForLong recovery_test.go:242: assertion failed: 4 (int) != 0 (int)

--- a/internal/version/cell/cell.go
+++ b/internal/version/cell/cell.go
@@ -59,6 +59,8 @@
 	learnedSavedAt time.Time
 	reserve        shortTaskReserve
 	totals         capacityTotals
+	// held is the room held for the tasks that startReadyTasks has passed over so far.
+	held heldRoom
 
 	// adviceCallsInFlight is the number of unanswered calls to the advice
 	// service.
--- a/internal/version/cell/place.go
+++ b/internal/version/cell/place.go
@@ -19,10 +19,20 @@
 }
 
 // blockedByReserve reports whether a long-running task would use the capacity
-// reserved for short tasks. That doesn't keep a task waiting that is overdue or
-// for which there are enoughPlaces.
+// reserved for short tasks, or the room held for tasks of earlier terms, although there
+// are not enoughPlaces beside the held ones.
 func (c *Cell) blockedByReserve(now time.Time, t *task) bool {
-	return t.spec().LongRunning && !t.overdue(now) && !c.reserve.allows(c.totals.free, t.size().CPU) && c.countPlaces(now, t) < enoughPlaces
+	if !t.spec().LongRunning || c.mayUseReserve(now, t) || c.reserve.allows(c.totals.free-c.held.cpu, t.size().CPU) {
+		return false
+	}
+	enough := enoughPlaces + c.held.places
+	return c.countPlaces(now, t, enough) < enough
+}
+
+// mayUseReserve reports whether an overdue long-running task may use all room. While room
+// is held, a task that has never run may do so only if its job has no run.
+func (c *Cell) mayUseReserve(now time.Time, t *task) bool {
+	return t.overdue(now) && (c.held.places == 0 || t.lastRun > 0 || !c.hasRuns(t.job()))
 }
 
 // longRunningMaxWait is how long a ready long-running task waits behind short
@@ -63,8 +73,8 @@
 const enoughPlaces = 2
 
 // countPlaces returns how many tasks of the size of t would fit on the usable
-// workers. It stops counting at enoughPlaces.
-func (c *Cell) countPlaces(now time.Time, t *task) int {
+// workers. It stops counting at enough.
+func (c *Cell) countPlaces(now time.Time, t *task, enough int) int {
 	size := t.size()
 	count := 0
 	for _, w := range c.sortedWorkers() {
@@ -72,7 +82,7 @@
 			continue
 		}
 		free := w.free()
-		for free.canHold(size) && count < enoughPlaces {
+		for free.canHold(size) && count < enough {
 			count++
 			free = free.minus(size)
 		}
--- a/internal/version/cell/recovery_test.go
+++ b/internal/version/cell/recovery_test.go
@@ -192,3 +192,54 @@
 	}
 	assert.Equal(t, starts[0].Task, TaskID{Job: lasting, Index: 1})
 }
+
+// newCellWithWaitingTasks returns a cell in which long-running tasks of an earlier term, of 3.5
+// cores each, wait for a silent worker. Two other workers have two such places each.
+func newCellWithWaitingTasks(count int) *Cell {
+	record := testRecord(3)
+	record.Job.Steps[0].Count = count
+	record.Job.Steps[0].CPUMillis = 3500
+	record.Job.Steps[0].LongRunning = true
+	c := newRecoveringCell(record, testInfo("w3"))
+	c.ApplyReport(testStart, newReport(testWorker, testStart))
+	c.ApplyReport(testStart, newReport("w3", testStart))
+	return c
+}
+
+// submitAndStart submits a job of four tasks of 3.5 cores and returns how many start.
+func submitAndStart(c *Cell, longRunning bool) int {
+	c.Submit(testStart, 1, "00000000000000bb", &jobspec.Job{Steps: []jobspec.Step{{Count: 4, CPUMillis: 3500, MemoryMB: 100, LongRunning: longRunning}}},
+		QueueTerms{Queue: "q", Pool: "pool", Attempts: 3, Stretch: 2})
+	return len(takeStarts(c, testStart))
+}
+
+// Guards against new long-running tasks that take the room for good of tasks that wait for
+// silent workers.
+func TestNewLongRunningTasksLeaveRoomForWaitingOnes(t *testing.T) {
+	c := newCellWithWaitingTasks(2)
+	assert.Equal(t, submitAndStart(c, true), 2)
+	now := testStart.Add(8 * time.Second)
+	for _, id := range []WorkerID{testWorker, "w3"} {
+		c.ApplyReport(now, newReport(id, now)) // The starts are in flight.
+	}
+	starts := takeStarts(c, now)
+	assert.Equal(t, len(starts), 2)
+	for _, start := range starts {
+		assert.Equal(t, start.Task.Job, jobA)
+	}
+}
+
+// Guards against room that stands empty for tasks that may not be started yet, while short
+// tasks could use it and return it.
+func TestShortTasksUseRoomHeldForWaitingOnes(t *testing.T) {
+	assert.Equal(t, submitAndStart(newCellWithWaitingTasks(4), false), 4)
+}
+
+// Guards against a new long-running job that has no task running for as long as room is held,
+// and against one that takes all of the held room.
+func TestNewLongRunningJobIsNotHeldUpForLong(t *testing.T) {
+	c := newCellWithWaitingTasks(4)
+	assert.Equal(t, submitAndStart(c, true), 0)
+	assert.Equal(t, len(takeStarts(c, testStart.Add(longRunningMaxWait))), 1)
+	assert.Equal(t, len(takeStarts(c, testStart.Add(longRunningMaxWait+retryPause))), 0)
+}
--- a/internal/version/cell/reserve.go
+++ b/internal/version/cell/reserve.go
@@ -45,6 +45,22 @@
 	return float64(free-cpu) >= reserveMargin*r.peak
 }
 
+// heldRoom is the room held for long-running tasks of earlier terms that may still run on
+// workers that have not answered. A long-running task that is ranked behind them would not
+// return it in time. Short tasks may use it meanwhile.
+type heldRoom struct {
+	// cpu is in thousandths of a core.
+	cpu, places int
+}
+
+// add holds room for a task that may not be started yet.
+func (h *heldRoom) add(t *task, capacity int) {
+	if t.spec().LongRunning {
+		h.cpu += min(t.size().CPU, capacity) // A caller may name any size; the sum must not overflow.
+		h.places++
+	}
+}
+
 // capacityTotals holds totals over the usable workers, in thousandths of a
 // core.
 type capacityTotals struct {
--- a/internal/version/cell/schedule.go
+++ b/internal/version/cell/schedule.go
@@ -129,16 +129,20 @@
 		c.rankReady(now)
 	}
 	c.measureCapacity(now)
+	c.held = heldRoom{}
 	stillWaiting := c.readyTasks[:0]
 	for _, t := range c.readyTasks {
 		if t.done || len(t.runs) > 0 || t.job().state.IsFinal() {
 			t.queued = false // It is done or has a run by now, or its job ended.
 			continue
 		}
-		if c.mayRunElsewhere(now, t) || now.Before(t.step.retryAt) || !c.startTask(now, t) {
-			t.step.postpone(now)
-			stillWaiting = append(stillWaiting, t)
+		if c.mayRunElsewhere(now, t) {
+			c.held.add(t, c.totals.capacity)
+		} else if !now.Before(t.step.retryAt) && c.startTask(now, t) {
+			continue
 		}
+		t.step.postpone(now)
+		stillWaiting = append(stillWaiting, t)
 	}
 	clear(c.readyTasks[len(stillWaiting):])
 	c.readyTasks = stillWaiting
--- a/internal/version/cell/waiting.go
+++ b/internal/version/cell/waiting.go
@@ -36,7 +36,7 @@
 )
 
 var obstacleNames = [obstacleCount]string{"available", "unlisted", "not renewed", "unresponsive", "not stored as in use", "draining",
-	"unknown runs", "refused a start", "other pool or label", "full", "no ticket", "excluded", "unsuitable", "reserved for short tasks"}
+	"unknown runs", "refused a start", "other pool or label", "full", "no ticket", "excluded", "unsuitable", "reserved"}
 
 func (o obstacle) String() string { return obstacleNames[o] }
 
@@ -108,5 +108,11 @@
 			parts = append(parts, fmt.Sprintf("%d %s", count, obstacle(o)))
 		}
 	}
+	if t.spec().LongRunning && !t.overdue(now) {
+		parts = append(parts, "ranked behind short tasks")
+	}
+	if c.held.places > 0 {
+		parts = append(parts, fmt.Sprintf("room held for %d tasks of earlier terms", c.held.places))
+	}
 	return strings.Join(parts, ", ")
 }
--- a/internal/version/cell/waiting_test.go
+++ b/internal/version/cell/waiting_test.go
@@ -38,3 +38,13 @@
 	c.Tick(now)
 	assert.DeepEqual(t, waitingEvents(c.TakeEffects(now)), []string{"1 not renewed, 1 draining"})
 }
+
+// Guards against a log that can't tell a long-running task that finds no place from one that
+// is ranked behind short tasks or leaves room for others.
+func TestReasonForWaitingTaskNamesRankAndHeldRoom(t *testing.T) {
+	c := newCellWithWaitingTasks(4)
+	c.MarkUnresponsive(testStart, testWorker, time.Time{})
+	assert.Equal(t, submitAndStart(c, true), 0)
+	waiting := c.jobs["00000000000000bb"].findTask(TaskID{Job: "00000000000000bb"})
+	assert.Equal(t, c.describeObstacles(testStart, waiting), "1 not renewed, 1 unresponsive, 1 reserved, ranked behind short tasks, room held for 4 tasks of earlier terms")
+}
