--- a/internal/connection/cellcodec/bounds_test.go
+++ b/internal/connection/cellcodec/bounds_test.go
@@ -58,7 +58,7 @@
 
 // report lets the worker list its runs, and the ends of those that were running before.
 func (r *cellRun) report(reason ...cell.EndReason) {
-	report := cell.Report{Worker: runWorker, Incarnation: 1, Sent: r.now, Token: 1, LeaseUntil: r.now.Add(4 * time.Second)}
+	report := cell.Report{Worker: runWorker, Incarnation: 1, Sent: r.now, Token: 1, LeaseUntil: r.now.Add(4 * time.Second), Complete: true}
 	if len(reason) > 0 {
 		for _, order := range r.running {
 			r.end++
--- a/internal/version/cell/recovery_test.go
+++ b/internal/version/cell/recovery_test.go
@@ -273,6 +273,7 @@
 	for _, id := range []WorkerID{testWorker, "w3"} {
 		c.ApplyReport(now, newReport(id, now)) // The starts are in flight.
 	}
+	c.TermRenewed(now)
 	starts := takeStarts(c, now)
 	assert.Equal(t, len(starts), 2)
 	for _, start := range starts {
