--- a/internal/connection/celllink/link_test.go
+++ b/internal/connection/celllink/link_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -75,3 +76,40 @@
 	}
 	assert.Equal(t, link.echoedTime(501), link.opened.Add(500*time.Millisecond))
 }
+
+// lateHeartbeat is a Server to whose link a heartbeat arrives just after it has looked up the
+// known terms.
+type lateHeartbeat struct {
+	*echoRecorder
+	link *Link
+}
+
+func (s *lateHeartbeat) NextHeartbeat(RemoteManifest, uint64) (cellcodec.LinkHeartbeat, uint64) {
+	s.link.remoteSent.Store(77)
+	return cellcodec.LinkHeartbeat{KnownTerms: []cellcodec.KnownTerm{{Epoch: 5}}}, 1
+}
+
+// sentMessages is a connection that records what is sent, and then fails.
+type sentMessages struct {
+	peer.Conn
+	sent []byte
+}
+
+func (s *sentMessages) Send(_ context.Context, data []byte) error {
+	s.sent = data
+	return io.EOF
+}
+func (*sentMessages) Close() {}
+
+// Guards against a confirmation of a heartbeat by terms that were looked up before it arrived: a
+// later term may have become known in between.
+func TestHeartbeatEchoesNothingThatArrivedAfterItsTerms(t *testing.T) {
+	conn := &sentMessages{}
+	server := &lateHeartbeat{echoRecorder: newEchoRecorder()}
+	server.link = &Link{conn: conn, server: server, opened: time.Now(), done: make(chan struct{})}
+	server.link.sendHeartbeats()
+	message, err := cellcodec.DecodeMessage(conn.sent)
+	assert.NilError(t, err)
+	assert.Equal(t, message.Heartbeat.EchoMillis, int64(0))
+	assert.Equal(t, len(message.Heartbeat.KnownTerms), 0)
+}
--- a/internal/connection/workerlink/session_test.go
+++ b/internal/connection/workerlink/session_test.go
@@ -386,3 +386,25 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a lease that is extended by the retry of a renewal after the authority to do so
+// has ended.
+func TestRetryOfRenewalGrantsNoLeaseWithoutAuthorization(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		worker, recorder := &fakeWorker{}, &recordingSink{}
+		session := Open(ctx, "w", worker, recorder, 7)
+		time.Sleep(2*idleWait + idleWait/2)
+		renewals := len(worker.receivedRenewals())
+		recorder.unauthorized.Store(true)
+		session.Resolve()
+		synctest.Wait()
+		received := worker.receivedRenewals()
+		assert.Equal(t, len(received), renewals+1)
+		assert.Assert(t, received[renewals-1].LeaseUntil > 0)
+		assert.Equal(t, received[renewals].LeaseUntil, int64(0))
+		session.Close()
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/entry/authority_test.go
+++ b/internal/entry/authority_test.go
@@ -8,6 +8,10 @@
 
 	"poplarvalve/internal/connection/cellcodec"
 	"poplarvalve/internal/connection/celllink"
+	"poplarvalve/internal/connection/workerlink"
+	"poplarvalve/internal/process/boottime"
+	"poplarvalve/internal/process/jobspec"
+	"poplarvalve/internal/version/cell"
 	"poplarvalve/internal/version/election"
 	"poplarvalve/test/virtualtime"
 )
@@ -142,3 +146,66 @@
 		assert.Assert(t, l.entry.leaders.WantsConfirmation(), "the term is not renewed")
 	})
 }
+
+// silentWorkerStarts returns how many tasks the leader of a later term starts in place of a
+// silent worker within a time, if the voters numbered told confirm the term at toldAt.
+func silentWorkerStarts(t *testing.T, wait, toldAt time.Duration, told ...int) int {
+	starts := 0
+	virtualtime.Test(t, func(t *testing.T) {
+		l := testTermLeadership(t)
+		defer l.entry.options.Journal.Close()
+		l.renewalRequests = make(chan struct{}, 1)
+		l.cancel = func() {}
+		now := time.Now()
+		config := earlierTermConfig(workerlink.LeaseDuration)
+		config.Epoch, config.EndedJobRetention = l.term.Epoch, time.Hour
+		l.cell = cell.New(config)
+		infos := []cell.WorkerInfo{{ID: "a", Pool: "p", Capacity: cell.Size{CPU: 1000}}, {ID: "b", Pool: "p", Capacity: cell.Size{CPU: 1000}}}
+		job := cell.JobRecord{ID: "00000000000000aa", Job: jobspec.Job{Steps: []jobspec.Step{{Count: 1, CPUMillis: 100}}}, Terms: cell.QueueTerms{Queue: "q", Pool: "p"}}
+		l.cell.Restore(now, []cell.JobRecord{job}, nil, infos)
+		l.cell.UpdateWorkers(now, infos)
+		for time.Since(now) < wait {
+			if time.Since(now) >= toldAt {
+				for _, n := range told {
+					hear(l.entry.leaders, n, l.term.Epoch, time.Now())
+				}
+			}
+			renewed := boottime.Now()
+			l.lastRenewal.Store(&renewed)
+			l.cell.ApplyReport(time.Now(), cell.Report{Worker: "a", Incarnation: 1, Sent: time.Now(), Complete: true})
+			l.cell.MarkUnresponsive(time.Now(), "b", time.Time{})
+			l.tick()
+			effects := l.cell.TakeEffects(time.Now())
+			starts += len(effects.Starts)
+			if effects.Write != nil {
+				l.cell.MarkStored(time.Now(), effects.Write.Number)
+			}
+			time.Sleep(tickPeriod)
+		}
+	})
+	return starts
+}
+
+// Guards against a next leader that starts the tasks of silent workers while an earlier one may
+// still extend their leases, and against one that waits for the bound although it needn't.
+func TestNextLeaderWaitsUntilEarlierLeadersCanNotExtendLeases(t *testing.T) {
+	const lease, confirmed = workerlink.LeaseDuration, startAuthorityPeriod - election.TermLease + workerlink.LeaseDuration
+	assert.Equal(t, silentWorkerStarts(t, election.MaxConfirmedAuthority+lease, 0), 0, "no voter but the leader has confirmed the term")
+	assert.Equal(t, silentWorkerStarts(t, election.MaxConfirmedAuthority+lease+2*time.Second, 0), 1)
+	assert.Equal(t, silentWorkerStarts(t, confirmed, 0, 2), 0, "leases of the earlier leader may not have expired")
+	assert.Equal(t, silentWorkerStarts(t, confirmed+2*time.Second, 0, 2), 1)
+	const late, confirmedLate = 20 * time.Second, 20*time.Second + election.ConfirmationMaxAge + lease
+	assert.Equal(t, silentWorkerStarts(t, confirmedLate, late, 2), 0, "an earlier leader may have got its last confirmation just before")
+	assert.Equal(t, silentWorkerStarts(t, confirmedLate+2*time.Second, late, 2), 1)
+}
+
+// Guards against a leader that counts itself among the voters although it knows a later term.
+func TestReplacedLeaderDoesNotConfirmItself(t *testing.T) {
+	l := testTermLeadership(t)
+	l.entry.leaders.recordRead(0, 9)
+	l.updateConfirmation(time.Now())
+	hear(l.entry.leaders, 2, 5, time.Now())
+	l.updateConfirmation(time.Now())
+	assert.Assert(t, l.confirmation.majoritySince.Load().IsZero())
+	assert.Assert(t, !l.confirmation.earlierBlocked.Load())
+}
