election: releases without a reply in the model of the confirmation of terms

A leader that sends a release goes on while a majority confirms it, until the release is answered; the next leader claims at once. The model finds a violation if it also counts its last renewal:

leader 1 releases its term, without a reply instance 1 claims epoch 2 with the list {0 1 2} leader 2 and instance 2 exchange heartbeats tick tick leader 2 takes the leases of leader 1 as over, which still run

--- a/internal/version/election/quorum_model_test.go
+++ b/internal/version/election/quorum_model_test.go
@@ -65,6 +65,9 @@
 	// readRenews lets a leader count the read of its own record, after a lost reply, as a
 	// renewal at that time.
 	readRenews bool
+	// releasingRenewed lets a leader that releases its term extend leases by its last
+	// renewal until the release is answered.
+	releasingRenewed bool
 	// fewer lets the next leader wait for one voter less than would leave the others no
 	// majority.
 	fewer bool
@@ -88,7 +91,9 @@
 }
 
 type modelLeader struct {
-	active           bool
+	active bool
+	// releasing is set since a release was sent.
+	releasing        bool
 	holder           uint8
 	stored, proposed uint8 // Sets of instances; proposed is 0 unless it is in doubt.
 	// inFlight is set while an append of the proposed list may still arrive, and
@@ -231,6 +236,9 @@
 	if m.rule.storedOnly {
 		key.proposed = 0
 	}
+	if l.releasing && !m.rule.releasingRenewed {
+		key.renewalAge = max(key.renewalAge, m.size.renewalAuthority+1)
+	}
 	if m.rule.unlimited {
 		key.renewalAge = min(key.renewalAge, modelMaxAuthority)
 	}
@@ -598,6 +606,12 @@
 		m.resolve(s, epoch, emit)
 		return
 	}
+	if m.size.releases {
+		m.release(s, epoch, emit)
+	}
+	if l.releasing {
+		return
+	}
 	inDoubt := l.proposed != 0 && l.proposed != l.stored
 	lists := []uint8{l.stored}
 	if inDoubt {
@@ -626,14 +640,21 @@
 		held.renewalAge, held.attempted, held.attemptAge = 0, false, 0
 		emit(next, "leader %d renews its term with the list %v", epoch, modelSetOf(list))
 	}
-	if m.size.releases {
-		next := *s
-		next.released = true
-		next.list = l.stored
-		next.leaders[epoch].active = false
-		next.leaders[epoch].inFlight = false
-		emit(next, "leader %d releases its term", epoch)
+}
+
+// release emits the ways in which the release of a term may go.
+func (m *model) release(s *modelState, epoch uint8, emit emitter) {
+	next := *s
+	l := &next.leaders[epoch]
+	l.releasing, l.inFlight = true, false
+	if !s.leaders[epoch].releasing {
+		emit(next, "leader %d sends a release, which is lost", epoch)
 	}
+	next.released, next.list = true, l.stored
+	l.endMatches = false
+	emit(next, "leader %d releases its term, without a reply", epoch)
+	l.active = false
+	emit(next, "leader %d releases its term", epoch)
 }
 
 // resolve emits what a leader reads whose renewal was refused by the log.
@@ -646,6 +667,11 @@
 		emit(next, "leader %d reads that its term has ended", epoch)
 		return
 	}
+	if s.released {
+		held.active = false
+		emit(next, "leader %d reads that it has released its term", epoch)
+		return
+	}
 	held.stored, held.proposed, held.otherProposed, held.inFlight = s.list, 0, 0, false
 	held.endMatches, held.renewalAge = true, held.attemptAge
 	held.attempted, held.attemptAge = false, 0
@@ -707,7 +733,7 @@
 // claim emits the claim of the cell by an instance.
 func (m *model) claim(s *modelState, i uint8, emit emitter) {
 	holder := &s.leaders[s.newest]
-	isVacant := !holder.active || s.recordAge >= m.size.termLease || holder.renewalAge >= m.size.termLease
+	isVacant := !holder.active || s.released || s.recordAge >= m.size.termLease || holder.renewalAge >= m.size.termLease
 	if int(s.newest) >= m.size.terms || !isVacant {
 		return
 	}
--- a/internal/version/election/quorum_test.go
+++ b/internal/version/election/quorum_test.go
@@ -22,6 +22,7 @@
 	{instances: 3, members: 3, terms: 3, restarts: 1, listChanges: 1, releases: true, renewalAuthority: 1, depth: 7},
 	{instances: 3, members: 3, terms: 2, restarts: 1, messages: 2, renewalAuthority: 1, depth: 5},
 	{instances: 3, members: 3, terms: 2, restarts: 1, listChanges: 1, renewalAuthority: 2, termLease: 1, depth: 9},
+	{instances: 3, members: 3, terms: 2, restarts: 1, listChanges: 1, releases: true, renewalAuthority: 2, termLease: 1, depth: 8},
 	{instances: 4, members: 3, terms: 2, restarts: 1, listChanges: 1, renewalAuthority: 1, depth: 5},
 	{instances: 5, members: 5, terms: 2, restarts: 1, listChanges: 1, renewalAuthority: 1, depth: 5},
 }
@@ -52,6 +53,7 @@
 	oneMember := size(func(s *modelSize) { s.members, s.listChanges, s.restarts = 1, 2, 0 })
 	oneMessage := size(func(s *modelSize) { s.messages = 1 })
 	released := size(func(s *modelSize) { s.terms, s.releases, s.listChanges = 3, true, 0 })
+	releasedWithTermLease := size(func(s *modelSize) { s.releases, s.renewalAuthority, s.termLease = true, 2, 1 })
 	withTermLease := size(func(s *modelSize) { s.renewalAuthority, s.termLease = 2, 1 })
 	for _, c := range []struct {
 		name string
@@ -73,6 +75,7 @@
 		{"leader goes on although its process knows", modelRule{countSelf: true}, standard},
 		{"one voter fewer confirms", modelRule{fewer: true}, standard},
 		{"own record read after a lost reply is a renewal", modelRule{readRenews: true}, withTermLease},
+		{"leader that releases its term counts its last renewal", modelRule{releasingRenewed: true}, releasedWithTermLease},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			result := newModel(c.rule, c.size).search()
