cell: give places freed during a pause to overdue long-running tasks

The tasks of a step wait for 30 ms after one of them found no place. In that time tasks ranked behind them, of steps that don't pause, took each place that was freed, so that an overdue long-running task got a place only if one was freed in the very event of its next attempt. While short tasks keep the workers full, that took 5 s and more.

An overdue task is now tried on the workers on which runs were removed since the last pass, also during the pause of its step.

The test fails before the change:

--- a/internal/version/cell/cell.go
+++ b/internal/version/cell/cell.go
@@ -36,6 +36,9 @@
 	lostWorkers []*lostWorker
 
 	readyTasks []*task
+	// freedWorkers holds the workers of the runs that were removed since startReadyTasks
+	// last ran.
+	freedWorkers []*worker
 	// needsRanking is set if tasks were added to readyTasks since it was last
 	// ranked.
 	needsRanking bool
--- a/internal/version/cell/gang.go
+++ b/internal/version/cell/gang.go
@@ -83,7 +83,7 @@
 	var placed []*worker
 	var trialRuns []*run
 	for _, t := range s.tasks {
-		w := c.bestWorker(now, t, func(w *worker) bool { return rack == "" || w.info.Rack == rack })
+		w := c.bestWorker(now, t, c.sortedWorkers(), func(w *worker) bool { return rack == "" || w.info.Rack == rack })
 		if w == nil {
 			placed = nil
 			break
--- a/internal/version/cell/place.go
+++ b/internal/version/cell/place.go
@@ -15,7 +15,7 @@
 	if c.blockedByReserve(now, t) {
 		return nil
 	}
-	return c.bestWorker(now, t, func(w *worker) bool { return w != avoid })
+	return c.bestWorker(now, t, c.sortedWorkers(), func(w *worker) bool { return w != avoid })
 }
 
 // blockedByReserve reports whether a long-running task would use the capacity
@@ -51,12 +51,14 @@
 	return t.lastRun > 0 || t.job().fromEarlierTerm || !t.job().started
 }
 
-// bestWorker returns the worker with the highest score among those that are
-// suitable and have enough free capacity, or nil.
-func (c *Cell) bestWorker(now time.Time, t *task, suitable func(*worker) bool) *worker {
+func anyWorker(*worker) bool { return true }
+
+// bestWorker returns the worker with the highest score among those of the given ones that
+// are suitable and have enough free capacity, or nil.
+func (c *Cell) bestWorker(now time.Time, t *task, workers []*worker, suitable func(*worker) bool) *worker {
 	var best *worker
 	var bestScore float64
-	for _, w := range c.sortedWorkers() {
+	for _, w := range workers {
 		if !suitable(w) || !w.canRun(now, t) || !t.adviceAllows(now, w) {
 			continue
 		}
--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -141,6 +141,7 @@
 // removeRun removes a run. It remains a suspect only if its worker may have crashed.
 func (c *Cell) removeRun(r *run) {
 	r.worker.removeRun(r)
+	c.freedWorkers = append(c.freedWorkers, r.worker)
 	if !slices.Contains(r.worker.earlierSuspects, r) {
 		c.dropSuspect(r)
 	}
--- a/internal/version/cell/schedule.go
+++ b/internal/version/cell/schedule.go
@@ -122,6 +122,7 @@
 
 // startReadyTasks starts the ready tasks that can be placed.
 func (c *Cell) startReadyTasks(now time.Time) {
+	defer func() { c.freedWorkers = nil }()
 	if len(c.readyTasks) == 0 || c.startsPaused {
 		return
 	}
@@ -138,7 +139,11 @@
 		}
 		if c.mayRunElsewhere(now, t) {
 			c.held.add(t, c.totals.capacity)
-		} else if !now.Before(t.step.retryAt) && c.startTask(now, t) {
+		} else if now.Before(t.step.retryAt) {
+			if c.startOnFreedWorker(now, t) {
+				continue
+			}
+		} else if c.startTask(now, t) {
 			continue
 		}
 		t.step.postpone(now)
@@ -148,6 +153,21 @@
 	c.readyTasks = stillWaiting
 }
 
+// startOnFreedWorker starts an overdue task during the pause of its step if a place has
+// been freed since the last pass. Otherwise tasks ranked behind it, whose steps don't
+// pause, would take each such place.
+func (c *Cell) startOnFreedWorker(now time.Time, t *task) bool {
+	if len(c.freedWorkers) == 0 || t.spec().Gang || !t.overdue(now) || c.blockedByReserve(now, t) {
+		return false
+	}
+	w := c.bestWorker(now, t, c.freedWorkers, anyWorker)
+	if w == nil {
+		return false
+	}
+	c.orderStart(now, t, w, c.nextRunNumber(t))
+	return true
+}
+
 // retryPause is how long the tasks of a step wait after one of them could not
 // be placed. Reports arrive every few milliseconds, and without the pause each
 // would cause an attempt to place all waiting tasks.
