jobspec: refuse a job above a stated limit at once, and name the limit

Cause: a step had at most 4,096 tasks and a job 64 steps, but nothing limited the tasks of a job or the length of its texts. A job whose own record the log refuses could be handed in (an image with a name of 300 kB will do).

Change: a job has at most 65,536 tasks and takes at most 131,072 bytes, the name of an image has at most 1,024 bytes, and the names of a queue and its pool at most 65,536. A larger job is answered with status 400, kind too_large and a detail that names the limit; no leader is called.

--- a/internal/connection/jobapi/http.go
+++ b/internal/connection/jobapi/http.go
@@ -120,12 +120,13 @@
 	State   string     `json:"state,omitempty"`
 	Pending *int       `json:"pending,omitempty"`
 	Kind    fault.Kind `json:"kind,omitempty"`
+	Detail  string     `json:"detail,omitempty"`
 }
 
 // writeAnswer encodes an answer. Every answer, a refusal too, has a header that
 // tells the caller whether the request took effect.
 func writeAnswer(w http.ResponseWriter, answer Answer) {
-	status, body := http.StatusOK, answerBody{Kind: answer.FailureKind}
+	status, body := http.StatusOK, answerBody{Kind: answer.FailureKind, Detail: answer.Detail}
 	switch answer.Verdict {
 	case OK:
 		if answer.Job == "" {
--- a/internal/connection/jobapi/jobapi.go
+++ b/internal/connection/jobapi/jobapi.go
@@ -61,9 +61,11 @@
 	// FailureKind is the kind of failure. It is logged, and returned in the body of
 	// an HTTP answer.
 	FailureKind fault.Kind
-	Job         jobspec.ID
-	Queue       string
-	Cell        int
+	// Detail describes the failure for human readers, or is empty.
+	Detail string
+	Job    jobspec.ID
+	Queue  string
+	Cell   int
 	// ManifestVersion is the version of the manifest by which the request was
 	// routed.
 	ManifestVersion int64
--- a/internal/process/jobspec/jobspec.go
+++ b/internal/process/jobspec/jobspec.go
@@ -22,6 +22,13 @@
 	MaxSteps = 64
 	// MaxTasks is the maximum number of tasks of a step.
 	MaxTasks = 4096
+	// MaxJobTasks is the maximum number of tasks of all steps of a job.
+	MaxJobTasks = 65536
+	// MaxJobBytes is the maximum size of a job, as Size returns it. A job is stored as
+	// one record.
+	MaxJobBytes = 128 << 10
+	// MaxImageBytes is the maximum length of the name of an image.
+	MaxImageBytes = 1024
 	// MaxOccurrences is the maximum number of runs of a periodic job.
 	MaxOccurrences = 100000
 )
@@ -109,8 +116,37 @@
 	return time.UnixMilli(j.FirstRunMillis + int64(occurrence)*j.IntervalMillis)
 }
 
+const (
+	// jobFieldBytes and stepFieldBytes are the most that the fields of a job and of a
+	// step take in a record beside their texts, and dependencyBytes what one
+	// dependency takes.
+	jobFieldBytes   = 64
+	stepFieldBytes  = 200
+	dependencyBytes = 2
+)
+
+// Size returns the most bytes that the job takes in a record.
+func (j *Job) Size() int {
+	size := jobFieldBytes + len(j.Spec)
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		size += stepFieldBytes + len(s.Image) + len(s.Label) + len(s.DataRack) + dependencyBytes*len(s.DependsOn)
+	}
+	return size
+}
+
+// Tasks returns the number of tasks of one occurrence.
+func (j *Job) Tasks() int {
+	count := 0
+	for i := range j.Steps {
+		count += j.Steps[i].Count
+	}
+	return count
+}
+
 // Check returns a failure of kind BadRequest that names the first field out of
-// range, or nil if the job is valid.
+// range, a failure of kind TooLarge that names the limit which the job exceeds, or nil if
+// the job is valid.
 func (j *Job) Check() error {
 	if len(j.Spec) > MaxSpecBytes {
 		return fault.New(fault.BadRequest, "the spec has %d bytes; the limit is %d bytes", len(j.Spec), MaxSpecBytes)
@@ -126,6 +162,12 @@
 			return err
 		}
 	}
+	if tasks := j.Tasks(); tasks > MaxJobTasks {
+		return fault.New(fault.TooLarge, "the job has %d tasks; the limit is %d tasks in all steps", tasks, MaxJobTasks)
+	}
+	if size := j.Size(); size > MaxJobBytes {
+		return fault.New(fault.TooLarge, "the job takes up to %d bytes; the limit is %d bytes", size, MaxJobBytes)
+	}
 	return nil
 }
 
@@ -136,6 +178,9 @@
 	if s.CPUMillis < 0 || s.MemoryMB < 0 || s.GPU < 0 || s.EstimateMillis < 0 || s.MaxPerWorker < 0 || s.MaxUnavailable < 0 {
 		return fault.New(fault.BadRequest, "step %d: a resource demand, the estimate, the limit of tasks per worker or the number of tasks that may be unavailable is negative", index)
 	}
+	if len(s.Image) > MaxImageBytes {
+		return fault.New(fault.TooLarge, "step %d: the name of the image has %d bytes; the limit is %d bytes", index, len(s.Image), MaxImageBytes)
+	}
 	for _, dependency := range s.DependsOn {
 		if dependency < 0 || dependency >= index {
 			return fault.New(fault.BadRequest, "step %d: the step depends on step %d, but it may depend only on steps before it", index, dependency)
--- a/internal/request/intake/intake.go
+++ b/internal/request/intake/intake.go
@@ -121,8 +121,12 @@
 	if err == nil {
 		err = job.Check()
 	}
+	if err == nil {
+		err = cell.QueueTerms{Queue: queue.Name, Pool: queue.Pool}.Check()
+	}
 	if err != nil {
-		return jobapi.Answer{Verdict: jobapi.BadRequest, FailureKind: fault.KindOf(err)}, true
+		failure := fault.From(err)
+		return jobapi.Answer{Verdict: jobapi.BadRequest, FailureKind: failure.Kind, Detail: failure.Detail}, true
 	}
 	if queue.Advice != nil && !leaders.HasAdviceService() {
 		return refusal(fault.NoWorker), true
--- a/internal/request/intake/intake_test.go
+++ b/internal/request/intake/intake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -9,7 +10,9 @@
 
 	"poplarvalve/internal/connection/cellcodec"
 	"poplarvalve/internal/connection/jobapi"
+	"poplarvalve/internal/process/fault"
 	"poplarvalve/internal/process/jobspec"
+	"poplarvalve/internal/version/cell"
 	"poplarvalve/internal/version/manifest"
 	"poplarvalve/test/virtualtime"
 )
@@ -44,6 +47,55 @@
 	return answer, time.Since(start)
 }
 
+// The largest job is a stated number. A larger one was accepted, and then its progress or
+// the job itself could not be stored.
+func TestJobOverALimitIsRefusedAtOnceAndNamesIt(t *testing.T) {
+	serve := func(m *manifest.Manifest, job jobspec.Job) (jobapi.Answer, int) {
+		leaders := &leaderStub{sent: true, replies: []cellcodec.Reply{{Result: cellcodec.OK}}}
+		request := jobapi.Request{Operation: cellcodec.OpSubmit, Queue: m.Queues[0].Name, ID: "00000000000000aa", Job: func() (*jobspec.Job, error) { return &job, nil }}
+		return Serve(context.Background(), time.Now(), m, leaders, request), leaders.calls
+	}
+	named := func(name string) *manifest.Manifest {
+		return manifest.New(1, []manifest.Queue{{Name: name, Host: "h", Prefix: "/p/"}})
+	}
+	tasks := func(extra int) jobspec.Job {
+		var job jobspec.Job
+		for range jobspec.MaxJobTasks/jobspec.MaxTasks - 1 {
+			job.Steps = append(job.Steps, jobspec.Step{Count: jobspec.MaxTasks})
+		}
+		job.Steps = append(job.Steps, jobspec.Step{Count: jobspec.MaxTasks - 1}, jobspec.Step{Count: 1 + extra})
+		return job
+	}
+	size := func(extra int) jobspec.Job {
+		job := jobspec.Job{Steps: []jobspec.Step{{Count: 1}}}
+		job.Steps[0].Label = strings.Repeat("l", jobspec.MaxJobBytes-job.Size()+extra)
+		return job
+	}
+	image := func(extra int) jobspec.Job {
+		return jobspec.Job{Steps: []jobspec.Step{{Count: 1, Image: strings.Repeat("i", jobspec.MaxImageBytes+extra)}}}
+	}
+	for limit, job := range map[string]func(extra int) jobspec.Job{"65536 tasks": tasks, "131072 bytes": size, "1024 bytes": image} {
+		for _, extra := range []int{-1, 0, 1} {
+			if extra < 0 && limit == "65536 tasks" {
+				continue // The last step would have no task.
+			}
+			answer, calls := serve(named("q"), job(extra))
+			if extra <= 0 {
+				assert.Equal(t, answer.Verdict, jobapi.OK, "%s %+d: %v", limit, extra, answer)
+				continue
+			}
+			assert.Equal(t, answer.Verdict, jobapi.BadRequest, "%s %+d", limit, extra)
+			assert.Equal(t, answer.FailureKind, fault.TooLarge)
+			assert.Assert(t, strings.Contains(answer.Detail, limit), "%s", answer.Detail)
+			assert.Equal(t, calls, 0, "the leader was called")
+		}
+	}
+	for length, verdict := range map[int]jobapi.Verdict{cell.MaxTermsBytes - 1: jobapi.OK, cell.MaxTermsBytes: jobapi.OK, cell.MaxTermsBytes + 1: jobapi.BadRequest} {
+		answer, _ := serve(named(strings.Repeat("q", length)), image(0))
+		assert.Equal(t, answer.Verdict, verdict, "a queue with a name of %d bytes", length)
+	}
+}
+
 // If a leader may have stored a submission or cancel, the answer must not be
 // NotRun, even if the next leader refuses. The caller would otherwise assume
 // that the job goes on after a cancel that took effect.
--- a/internal/version/cell/estimates.go
+++ b/internal/version/cell/estimates.go
@@ -5,11 +5,14 @@
 	"math"
 	"slices"
 	"time"
+
+	"poplarvalve/internal/process/jobspec"
 )
 
 const (
 	// maxImageBytes is the length of the longest image name for which estimates are kept.
-	maxImageBytes = 1024
+	// Names made of a queue may be longer.
+	maxImageBytes = jobspec.MaxImageBytes
 	// maxRatioBytes, maxTailBytes and maxPairBytes limit the stored size of the ratios
 	// of durations, of the unloaded tails and of the coefficients.
 	maxRatioBytes = 32 << 10
--- a/internal/version/cell/types.go
+++ b/internal/version/cell/types.go
@@ -392,6 +392,18 @@
 	Advice *AdviceLatency `cbor:"7,keyasint,omitempty"`
 }
 
+// MaxTermsBytes is the maximum length of the names of a queue and its pool together.
+const MaxTermsBytes = 64 << 10
+
+// Check returns a failure of kind TooLarge if the terms are too large to be stored with a
+// job.
+func (t QueueTerms) Check() error {
+	if size := len(t.Queue) + len(t.Pool); size > MaxTermsBytes {
+		return fault.New(fault.TooLarge, "the names of the queue and its pool have %d bytes; the limit is %d bytes", size, MaxTermsBytes)
+	}
+	return nil
+}
+
 // AdviceLatency describes how long the advice service takes to answer.
 type AdviceLatency struct {
 	_ struct{} `cbor:",toarray"`
