entry: test a record that the log does not take with whole instances

TestRecordTooLargeForTheLogDoesNotStopOtherJobs lets the log take less than the settings say: the job whose record is refused is answered as unknown, not as accepted; the other jobs are completed under the same leader, and the refused one as soon as the log takes it.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -593,3 +593,25 @@
 	d.awaitState(jobID(3), "completed")
 	assert.Equal(t, late.DoneTasksOfJob(jobID(3)), 6)
 }
+
+// A record that the log refuses for its size ended the term, and all jobs beside it waited
+// for the next leader, which met the same. Its caller must not be told that it is stored.
+func TestRecordTooLargeForTheLogDoesNotStopOtherJobs(t *testing.T) {
+	d := deploy(t, 2, 50*time.Millisecond)
+	d.submit(jobID(1))
+	d.awaitState(jobID(1), "completed")
+	leader := d.leader()
+	d.log.SetRecordLimit(2000) // Less than the settings of the instances say.
+	large := `{"spec":"` + strings.Repeat("s", 3000) + `","steps":[{"count":1,"cpu":1000,"mem_mb":100,"estimate_ms":100}]}`
+	for range 2 {
+		status, _, err := d.entries[0].call(http.MethodPost, "/jobs/"+jobID(2), large)
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusGatewayTimeout)
+	}
+	d.submit(jobID(3))
+	d.awaitState(jobID(3), "completed")
+	d.checkEachTaskRanOnce(jobID(3))
+	assert.Equal(t, d.leader(), leader, "the term has ended")
+	d.log.SetRecordLimit(262144)
+	d.awaitState(jobID(2), "completed")
+}
