--- a/internal/connection/cellcodec/fuzz_test.go
+++ b/internal/connection/cellcodec/fuzz_test.go
@@ -1,7 +1,7 @@
 package cellcodec
 
 import (
-	"fmt"
+	"bytes"
 	"math"
 	"math/rand/v2"
 	"strings"
@@ -107,7 +107,7 @@
 	for _, record := range records {
 		f.Add(record.Key, record.Value)
 		for range 40 {
-			altered := []byte(fmt.Sprintf("%s", record.Value))
+			altered := bytes.Clone(record.Value)
 			altered[random.IntN(len(altered))] = byte(random.Uint32())
 			f.Add(record.Key, altered[:1+random.IntN(len(altered))])
 		}
