entry, workerlink: judge leases by what has been sent and received

Cause: a session extends the lease of a worker as soon as an answer arrives, while the cell learns of that answer from a queue. If the goroutine of the cell is slow, the lease end that it knows of has passed although the worker goes on: the tick gave up the runs ("lease over") and started their tasks elsewhere, two runs at once. In the same way a new leader ended the wait for a worker of an earlier term by the clock while the worker's first answer was in the queue.

Change: each session publishes in an atomic the latest end of all leases that its orders may have granted, before it sends them. The cell's goroutine passes these ends to the cell before it judges leases, after it has read the time, and a worker whose leases this term has extended keeps tasks of earlier terms waiting until it has reported or these leases have ended. The tick applies what is queued first, so that an end that was received counts.

--- a/internal/connection/workerlink/session.go
+++ b/internal/connection/workerlink/session.go
@@ -138,6 +138,9 @@
 	// first.
 	clock  atomic.Pointer[clockReading]
 	stored atomic.Pointer[storedEnds]
+	// leaseEnd is when the leases that orders of the session may have granted so far have
+	// ended for certain, or nil.
+	leaseEnd atomic.Pointer[time.Time]
 	// lateAnswerAwaited is set while a renewal that counts as unanswered may still
 	// be answered. lateAnswerArrived is set when such an answer has arrived.
 	lateAnswerAwaited atomic.Bool
@@ -212,6 +215,26 @@
 // Token returns the highest fencing token that the session has used.
 func (s *Session) Token() int64 { return s.token.Load() }
 
+// LeaseEnd returns when the leases that the session's orders may have granted so far have
+// ended for certain, also by orders whose outcome the sink does not know yet. It is zero if
+// no order may have granted one.
+func (s *Session) LeaseEnd() time.Time {
+	if end := s.leaseEnd.Load(); end != nil {
+		return *end
+	}
+	return time.Time{}
+}
+
+// recordLease records the end of a lease, before the order that may grant it is sent.
+func (s *Session) recordLease(end time.Time) {
+	for {
+		earlier := s.leaseEnd.Load()
+		if earlier != nil && !end.After(*earlier) || s.leaseEnd.CompareAndSwap(earlier, &end) {
+			return
+		}
+	}
+}
+
 // Wait blocks until the goroutines of the session have ended after Close. They may
 // still pass a result to the sink before.
 func (s *Session) Wait() { s.goroutines.Wait() }
@@ -350,6 +373,9 @@
 func (s *Session) sendRenewal(ctx context.Context, order RenewalOrder) openRenewal {
 	ctx, cancel := context.WithTimeout(ctx, order.Wait+callTimeout+lateAnswerTimeout)
 	renewal := openRenewal{order: order, sent: time.Now(), result: make(chan renewalResult, 1), cancel: cancel}
+	if end := order.leaseEnd(renewal.sent); !end.IsZero() {
+		s.recordLease(end)
+	}
 	go func() {
 		var r renewalResult
 		if err := fault.Catch(func() { r.answer, r.err = s.client.RenewLease(ctx, order) }); err != nil {
@@ -489,6 +515,9 @@
 			Token: grant.Token, Outcome: cell.StartRefused, Refusal: cell.RefusedNotSent})
 		return
 	}
+	if grant.LeaseUntil != 0 {
+		s.recordLease(latestLeaseEnd(sent))
+	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var err error
--- a/internal/connection/workerlink/session_test.go
+++ b/internal/connection/workerlink/session_test.go
@@ -322,6 +322,34 @@
 	})
 }
 
+// Guards against a lease that a leader takes for expired because the answer to the order that
+// extended it is still on its way, or was lost.
+func TestLeaseEndCoversOrdersWithoutAnswer(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		worker, recorder := &fakeWorker{}, &recordingSink{}
+		session := Open(ctx, "w", worker, recorder, 7)
+		assert.Assert(t, session.LeaseEnd().IsZero(), "no order granted a lease yet")
+		time.Sleep(5 * time.Second)
+		worker.mu.Lock()
+		worker.unresponsive = true
+		worker.mu.Unlock()
+		time.Sleep(2 * time.Second) // The renewal that is open now has extended the lease.
+		end := session.LeaseEnd()
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, session.LeaseEnd(), end, "renewals after one without an answer extend no lease")
+		recorder.mu.Lock()
+		assert.Equal(t, end, recorder.leaseEnds[0])
+		recorder.mu.Unlock()
+		began := time.Now()
+		session.Start(ctx, cell.StartOrder{Worker: "w", Run: 3})
+		assert.Equal(t, session.LeaseEnd(), latestLeaseEnd(began), "a start order extends the lease, also without an answer")
+		session.Close()
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // A leader can be suspended while another instance takes over. When it resumes,
 // workers that its successor has not reached yet would still obey it, so it must
 // send nothing until it is authorized again.
--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -241,7 +241,7 @@
 	defer ticker.Stop()
 	for {
 		l.openSessions(ctx)
-		l.applyEffects(ctx, l.cell.TakeEffects(time.Now()))
+		l.applyEffects(ctx, l.takeEffects())
 		select {
 		case e := <-l.events:
 			e(time.Now(), l.cell)
@@ -270,7 +270,9 @@
 // tick updates what depends only on time, and ends the leadership if a later term
 // is known or another instance should lead.
 func (l *leadership) tick() {
+	l.applyQueuedEvents()
 	now := time.Now()
+	l.extendLeases()
 	l.cell.SetStartsEnabled(l.sinceRenewal() < startAuthorityPeriod && !l.mayBeReplaced())
 	if !l.Authorized() {
 		l.requestRenewal()
@@ -329,21 +331,22 @@
 			continue
 		}
 		if existing != nil {
-			l.closeSession(existing)
+			l.closeSession(info.ID, existing)
 		}
 		session := workerlink.Open(ctx, info.ID, l.entry.options.DialWorker(info), l, l.lastToken+1)
 		l.sessions[info.ID] = &openSession{session, info.Address}
 	}
 	for id, session := range l.sessions {
 		if !registered[id] {
-			l.closeSession(session)
+			l.closeSession(id, session)
 			delete(l.sessions, id)
 		}
 	}
 }
 
-func (l *leadership) closeSession(session *openSession) {
+func (l *leadership) closeSession(id cell.WorkerID, session *openSession) {
 	session.Close()
+	l.cell.ExtendLease(id, session.LeaseEnd())
 	l.lastToken = max(l.lastToken, session.Token())
 }
 
--- a/internal/version/cell/page_test.go
+++ b/internal/version/cell/page_test.go
@@ -201,3 +201,19 @@
 	assert.Equal(t, state, Completed)
 	assert.Equal(t, len(c.durations.ratios), 0, "when it ended is not known")
 }
+
+// Guards against a run that is given up while an order that the cell has no outcome of
+// extends its lease, and against one that is never given up after that.
+func TestRunIsNotGivenUpBeforeLeaseOfOrderInFlight(t *testing.T) {
+	c, order := startedOn(t, testSpec())
+	c.ApplyStartResult(testStart, StartResult{Worker: order.Worker, Task: order.Task, Run: order.Run, Outcome: StartAccepted, Token: 1, LeaseUntil: testStart.Add(testLease)})
+	c.MarkUnresponsive(testStart.Add(time.Second), order.Worker, testStart.Add(5*time.Second))
+	c.ExtendLease(order.Worker, testStart.Add(9*time.Second))
+	c.ExtendLease(order.Worker, testStart.Add(8*time.Second)) // An earlier end shortens nothing.
+	for _, now := range []time.Duration{5 * time.Second, 6 * time.Second, 8900 * time.Millisecond} {
+		c.Tick(testStart.Add(now))
+		assert.Equal(t, len(takeStarts(c, testStart.Add(now))), 0, "after %v", now)
+	}
+	c.Tick(testStart.Add(9 * time.Second))
+	assert.Equal(t, len(takeStarts(c, testStart.Add(9*time.Second))), 1)
+}
--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -52,6 +52,21 @@
 	c.throttleBestEffort(now, w)
 }
 
+// ExtendLease records that the leases on a worker may last until a time, by orders that were
+// sent. The cell need not know of their outcome yet.
+func (c *Cell) ExtendLease(id WorkerID, until time.Time) {
+	w := c.workers[id]
+	if w == nil || until.IsZero() {
+		return
+	}
+	if until.After(w.leaseUntil) {
+		w.leaseUntil = until
+	}
+	if c.recovering[id] {
+		c.partlyRecovered[id] = true
+	}
+}
+
 func (c *Cell) recordResponse(now time.Time, w *worker, leaseUntil time.Time) {
 	if !w.renewed || w.unresponsive {
 		c.addEvent(DecisionEvent{Event: "worker held", Worker: w.info.ID})
@@ -91,6 +106,10 @@
 	return c.recovering[w.info.ID] && !c.partlyRecovered[w.info.ID]
 }
 
+// Recovering reports whether workers may have runs of earlier terms, or ends of them, that
+// the cell does not know of.
+func (c *Cell) Recovering() bool { return len(c.recovering) > 0 }
+
 // endRecovery notes that the cell knows all that an earlier term started on a worker, or
 // that its leases have expired.
 func (c *Cell) endRecovery(w *worker) {
