soak: partitions with instances and workers on both sides, longer than all leases

The class of fault that neither the soak's proxy nor the emulated cell made: a partition separates instances and workers from others for 6 to 16 s, in one direction or both, while the log is away for the leader's side, for the other, for none, for both or for each in turn; some instances are killed or paused meanwhile. TestTasksRunOnceAcrossPartitions has the checks of the other soak: no task runs or is done twice, no accepted job is lost, all workers are used again.

Each instance is a process of its own. Its links go through an HTTP proxy that its environment names; Go uses none for loopback addresses, so that these instances have the link address 0.0.0.0 with a port of their own. Workers register the address of a proxy that finds by the kernel's table of sockets which instance has opened a connection: instances store addresses of workers for each other, so that each can't have addresses of its own.

--- a/test/fleet/worker.go
+++ b/test/fleet/worker.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
@@ -19,7 +20,12 @@
 	Pool string
 	// RunDuration is the time that each run takes.
 	RunDuration time.Duration
-	server      *httptest.Server
+	// DurationOf returns the time that the runs of a task take. If it is nil, each
+	// takes RunDuration.
+	DurationOf func(task string) time.Duration
+	// RegisteredAddress is the address that the worker registers if it is not its own.
+	RegisteredAddress string
+	server            *httptest.Server
 	// startedAt is when the current incarnation began.
 	startedAt atomic.Pointer[time.Time]
 
@@ -288,7 +294,7 @@
 	defer w.mu.Unlock()
 	// The map holds only types that can be encoded.
 	encoded, _ := json.Marshal(map[string]any{
-		"service": w.Pool, "address": w.Address(), "zone": "z1", "state": "ready",
+		"service": w.Pool, "address": cmp.Or(w.RegisteredAddress, w.Address()), "zone": "z1", "state": "ready",
 		"capacity": map[string]int{"cpu": w.cpuMillis, "mem_mb": 64000}, "labels": []string{"a", "r1-1"},
 		"born": w.startedAt.Load().UnixMilli(), "sequence": 1,
 	})
@@ -423,7 +429,11 @@
 	w.overlaps.addRuns(order.Task, 1)
 	w.observer.RunStarted(w.ID, order.Task, order.Run)
 	run := &workerRun{runID: order.Run}
-	run.timer = time.AfterFunc(w.RunDuration, func() { w.endRun(order.Task, order.Run, "done") })
+	duration := w.RunDuration
+	if w.DurationOf != nil {
+		duration = w.DurationOf(order.Task)
+	}
+	run.timer = time.AfterFunc(duration, func() { w.endRun(order.Task, order.Run, "done") })
 	w.runs[order.Task] = run
 }
 
--- a/test/soak/instance_test.go
+++ b/test/soak/instance_test.go
@@ -23,6 +23,10 @@
 	name  string
 	ip    string
 	proxy *proxy
+	// linkAddress is the address for the links of other instances, and linkProxy the
+	// proxy through which the instance opens its own, or nil.
+	linkAddress string
+	linkProxy   *proxy
 	// settingsPath is the path of the settings file.
 	settingsPath string
 
@@ -46,15 +50,18 @@
 	endRequested bool
 }
 
-// addInstance writes the settings of an instance and starts it. The address
+// addInstance writes the settings of an instance, which startProcess starts. The address
 // depends on the seed, the index and the process identifier, so that
 // deployments don't collide.
 func (d *deployment) addInstance(index int) *entryInstance {
 	instance := &entryInstance{index: index, name: fmt.Sprint("n", index), ip: fmt.Sprintf("127.%d.%d.%d", 70+d.seed%50, os.Getpid()%250+1, index+1)}
 	instance.proxy = newProxy(d.t, d.log.Address())
+	instance.linkAddress = instance.ip + ":8163"
+	if d.network != nil {
+		instance.linkAddress, instance.linkProxy = d.network.linkAddresses[index], d.network.linkProxies[index]
+	}
 	instance.settingsPath = filepath.Join(d.dir, instance.name+".ini")
 	d.writeSettings(instance, "info")
-	d.startProcess(instance)
 	d.t.Cleanup(func() { d.endProcess(instance, syscall.SIGKILL) })
 	return instance
 }
@@ -65,7 +72,7 @@
 name = %[1]s
 caller_address = %[2]s:8161
 ready_address = %[2]s:8162
-link_address = %[2]s:8163
+link_address = %[7]s
 operator_address = %[2]s:8164
 [log]
 address = %[3]s
@@ -80,7 +87,7 @@
 grace_s = %[5]g
 [output]
 level = %[6]s
-`, instance.name, instance.ip, instance.proxy.address(), maxLease.Milliseconds(), gracePeriod.Seconds(), logLevel)
+`, instance.name, instance.ip, instance.proxy.address(), maxLease.Milliseconds(), gracePeriod.Seconds(), logLevel, instance.linkAddress)
 	// A process that starts must not read half of the file.
 	assert.Check(d.t, os.WriteFile(instance.settingsPath+".new", []byte(text), 0o600))
 	assert.Check(d.t, os.Rename(instance.settingsPath+".new", instance.settingsPath))
@@ -119,6 +126,9 @@
 	defer logFile.Close() // The process has its own copy of the descriptor.
 	command := exec.Command(d.program, "-settings", instance.settingsPath, "entry")
 	command.Stdout, command.Stderr = logFile, logFile
+	if instance.linkProxy != nil {
+		command.Env = append(os.Environ(), "NO_PROXY=", "HTTP_PROXY=http://"+instance.linkProxy.address())
+	}
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if !assert.Check(d.t, command.Start()) {
 		return
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -84,14 +84,7 @@
 // of them from SOAK_FROM on. SOAK_LARGE=1 runs a large deployment, one seed at a time.
 func TestAcceptedJobsCompleteOnceUnderFaults(t *testing.T) {
 	program := buildDaemon(t)
-	seeds := append([]uint64{1}, regressionSeeds...)
-	if from, err := strconv.ParseUint(os.Getenv("SOAK_FROM"), 10, 64); err == nil {
-		count, _ := strconv.ParseUint(os.Getenv("SOAK_COUNT"), 10, 64)
-		seeds = nil
-		for seed := from; seed < from+max(1, count); seed++ {
-			seeds = append(seeds, seed)
-		}
-	}
+	seeds := chosenSeeds(append([]uint64{1}, regressionSeeds...))
 	large := os.Getenv("SOAK_LARGE") == "1"
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
@@ -105,6 +98,20 @@
 	}
 }
 
+// chosenSeeds returns the seeds that the environment variables choose, or else the usual
+// ones.
+func chosenSeeds(usual []uint64) (seeds []uint64) {
+	from, err := strconv.ParseUint(os.Getenv("SOAK_FROM"), 10, 64)
+	if err != nil {
+		return usual
+	}
+	count, _ := strconv.ParseUint(os.Getenv("SOAK_COUNT"), 10, 64)
+	for seed := from; seed < from+max(1, count); seed++ {
+		seeds = append(seeds, seed)
+	}
+	return seeds
+}
+
 // buildDaemon builds poplarvalved and returns the path of the program.
 func buildDaemon(t *testing.T) string {
 	t.Helper()
@@ -122,12 +129,15 @@
 	// random chooses the faults of injectFault.
 	random *rand.Rand
 	// program is the path of the daemon, and dir the folder of settings and logs.
-	program       string
-	dir           string
-	log           *fleet.Log
-	overlaps      *fleet.OverlapDetector
-	history       *history
-	disruptions   *disruptions
+	program     string
+	dir         string
+	log         *fleet.Log
+	overlaps    *fleet.OverlapDetector
+	history     *history
+	disruptions *disruptions
+	// network has the paths that a partition cuts. It is nil in a deployment that has
+	// no partitions.
+	network       *network
 	configuration *configuration
 	workers       []*soakWorker
 	instances     []*entryInstance
@@ -149,6 +159,13 @@
 // runSeed starts a deployment, submits jobs while it changes and disturbs the
 // deployment as the seed says, and checks the jobs.
 func runSeed(t *testing.T, program string, seed uint64, s size) {
+	d := newDeployment(t, program, seed, s)
+	d.start()
+	d.checkJobs(d.submitDuringFaults())
+}
+
+// newDeployment returns a deployment without workers and instances.
+func newDeployment(t *testing.T, program string, seed uint64, s size) *deployment {
 	t.Logf("seed %d", seed)
 	d := &deployment{t: t, seed: seed, size: s, random: rand.New(rand.NewPCG(seed, 7)), program: program, dir: t.TempDir(),
 		log: fleet.NewLog(), overlaps: fleet.NewOverlapDetector(), disruptions: &disruptions{},
@@ -161,13 +178,20 @@
 	d.history = newHistory(d.disruptions, d.report, d.journal)
 	d.configuration = &configuration{d: d}
 	d.configuration.change(d.newRandom("first configuration"))
-	for i := range s.workers {
+	return d
+}
+
+// start starts the workers and the instances.
+func (d *deployment) start() {
+	for i := range d.size.workers {
 		d.addWorker(i)
 	}
-	for i := range s.instances {
+	for i := range d.size.instances {
 		d.instances = append(d.instances, d.addInstance(i))
 	}
-	d.checkJobs(d.submitDuringFaults())
+	for _, instance := range d.instances {
+		d.startProcess(instance)
+	}
 }
 
 // newRandom returns a source of random numbers for one purpose, so that the choices
@@ -398,10 +422,17 @@
 	return response.StatusCode, string(content)
 }
 
-// checkJobs ends all faults and waits until every accepted job is reported as
-// completed. It checks that each of their tasks was done exactly once and never
-// ran twice at the same time, and that no refused job has run.
+// checkJobs ends all faults, and checks that all workers are used again after an absence
+// and that the runs of all jobs were right.
 func (d *deployment) checkJobs(submitted jobs) {
+	d.endFaults()
+	submitted.accepted = append(submitted.accepted, d.configuration.checkLastChange(d.newRandom("last change"))...)
+	submitted.accepted = append(submitted.accepted, d.checkWorkersReturn()...)
+	d.checkRuns(submitted)
+}
+
+// endFaults ends all faults that concern instances, the log and the workers' rooms.
+func (d *deployment) endFaults() {
 	for _, instance := range d.instances {
 		d.signalProcess(instance, instance.current(), syscall.SIGCONT)
 		instance.proxy.setMode(passThrough)
@@ -412,8 +443,12 @@
 		d.changeSlots(w, d.size.maxSlots)
 	}
 	d.journal("faults have ended")
-	submitted.accepted = append(submitted.accepted, d.configuration.checkLastChange(d.newRandom("last change"))...)
-	submitted.accepted = append(submitted.accepted, d.checkWorkersReturn()...)
+}
+
+// checkRuns waits until every accepted job is reported as completed. It checks that each
+// of their tasks was done exactly once and never ran twice at the same time, and that no
+// refused job has run.
+func (d *deployment) checkRuns(submitted jobs) {
 	deadline := time.Now().Add(completionTimeout)
 	for number, id := range submitted.accepted {
 		if !d.awaitCompletion(id, d.instances[number%len(d.instances)], deadline) {
@@ -447,6 +482,11 @@
 			tasks = append(tasks, fmt.Sprint(".0.0.", index))
 		}
 		return tasks
+	case longJobPrefix:
+		for index := range longJobTasks {
+			tasks = append(tasks, fmt.Sprint(".0.0.", index))
+		}
+		return tasks
 	}
 	return []string{".0.0.0"}
 }
--- a/test/soak/workers_test.go
+++ b/test/soak/workers_test.go
@@ -33,9 +33,13 @@
 
 func (d *deployment) addWorker(index int) {
 	w := &soakWorker{Worker: fleet.NewWorker(fmt.Sprint("i-", index), "p", taskDuration, d.overlaps)}
+	w.DurationOf = durationOf
 	d.t.Cleanup(w.Close)
 	w.Observe(d.history)
 	w.EnforceLeases(maxLease)
+	if d.network != nil {
+		d.network.addWorker(w)
+	}
 	d.workers = append(d.workers, w)
 	d.changeSlots(w, d.size.maxSlots)
 }
