--- a/cmd/poplarvalved/entry.go
+++ b/cmd/poplarvalved/entry.go
@@ -124,8 +124,9 @@
 	}
 	return entry.Options{
 		Self:          d.self,
+		Zone:          s.Zone,
 		CPUShare:      s.CPUShare,
-		Log:           platform.NewLogClient(s.LogAddress.String(), client),
+		Log:           platform.NewLogClient(s.LogAddress.String(), client).WithLimits(s.LogLimits),
 		Configuration: platform.ConfigurationPartition,
 		Registry:      platform.RegistryPartition,
 		Decoder:       platform.Decoder{},
@@ -138,6 +139,7 @@
 			MaxLease:          s.MaxLease,
 			EndedJobRetention: s.EndedJobRetention,
 			RemoteFactor:      s.RemoteFactor,
+			Log:               s.LogLimits,
 		},
 		Journal: d.journal,
 		Metrics: counters,
--- a/internal/connection/cellcodec/cellcodec.go
+++ b/internal/connection/cellcodec/cellcodec.go
@@ -4,6 +4,9 @@
 package cellcodec
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
 	"math"
 	"strings"
 
@@ -13,6 +16,7 @@
 	"poplarvalve/internal/process/jobspec"
 	"poplarvalve/internal/process/store"
 	"poplarvalve/internal/version/cell"
+	"poplarvalve/internal/version/election"
 	"poplarvalve/internal/version/manifest"
 )
 
@@ -34,8 +38,43 @@
 }
 
 // EncodeWriteBatch returns the log records for a write, in the order in which
-// they must be appended. Its errors are of kind Internal.
-func EncodeWriteBatch(write cell.WriteBatch) ([]store.Record, error) {
+// they must be appended, and apart from them those that exceed the limits of the log.
+// Its errors are of kind Internal.
+func EncodeWriteBatch(write cell.WriteBatch, limits store.Limits) (records, tooLarge []store.Record, err error) {
+	all, err := encodeWriteBatch(write)
+	if err != nil {
+		return nil, nil, err
+	}
+	for _, record := range all {
+		if limits.Check(record) != nil {
+			tooLarge = append(tooLarge, record)
+		} else {
+			records = append(records, record)
+		}
+	}
+	return records, tooLarge, nil
+}
+
+// OwnerOf returns what a stored record is about. It is the zero RecordOwner for the
+// learned estimates.
+func OwnerOf(record store.Record) cell.RecordOwner {
+	if strings.HasPrefix(record.Key, workerKeyPrefix) {
+		var worker cell.WorkerInfo
+		if storedDecoding.Unmarshal(record.Value, &worker) != nil {
+			return cell.RecordOwner{} // The removal of a record.
+		}
+		return cell.RecordOwner{Worker: worker.ID}
+	}
+	for _, prefix := range []string{jobKeyPrefix, progressKeyPrefix} {
+		if rest, found := strings.CutPrefix(record.Key, prefix); found {
+			id, _, _ := strings.Cut(rest, "/")
+			return cell.RecordOwner{Job: jobspec.ID(id)}
+		}
+	}
+	return cell.RecordOwner{}
+}
+
+func encodeWriteBatch(write cell.WriteBatch) ([]store.Record, error) {
 	var records []store.Record
 	addRecord := func(key string, value any) error {
 		encoded, err := cbor.Marshal(value)
@@ -51,12 +90,12 @@
 		}
 	}
 	for _, progress := range write.Progress {
-		if err := addRecord(progressKeyPrefix+string(progress.ID), progress); err != nil {
+		if err := addRecord(progressKey(progress.ID, progress.Part), progress); err != nil {
 			return nil, err
 		}
 	}
 	for _, worker := range write.Workers {
-		if err := addRecord(workerKeyPrefix+string(worker.ID), worker); err != nil {
+		if err := addRecord(workerKey(worker.ID), worker); err != nil {
 			return nil, err
 		}
 	}
@@ -68,15 +107,40 @@
 	return append(records, removalRecords(write)...), nil
 }
 
+// workerKey returns the key of a worker's record. A hash takes the place of the end of a
+// name that is too long for a key; the record itself holds the whole name.
+func workerKey(id cell.WorkerID) string {
+	key := workerKeyPrefix + string(id)
+	if len(key) <= store.MaxKeyBytes {
+		return key
+	}
+	hash := sha256.Sum256([]byte(id))
+	end := hex.EncodeToString(hash[:])
+	return key[:store.MaxKeyBytes-len(end)] + end
+}
+
+// progressKey returns the key of the record of a job's progress, or of one part of it.
+func progressKey(id jobspec.ID, part *cell.PartID) string {
+	key := progressKeyPrefix + string(id)
+	if part == nil {
+		return key
+	}
+	return fmt.Sprintf("%s/%d.%d.%d", key, part.Occurrence, part.Step, part.Block)
+}
+
 // removalRecords returns records with an empty value, which remove the keys of
 // workers and jobs that the write removes.
 func removalRecords(write cell.WriteBatch) []store.Record {
 	var records []store.Record
 	for _, worker := range write.RemovedWorkers {
-		records = append(records, store.Record{Key: workerKeyPrefix + string(worker)})
+		records = append(records, store.Record{Key: workerKey(worker)})
 	}
 	for _, id := range write.RemovedJobs {
-		records = append(records, store.Record{Key: progressKeyPrefix + string(id)}, store.Record{Key: jobKeyPrefix + string(id)})
+		// Without its progress, a job that is still stored would run again.
+		records = append(records, store.Record{Key: jobKeyPrefix + string(id)}, store.Record{Key: progressKey(id, nil)})
+	}
+	for _, removed := range write.RemovedParts {
+		records = append(records, store.Record{Key: progressKey(removed.Job, &removed.Part)})
 	}
 	return records
 }
@@ -221,6 +285,24 @@
 	LedTerms []LedTerm `cbor:"6,keyasint,omitempty"`
 	// CPUShare is the part of a core that the sender may use.
 	CPUShare float64 `cbor:"7,keyasint,omitempty"`
+	// SentMillis is set if the receiver should confirm the heartbeat. It is when the
+	// heartbeat was sent, in milliseconds of a clock of the sender's end of the link.
+	// EchoMillis confirms the newest heartbeat received: it is the SentMillis of that.
+	SentMillis int64 `cbor:"9,keyasint,omitempty"`
+	EchoMillis int64 `cbor:"10,keyasint,omitempty"`
+	// KnownTerms holds the newest term of each cell that the sender knows, if EchoMillis
+	// is set. A cell is left out until the sender's process has read its term from the
+	// log.
+	KnownTerms []KnownTerm `cbor:"11,keyasint,omitempty"`
+	// Sender describes the sending instance. It is set in the first heartbeat of a link.
+	Sender *election.Voter `cbor:"12,keyasint,omitempty"`
+}
+
+// KnownTerm is the epoch of the newest term of a cell that an instance knows.
+type KnownTerm struct {
+	_     struct{} `cbor:",toarray"`
+	Cell  int
+	Epoch int64
 }
 
 // LedTerm describes the term of a cell that the sender of a heartbeat leads.
--- a/internal/connection/workerlink/session.go
+++ b/internal/connection/workerlink/session.go
@@ -49,6 +49,8 @@
 	Incarnation int64
 	Running     []cell.RunReport
 	Ended       []cell.RunEnd
+	// Complete is set if Ended lists all ends after the acknowledged one.
+	Complete bool
 }
 
 // WorkerClient is a client of one worker. An error of type *RefusedError means that
@@ -81,10 +83,11 @@
 	RenewalUnanswered(worker cell.WorkerID, leaseUntil time.Time, err error)
 	// StartResult handles the outcome of a start order.
 	StartResult(result cell.StartResult)
-	// Authorized reports whether starts and lease renewals may be sent. It is
-	// false while another leader may have replaced the sender without the
-	// sender knowing.
+	// Authorized reports whether lease renewals may be sent, and MayStart whether starts
+	// may be. They are false while another leader may have replaced the sender without
+	// the sender knowing.
 	Authorized() bool
+	MayStart() bool
 }
 
 const (
@@ -364,7 +367,8 @@
 // of the report is set: the end of the lease that the renewal may have granted.
 func (s *Session) renewLease(ctx context.Context, wait time.Duration, extend bool) (cell.Report, error) {
 	order := RenewalOrder{Grant: s.newGrant(), Wait: wait}
-	if !extend {
+	// The lease must not be extended later than it was allowed, so its end is fixed first.
+	if !extend || !s.sink.Authorized() {
 		order.LeaseUntil = 0
 	}
 	if stored, clock := s.stored.Load(), s.clock.Load(); clock != nil && stored.incarnation == clock.incarnation {
@@ -386,8 +390,8 @@
 	case <-s.resolveSignal:
 		renewal.cancel()
 		report, err := s.renewLease(ctx, 0, extend)
-		if err != nil && report.LeaseUntil.IsZero() {
-			report.LeaseUntil = order.leaseEnd(renewal.sent)
+		if end := order.leaseEnd(renewal.sent); end.After(report.LeaseUntil) {
+			report.LeaseUntil = end
 		}
 		return report, err
 	}
@@ -426,6 +430,7 @@
 		Token:       order.Token,
 		Running:     answer.Running,
 		Ended:       answer.Ended,
+		Complete:    answer.Complete,
 	}
 	report.LeaseUntil = order.leaseEnd(sent)
 	return report
@@ -481,7 +486,7 @@
 func (s *Session) Start(ctx context.Context, order cell.StartOrder) {
 	grant := s.newGrant()
 	sent := time.Now()
-	if !s.sink.Authorized() {
+	if !s.sink.MayStart() {
 		s.sink.StartResult(cell.StartResult{Worker: order.Worker, Task: order.Task, Run: order.Run,
 			Token: grant.Token, Outcome: cell.StartRefused, Refusal: cell.RefusedNotSent})
 		return
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -37,11 +37,14 @@
 	Worker(record store.Record) (cell.WorkerInfo, error)
 }
 
-// Options holds the settings and dependencies of an Entry. All fields but Advice
-// are required.
+// Options holds the settings and dependencies of an Entry. All fields but Zone and
+// Advice are required.
 type Options struct {
 	// Self identifies this instance in elections.
 	Self election.Holder
+	// Zone is the instance's availability zone, or empty if it is unknown. The voters of
+	// a term are spread over the zones.
+	Zone string
 	// CPUShare is the part of a core that the instance may use.
 	CPUShare float64
 	Log      store.Log
@@ -71,6 +74,9 @@
 	// RemoteFactor is the factor by which a task takes longer if it does not run
 	// in the rack that holds its data.
 	RemoteFactor float64
+	// Log holds the sizes above which the log refuses an append. The zero value stands
+	// for store.DefaultLimits.
+	Log store.Limits
 }
 
 // Entry is one entry instance. It is created by New and runs from Start to Stop.
@@ -96,6 +102,9 @@
 
 // New returns an instance that does no work until Start is called.
 func New(options Options) *Entry {
+	if options.Limits.Log == (store.Limits{}) {
+		options.Limits.Log = store.DefaultLimits
+	}
 	e := &Entry{
 		options:         options,
 		manifest:        publish.New[manifest.Manifest](nil),
--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -51,6 +51,14 @@
 	// lastRenewal is the time at which the last claim or renewal that the log has
 	// accepted was sent.
 	lastRenewal atomic.Pointer[boottime.Moment]
+	// releasing is set once a release of the term was sent: another instance may claim the
+	// cell at once.
+	releasing atomic.Bool
+	// extendedLeases counts the answered renewals that extended the leases of a worker,
+	// since authorityLogged.
+	extendedLeases  atomic.Int64
+	authorityLogged loggedAuthority
+	confirmation    termConfirmation
 	// renewalRequests requests a renewal before the next one is due.
 	renewalRequests chan struct{}
 	// fenceRefusals counts the workers that refused a lease renewal as fenced, and
@@ -97,6 +105,7 @@
 	}
 	l.lastRenewal.Store(&claimSent)
 	l.renewalEndOffset.Store(heldTerm.EndOffset)
+	l.confirmation.start(heldTerm.Voters)
 	l.spawn(func() { l.renewPeriodically(ctx) })
 	var err error
 	if unexpected := fault.Catch(func() { err = l.recover(ctx) }); unexpected != nil {
@@ -112,6 +121,7 @@
 	e.leaders.setLeadership(heldTerm.Cell, l)
 	l.spawn(func() { l.writer.run(ctx) })
 	l.spawn(func() { l.followRegistry(ctx) })
+	l.spawn(func() { l.announceTerm(ctx) })
 	l.runContained(ctx)
 	e.leaders.setLeadership(heldTerm.Cell, nil)
 	l.shutDown(cancel)
@@ -169,7 +179,9 @@
 // restores the cell from the records that they stored.
 func (l *leadership) recover(ctx context.Context) error {
 	options := l.entry.options
+	l.writer.limits = options.Limits.Log
 	l.writer.onRetry = func(err error) { options.Journal.Retrying("append", err) }
+	l.writer.onKeptBack = func(record store.Record, err error) { options.Journal.RecordKeptBack(record.Key, err) }
 	if err := l.writer.fence(ctx); err != nil {
 		return err
 	}
@@ -181,23 +193,22 @@
 	if err != nil {
 		return err
 	}
-	workerLease := min(options.Limits.MaxLease, workerlink.LeaseDuration)
-	l.cell = cell.New(cell.Config{
-		Epoch: l.term.Epoch,
-		// An earlier leader may have renewed its term, or read that it still holds it,
-		// just before the claim.
-		EarlierAuthority:  startAuthorityPeriod + recoveryMargin,
-		RecoveryWait:      startAuthorityPeriod - election.TermLease + workerLease + recoveryMargin,
-		MaxEarlierLease:   workerLease + recoveryMargin,
-		EndedJobRetention: options.Limits.EndedJobRetention,
-		RemoteFactor:      options.Limits.RemoteFactor,
-	})
+	config := earlierTermConfig(min(options.Limits.MaxLease, workerlink.LeaseDuration))
+	config.Epoch = l.term.Epoch
+	config.EndedJobRetention = options.Limits.EndedJobRetention
+	config.RemoteFactor = options.Limits.RemoteFactor
+	l.cell = cell.New(config)
 	now := time.Now()
+	l.confirmation.recoveredAt = now
 	l.cell.Restore(now, state.Jobs, state.Progress, withoutFutureStarts(now, state.Workers))
 	l.cell.RestoreLearned(state.Learned)
-	l.writer.onStored = func(number uint64, took time.Duration) {
+	l.writer.onStored = func(number uint64, keptBack []cell.RecordOwner, took time.Duration) {
 		options.Metrics.AppendFinished(took)
-		l.post(func(now time.Time, c *cell.Cell) { c.MarkStored(now, number) })
+		options.Metrics.RecordsKeptBack(len(keptBack))
+		l.post(func(now time.Time, c *cell.Cell) {
+			c.MarkKeptBack(now, keptBack)
+			c.MarkStored(now, number)
+		})
 	}
 	l.writer.onFatalError = l.endTerm
 	options.Journal.Recovered(l.term.Cell, l.term.Epoch, len(state.Jobs), len(state.Workers))
@@ -271,13 +282,18 @@
 // is known or another instance should lead.
 func (l *leadership) tick() {
 	now := time.Now()
-	l.cell.SetStartsEnabled(l.sinceRenewal() < startAuthorityPeriod && !l.mayBeReplaced())
+	l.cell.SetStartsEnabled(l.MayStart() && !l.mayBeReplaced())
 	if !l.Authorized() {
 		l.requestRenewal()
 	}
+	l.updateConfirmation(now)
+	l.reportLeaseAuthority(now)
 	l.cell.Tick(now)
+	if l.cell.AwaitsRenewal() {
+		l.requestRenewal()
+	}
 	switch {
-	case l.entry.leaders.knownEpoch(l.term.Cell) > l.term.Epoch:
+	case l.entry.leaders.newestKnownEpoch(l.term.Cell) > l.term.Epoch:
 		l.endTerm(errTermReplaced)
 	case l.entry.leaders.isolated():
 		l.stepDown(errIsolated)
@@ -349,6 +365,9 @@
 
 // Report implements workerlink.Sink. It passes a worker's report to the cell.
 func (l *leadership) Report(report cell.Report) {
+	if !report.LeaseUntil.IsZero() {
+		l.extendedLeases.Add(1)
+	}
 	l.post(func(now time.Time, c *cell.Cell) { c.ApplyReport(now, report) })
 }
 
--- a/internal/process/logging/journal.go
+++ b/internal/process/logging/journal.go
@@ -186,6 +186,22 @@
 	j.log.Info().Int("cell", cell).Int64("epoch", epoch).Bool("leading", leading).Err(why).Msg("leadership changed")
 }
 
+// LeaseAuthority logs by what a leader extends leases, when that changes and once a
+// second while its newest renewal of the term does not suffice. extended is the number
+// of renewals since the last such line that extended the leases of a worker.
+func (j *Journal) LeaseAuthority(cell int, epoch int64, authority string, renewalAge time.Duration, extended int64) {
+	j.log.Info().Int("cell", cell).Int64("epoch", epoch).Str("authority", authority).
+		Int64("renewal_age_ms", renewalAge.Milliseconds()).Int64("extended", extended).Msg("lease authority")
+}
+
+// TermConfirmed logs that no earlier leader of a cell extends leases any more without a
+// renewal of its term: enough of the voters have confirmed the new term, or the longest time
+// for that has passed.
+func (j *Journal) TermConfirmed(cell int, epoch int64, voters int, byVoters bool, waited time.Duration) {
+	j.log.Info().Int("cell", cell).Int64("epoch", epoch).Int("voters", voters).Bool("by_voters", byVoters).
+		Int64("waited_ms", waited.Milliseconds()).Msg("term confirmed")
+}
+
 // Recovered logs how many jobs and workers a new leader of a cell recovered
 // from the log.
 func (j *Journal) Recovered(cell int, epoch int64, jobs, workers int) {
@@ -202,6 +218,12 @@
 	j.limitedInfo(&j.skips).Str("source", source).Str("key", key).Str("error", errorText(err)).Msg("record skipped")
 }
 
+// RecordKeptBack logs that a record of the instance was not stored, because the log does
+// not take it.
+func (j *Journal) RecordKeptBack(key string, err error) {
+	j.limitedInfo(&j.skips).Str("key", key).Str("error", errorText(err)).Msg("record kept back")
+}
+
 // errorText returns the text of an error, cut at maxErrorTextBytes.
 func errorText(err error) string {
 	text := err.Error()
--- a/internal/version/cell/cell.go
+++ b/internal/version/cell/cell.go
@@ -23,10 +23,17 @@
 	// a new version of the tree.
 	storedJobs atomic.Pointer[iradix.Tree[*job]]
 
-	// recovering holds the workers that may have runs of earlier terms and have
-	// not answered in this term.
-	recovering       map[WorkerID]bool
-	recoveryDeadline time.Time
+	// recovering holds the workers that may have runs of earlier terms, or ends of
+	// them, and have sent no complete report in this term. partlyRecovered holds those
+	// of them whose leases this term has extended.
+	recovering, partlyRecovered map[WorkerID]bool
+	recoveryDeadline            time.Time
+	recoveryStart               time.Time
+	// recoveryEndReported is set once the end of that wait is logged.
+	recoveryEndReported bool
+	// renewedAt is when the newest renewal of the term that the log has accepted was sent.
+	renewedAt     time.Time
+	awaitsRenewal bool
 	// authorityEnd is when no earlier leader starts tasks any more.
 	authorityEnd time.Time
 	// registryRead is set once the registry has been read in this term.
@@ -51,6 +58,8 @@
 	// writeActions are run, in order, when their writes are stored.
 	lastWrite    uint64
 	writeActions []writeAction
+	// keptBack holds the owners of records that the log did not take.
+	keptBack map[RecordOwner]keptBackRecord
 
 	durations durationModel
 	pressures pressureModel
@@ -59,6 +68,8 @@
 	learnedSavedAt time.Time
 	reserve        shortTaskReserve
 	totals         capacityTotals
+	// held is the room held for the tasks that startReadyTasks has passed over so far.
+	held heldRoom
 
 	// adviceCallsInFlight is the number of unanswered calls to the advice
 	// service.
@@ -70,21 +81,26 @@
 }
 
 // writeAction is a callback that is run once the write with that number is
-// stored.
+// stored with the records of the owners.
 type writeAction struct {
 	number   uint64
+	owners   []RecordOwner
 	callback func(now time.Time)
 }
 
 // New returns an empty cell.
 func New(config Config) *Cell {
+	config.BlockTasks = cmp.Or(config.BlockTasks, BlockTasks)
 	c := &Cell{
 		config:     config,
 		jobs:       map[jobspec.ID]*job{},
 		workers:    map[WorkerID]*worker{},
 		recovering: map[WorkerID]bool{},
+		keptBack:   map[RecordOwner]keptBackRecord{},
 		durations:  newDurationModel(),
 		pressures:  newPressureModel(),
+
+		partlyRecovered: map[WorkerID]bool{},
 	}
 	c.storedJobs.Store(iradix.New[*job]())
 	return c
@@ -96,17 +112,12 @@
 func (c *Cell) Restore(now time.Time, jobs []JobRecord, progress []ProgressRecord, workers []WorkerInfo) {
 	tree := c.storedJobs.Load().Txn()
 	for _, record := range jobs {
-		j := newJob(record, c.acceptedTime(now, record.AcceptedMillis))
+		j := c.addJob(record, c.acceptedTime(now, record.AcceptedMillis))
 		j.fromEarlierTerm = true
-		c.jobs[j.id] = j
 		tree.Insert([]byte(j.id), j)
 	}
 	c.storedJobs.Store(tree.Commit())
-	for _, record := range progress {
-		if j := c.jobs[record.ID]; j != nil {
-			j.restoreProgress(record)
-		}
-	}
+	c.restoreAllProgress(progress)
 	for _, record := range jobs {
 		j := c.jobs[record.ID]
 		j.visibleState.Store(uint32(j.state))
@@ -122,13 +133,56 @@
 	for _, record := range progress {
 		c.restoreSuspects(now, record)
 	}
-	c.recoveryDeadline = now.Add(c.config.RecoveryWait)
+	c.recoveryStart = now
+	c.recoveryDeadline = now.Add(max(c.config.RecoveryWait, c.config.UnconfirmedRecoveryWait))
 	c.authorityEnd = now.Add(c.config.EarlierAuthority)
 	for _, record := range jobs {
 		c.openSteps(now, c.jobs[record.ID])
 	}
 }
 
+// EarlierTermsEnded records that no earlier leader extends a lease after at. The wait for
+// silent workers ends with the leases that it extended until then, but not before
+// RecoveryWait.
+func (c *Cell) EarlierTermsEnded(at time.Time) {
+	deadline := at.Add(c.config.MaxEarlierLease)
+	if least := c.recoveryStart.Add(c.config.RecoveryWait); deadline.Before(least) {
+		deadline = least
+	}
+	if deadline.Before(c.recoveryDeadline) {
+		c.recoveryDeadline = deadline
+	}
+}
+
+// TermRenewed records that the log has accepted a renewal of the term that was sent at sent.
+// No later term had begun then.
+func (c *Cell) TermRenewed(sent time.Time) {
+	if sent.After(c.renewedAt) {
+		c.renewedAt = sent
+	}
+}
+
+// isOver reports whether a time has passed, and a renewal of the term was sent after it.
+// Without the renewal, a later leader may have extended what ended then by the clock.
+func (c *Cell) isOver(now, end time.Time) bool {
+	if now.Before(end) {
+		return false
+	}
+	if c.renewedAt.Before(end) {
+		c.awaitsRenewal = true
+		return false
+	}
+	return true
+}
+
+// AwaitsRenewal reports whether a decision has waited for the next renewal of the term since
+// the last call.
+func (c *Cell) AwaitsRenewal() bool {
+	awaits := c.awaitsRenewal
+	c.awaitsRenewal = false
+	return awaits
+}
+
 // acceptedTime converts a stored time. It never returns a time after now: the
 // clock of the earlier leader that stored the time may have run ahead.
 func (c *Cell) acceptedTime(now time.Time, millis int64) time.Time {
@@ -217,7 +271,7 @@
 		if w.inUseWrite == number {
 			w.inUseWrite = 0
 		}
-	})
+	}, RecordOwner{Worker: w.info.ID})
 }
 
 func drainState(draining bool) string {
@@ -298,20 +352,19 @@
 	if known == nil {
 		c.acceptJob(now, JobRecord{ID: id, Job: *spec, Terms: terms, AcceptedMillis: now.UnixMilli()})
 	}
-	c.answerAfterWrite(request)
+	c.answerAfterWrite(request, id)
 	return SubmitPending
 }
 
 func (c *Cell) acceptJob(now time.Time, record JobRecord) {
-	j := newJob(record, now)
-	c.jobs[j.id] = j
+	j := c.addJob(record, now)
 	c.write.Jobs = append(c.write.Jobs, record)
 	c.afterWrite(func(now time.Time) {
 		tree, _, _ := c.storedJobs.Load().Insert([]byte(j.id), j)
 		c.storedJobs.Store(tree)
 		j.visibleState.CompareAndSwap(uint32(Hidden), uint32(Queued))
 		c.openSteps(now, j)
-	})
+	}, RecordOwner{Job: j.id})
 }
 
 // Cancel ends a job unless it has ended already. It returns false if there is no
@@ -328,7 +381,7 @@
 	if !j.state.IsFinal() {
 		c.endJob(now, j, Canceled)
 	}
-	c.answerAfterWrite(request)
+	c.answerAfterWrite(request, id)
 	return true
 }
 
@@ -364,7 +417,7 @@
 	c.afterWrite(func(now time.Time) {
 		j.visibleState.Store(uint32(state))
 		c.stopJobRuns(now, j)
-	})
+	}, RecordOwner{Job: j.id})
 }
 
 func (c *Cell) stopJobRuns(now time.Time, j *job) {
@@ -397,24 +450,32 @@
 	c.changedJobs = append(c.changedJobs, j)
 }
 
-// afterWrite runs callback once everything decided so far is stored.
-func (c *Cell) afterWrite(callback func(now time.Time)) {
-	c.writeActions = append(c.writeActions, writeAction{c.lastWrite + 1, callback})
+// afterWrite runs callback once everything decided so far about the owners is stored.
+func (c *Cell) afterWrite(callback func(now time.Time), owners ...RecordOwner) {
+	c.writeActions = append(c.writeActions, writeAction{c.lastWrite + 1, owners, callback})
 }
 
-func (c *Cell) answerAfterWrite(request uint64) {
+func (c *Cell) answerAfterWrite(request uint64, id jobspec.ID) {
 	c.write.Urgent = true
-	c.afterWrite(func(time.Time) { c.effects.AnswerableRequests = append(c.effects.AnswerableRequests, request) })
+	c.afterWrite(func(time.Time) { c.effects.AnswerableRequests = append(c.effects.AnswerableRequests, request) }, RecordOwner{Job: id})
 }
 
-// MarkStored records that all writes up to and including number are stored.
+// MarkStored records that all writes up to and including number are stored, but for the
+// records passed to MarkKeptBack.
 func (c *Cell) MarkStored(now time.Time, number uint64) {
+	c.forgetStoredOwners(number)
+	// Callbacks may add actions, but only for writes after number.
 	completed := 0
+	var waiting []writeAction
 	for completed < len(c.writeActions) && c.writeActions[completed].number <= number {
-		c.writeActions[completed].callback(now)
+		if action := c.writeActions[completed]; c.waits(action) {
+			waiting = append(waiting, action)
+		} else {
+			action.callback(now)
+		}
 		completed++
 	}
-	c.writeActions = slices.Delete(c.writeActions, 0, completed)
+	c.writeActions = slices.Replace(c.writeActions, 0, completed, waiting...)
 }
 
 // TakeEffects starts the tasks that can be started, and returns the effects of
@@ -430,7 +491,7 @@
 func (c *Cell) collectWrite() {
 	for _, j := range c.changedJobs {
 		j.changed = false
-		c.write.Progress = append(c.write.Progress, j.progressRecord())
+		c.writeProgress(j)
 	}
 	c.changedJobs = nil
 	if c.write.isEmpty() && !c.hasUnwrittenAction() {
@@ -450,7 +511,7 @@
 }
 
 func (w *WriteBatch) isEmpty() bool {
-	return w.Learned == nil && len(w.Jobs)+len(w.Progress)+len(w.Workers)+len(w.RemovedWorkers)+len(w.RemovedJobs) == 0
+	return w.Learned == nil && len(w.Jobs)+len(w.Progress)+len(w.Workers)+len(w.RemovedWorkers)+len(w.RemovedJobs)+len(w.RemovedParts) == 0
 }
 
 func (c *Cell) addEvent(event DecisionEvent) { c.effects.Events = append(c.effects.Events, event) }
--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"slices"
 	"time"
 )
@@ -39,13 +40,14 @@
 			listed[r] = true
 		}
 	}
-	for _, r := range w.runs {
-		if !listed[r] {
-			c.handleUnlistedRun(now, r, report)
-		}
+	if report.Complete {
+		c.handleUnlistedRuns(now, w, listed, report)
+	} else {
+		c.markOver(now, w, listed, report)
 	}
+	c.recordRecovery(w, report.Complete)
 	if len(report.Ended) > 0 {
-		c.acknowledge(w)
+		c.acknowledge(w, report.Ended)
 	}
 	c.throttleBestEffort(now, w)
 }
@@ -68,13 +70,45 @@
 	}
 	c.dropEarlierSuspects(w)
 	c.markInUse(w)
+}
+
+// recordRecovery notes how much of what an earlier term started a report has shown. If
+// its list of ends is cut, tasks of that term may have ended beyond it.
+func (c *Cell) recordRecovery(w *worker, complete bool) {
+	if !c.recovering[w.info.ID] {
+		return
+	}
+	if complete {
+		c.endRecovery(w)
+	} else {
+		c.partlyRecovered[w.info.ID] = true
+	}
+}
+
+// awaitsFirstAnswer reports whether an earlier leader may still extend the leases of the
+// worker.
+func (c *Cell) awaitsFirstAnswer(w *worker) bool {
+	return c.recovering[w.info.ID] && !c.partlyRecovered[w.info.ID]
+}
+
+// endRecovery notes that the cell knows all that an earlier term started on a worker, or
+// that its leases have expired.
+func (c *Cell) endRecovery(w *worker) {
 	delete(c.recovering, w.info.ID)
+	delete(c.partlyRecovered, w.info.ID)
 }
 
-// acknowledge allows the worker to discard its ends once they are stored.
-func (c *Cell) acknowledge(w *worker) {
+// acknowledge allows the worker to discard its ends once they are stored. The worker
+// lists every end that it has not discarded.
+func (c *Cell) acknowledge(w *worker, ends []RunEnd) {
 	ack := Acknowledgement{w.info.ID, w.info.Incarnation, w.lastEndNumber}
-	c.afterWrite(func(time.Time) { c.effects.Acknowledgements = append(c.effects.Acknowledgements, ack) })
+	var owners []RecordOwner
+	for _, end := range ends {
+		if owner := (RecordOwner{Job: end.Task.Job}); !slices.Contains(owners, owner) {
+			owners = append(owners, owner)
+		}
+	}
+	c.afterWrite(func(time.Time) { c.effects.Acknowledgements = append(c.effects.Acknowledgements, ack) }, owners...)
 }
 
 // MarkUnresponsive records that a worker did not answer a lease renewal. The
@@ -116,7 +150,7 @@
 	for _, r := range w.runs {
 		// A start order in flight may still arrive at the new incarnation. A
 		// report under a higher token resolves it.
-		if r.phase == running || r.phase == stopping {
+		if r.hasStarted() || r.phase == over {
 			c.recordLostRun(now, r, "worker restarted")
 		}
 	}
@@ -147,28 +181,50 @@
 }
 
 func (c *Cell) keepCheckpoint(t *task, checkpoint string) {
-	if checkpoint != "" && t.spec().Checkpointing {
+	if checkpoint != "" && len(checkpoint) <= MaxCheckpointBytes && t.spec().Checkpointing {
 		t.checkpoint = checkpoint
+		t.step.markBlock(t.block())
 	}
 }
 
-// handleUnlistedRun removes a run that a report does not list, if the report
-// proves that the run does not exist.
-func (c *Cell) handleUnlistedRun(now time.Time, r *run, report Report) {
-	switch r.phase {
-	case inDoubt:
-		if report.Token > r.startToken {
-			c.recordLostRun(now, r, "start did not arrive")
-			c.requeueUnstarted(now, r)
-			r.task.recordFailedWorker(r.worker)
+// handleUnlistedRuns removes the runs that a complete report does not list, if the report
+// proves that they do not exist and have not ended.
+func (c *Cell) handleUnlistedRuns(now time.Time, w *worker, listed map[*run]bool, report Report) {
+	for _, r := range w.runs {
+		if listed[r] {
+			continue
 		}
-	case running, stopping:
-		if r.runningSince.Before(report.Sent) {
-			c.recordLostRun(now, r, "not listed")
+		switch r.phase {
+		case inDoubt:
+			if report.Token > r.startToken {
+				c.recordLostRun(now, r, "start did not arrive")
+				c.requeueUnstarted(now, r)
+				r.task.recordFailedWorker(r.worker)
+			}
+		case running, stopping, over:
+			if r.runningSince.Before(report.Sent) {
+				c.recordLostRun(now, r, "not listed")
+			}
 		}
 	}
 }
 
+// markOver notes that the runs which a report does not list as running have ended. The
+// report may leave out their ends; they keep their reserved size until these are listed.
+func (c *Cell) markOver(now time.Time, w *worker, listed map[*run]bool, report Report) {
+	marked := 0
+	for _, r := range w.runs {
+		if !listed[r] && r.hasStarted() && r.runningSince.Before(report.Sent) {
+			r.phase = over
+			c.dropSuspect(r)
+			marked++
+		}
+	}
+	if marked > 0 {
+		c.addEvent(DecisionEvent{Event: "ends not listed", Worker: w.info.ID, Outcome: fmt.Sprintf("%d runs over", marked), Age: now.Sub(report.Sent)})
+	}
+}
+
 // applyEnd applies one end. It ignores ends that were applied before.
 func (c *Cell) applyEnd(now time.Time, w *worker, end RunEnd) {
 	if end.Number <= w.lastEndNumber {
@@ -179,7 +235,9 @@
 	if r := w.findRun(end.Task, end.Run); r != nil {
 		duration = now.Sub(r.runningSince)
 		r.recordRunEnd(end.Reason, now)
-		c.durations.recordEnd(r, end.Reason, duration)
+		if r.phase != over { // Otherwise it ended some time ago.
+			c.durations.recordEnd(now, r, end.Reason, duration)
+		}
 		c.removeRun(r)
 	}
 	j := c.jobs[end.Task.Job]
@@ -192,7 +250,7 @@
 	}
 	t.lastRun = max(t.lastRun, end.Run)
 	c.markStarted(j)
-	c.markChanged(j)
+	c.markTaskChanged(t)
 	if end.Reason != EndSucceeded {
 		c.addEvent(DecisionEvent{Event: "run ended", Task: end.Task, Run: end.Run, Worker: w.info.ID, Outcome: string(end.Reason), Age: duration})
 	}
@@ -210,7 +268,7 @@
 	case EndFailed:
 		t.countFailure(end.Run)
 		t.recordFailedWorker(w)
-		if !t.spec().LongRunning && len(t.failedRuns) >= max(1, t.job().terms.Attempts) {
+		if !t.spec().LongRunning && len(t.failedRuns) >= min(max(1, t.job().terms.Attempts), maxAttempts) {
 			c.addEvent(DecisionEvent{Event: "job failed", Task: t.id(), Run: end.Run, Worker: w.info.ID})
 			c.endJob(now, t.job(), Failed)
 			return
--- a/internal/version/cell/schedule.go
+++ b/internal/version/cell/schedule.go
@@ -80,10 +80,13 @@
 }
 
 // recoveryDone reports whether tasks of earlier terms may be started: every
-// worker that may have runs of those terms has answered, or the recovery wait
-// is over.
+// worker that may have runs of those terms, or ends of them, has reported all, or the
+// recovery wait is over and the leases of the others have expired.
 func (c *Cell) recoveryDone(now time.Time) bool {
-	return c.registryRead && len(c.recovering) == 0 || !now.Before(c.recoveryDeadline)
+	if !c.isOver(now, c.recoveryDeadline) {
+		return c.registryRead && len(c.recovering) == 0
+	}
+	return len(c.partlyRecovered) == 0
 }
 
 // mayRunElsewhere reports whether a worker that has not answered in this term may have
@@ -129,16 +132,20 @@
 		c.rankReady(now)
 	}
 	c.measureCapacity(now)
+	c.held = heldRoom{}
 	stillWaiting := c.readyTasks[:0]
 	for _, t := range c.readyTasks {
 		if t.done || len(t.runs) > 0 || t.job().state.IsFinal() {
 			t.queued = false // It is done or has a run by now, or its job ended.
 			continue
 		}
-		if c.mayRunElsewhere(now, t) || now.Before(t.step.retryAt) || !c.startTask(now, t) {
-			t.step.postpone(now)
-			stillWaiting = append(stillWaiting, t)
+		if c.mayRunElsewhere(now, t) {
+			c.held.add(t, c.totals.capacity)
+		} else if !now.Before(t.step.retryAt) && c.startTask(now, t) {
+			continue
 		}
+		t.step.postpone(now)
+		stillWaiting = append(stillWaiting, t)
 	}
 	clear(c.readyTasks[len(stillWaiting):])
 	c.readyTasks = stillWaiting
@@ -330,7 +337,7 @@
 	if t.mayCrashWorkers() {
 		c.addSuspect(r)
 	}
-	c.afterWrite(func(now time.Time) { c.sendPlanned(now, r, order) })
+	c.afterWrite(func(now time.Time) { c.sendPlanned(now, r, order) }, RecordOwner{Job: t.job().id})
 }
 
 // runsOnProbation reports whether the start of a task waits until it is stored. The
--- a/internal/version/cell/tick.go
+++ b/internal/version/cell/tick.go
@@ -4,11 +4,13 @@
 
 // Tick does the work that depends on time alone: it opens due occurrences, expires
 // leases, repeats stop orders that had no effect, relieves service tasks over their target,
-// forgets lost workers and ended jobs, stores the learned estimates, handles slow runs and
-// reports tasks that wait.
+// forgets lost workers and ended jobs, stores the learned estimates and what the log did
+// not take, handles slow runs and reports tasks that wait.
 func (c *Cell) Tick(now time.Time) {
 	c.openDueJobs(now)
 	c.saveLearned(now)
+	c.reportRecoveryEnd(now)
+	c.retryKeptBack(now)
 	for _, w := range c.sortedWorkers() {
 		c.expireLeases(now, w)
 	}
@@ -25,7 +27,14 @@
 // registered. A start order whose outcome is not known yet may have granted a later
 // lease, so it waits for that outcome.
 func (c *Cell) expireLeases(now time.Time, w *worker) {
-	if !w.unresponsive || now.Before(w.leaseUntil) || c.recovering[w.info.ID] && now.Before(c.recoveryDeadline) || w.hasStartInFlight() {
+	if !w.unresponsive || now.Before(w.leaseUntil) || w.hasStartInFlight() {
+		return
+	}
+	end := w.leaseUntil
+	if c.awaitsFirstAnswer(w) && end.Before(c.recoveryDeadline) {
+		end = c.recoveryDeadline
+	}
+	if !c.isOver(now, end) {
 		return
 	}
 	if len(w.runs) > 0 {
@@ -34,18 +43,32 @@
 	for _, r := range w.runs {
 		c.recordLostRun(now, r, "lease over")
 	}
+	c.endRecovery(w)
 	if w.registered {
 		c.markIdle(w)
 	} else if c.registryRead {
 		delete(c.workers, w.info.ID)
 		c.workersByID = nil
 		c.workersChanged = true
-		delete(c.recovering, w.info.ID)
 		c.write.RemovedWorkers = append(c.write.RemovedWorkers, w.info.ID)
 		c.addEvent(DecisionEvent{Event: "worker gone", Worker: w.info.ID})
 	}
 }
 
+// reportRecoveryEnd logs the workers that the cell stops waiting for: their leases of
+// earlier terms are over.
+func (c *Cell) reportRecoveryEnd(now time.Time) {
+	if c.recoveryEndReported || !c.isOver(now, c.recoveryDeadline) {
+		return
+	}
+	c.recoveryEndReported = true
+	for _, w := range c.sortedWorkers() {
+		if c.awaitsFirstAnswer(w) {
+			c.addEvent(DecisionEvent{Event: "worker waited out", Worker: w.info.ID})
+		}
+	}
+}
+
 // stopRepeatPause is the pause before a stop order is repeated.
 const stopRepeatPause = time.Second
 
--- a/internal/version/cell/types.go
+++ b/internal/version/cell/types.go
@@ -25,6 +25,7 @@
 	"slices"
 	"time"
 
+	"poplarvalve/internal/process/fault"
 	"poplarvalve/internal/process/jobspec"
 )
 
@@ -110,6 +111,31 @@
 	Idle bool `cbor:"10,keyasint,omitempty"`
 }
 
+const (
+	// MaxWorkerIDBytes, MaxWorkerAddressBytes and MaxWorkerTextBytes limit the name, the
+	// address and all texts of a registry entry. The first two are also stored with
+	// each run that may crash the worker.
+	MaxWorkerIDBytes      = 255
+	MaxWorkerAddressBytes = 64
+	MaxWorkerTextBytes    = 64 << 10
+)
+
+// Check returns a failure of kind TooLarge if the entry is too large to be stored.
+func (w WorkerInfo) Check() error {
+	if len(w.ID) > MaxWorkerIDBytes || len(w.Address) > MaxWorkerAddressBytes {
+		return fault.New(fault.TooLarge, "the name has %d bytes and the address %d; the limits are %d and %d bytes",
+			len(w.ID), len(w.Address), MaxWorkerIDBytes, MaxWorkerAddressBytes)
+	}
+	text := len(w.ID) + len(w.Address) + len(w.Pool) + len(w.Zone) + len(w.Rack)
+	for _, label := range w.Labels {
+		text += 1 + len(label)
+	}
+	if text > MaxWorkerTextBytes {
+		return fault.New(fault.TooLarge, "the texts of the entry have %d bytes; the limit is %d bytes", text, MaxWorkerTextBytes)
+	}
+	return nil
+}
+
 // Equal reports whether two registry entries are equal in every field.
 func (w WorkerInfo) Equal(other WorkerInfo) bool {
 	return w.ID == other.ID && w.Address == other.Address && w.Pool == other.Pool && w.Zone == other.Zone && w.Rack == other.Rack &&
@@ -172,8 +198,13 @@
 	// LeaseUntil is the time by which the leases of all runs on the worker have
 	// expired, unless one of them is extended.
 	LeaseUntil time.Time
-	Running    []RunReport
-	Ended      []RunEnd
+	// Running lists all runs on the worker.
+	Running []RunReport
+	// Ended lists the ends that the worker keeps, those with the lowest numbers first.
+	// Complete is set if none is missing. Otherwise a run that is in neither list may
+	// have ended in any way.
+	Ended    []RunEnd
+	Complete bool
 }
 
 // StartOutcome is the result of sending a start order.
@@ -293,6 +324,8 @@
 	// deleted.
 	RemovedWorkers []WorkerID
 	RemovedJobs    []jobspec.ID
+	// RemovedParts names the parts of the progress of jobs that are deleted.
+	RemovedParts []RemovedPart
 	// Learned replaces the stored estimates about images; nil leaves them
 	// unchanged.
 	Learned *LearnedRecord
@@ -389,8 +422,8 @@
 	AcceptedMillis int64 `cbor:"4,keyasint"`
 }
 
-// ProgressRecord is the stored progress of a job. A newer record replaces the
-// earlier one.
+// ProgressRecord is the stored progress of a job, or a part of it. A newer record replaces
+// the earlier one.
 type ProgressRecord struct {
 	ID    jobspec.ID `cbor:"1,keyasint"`
 	State State      `cbor:"2,keyasint"`
@@ -405,6 +438,8 @@
 	Crashes []CrashRecord `cbor:"7,keyasint,omitempty"`
 	// Suspects holds the suspect runs of tasks that are not done.
 	Suspects []SuspectRecord `cbor:"8,keyasint,omitempty"`
+	// Part is set in a part of the progress, which holds only the tasks of one block.
+	Part *PartID `cbor:"9,keyasint,omitempty"`
 }
 
 // CrashRecord is the number of workers that crashed under a task, for Confirmed of which
@@ -459,6 +494,10 @@
 	// RecoveryWait is the longest time that tasks from earlier terms wait for
 	// workers that do not answer.
 	RecoveryWait time.Duration
+	// UnconfirmedRecoveryWait takes the place of RecoveryWait until EarlierTermsEnded is
+	// called. It is the longest time for which an earlier leader may extend leases, and
+	// the length of a lease.
+	UnconfirmedRecoveryWait time.Duration
 	// EarlierAuthority is the longest time for which an earlier leader may still
 	// start tasks.
 	EarlierAuthority time.Duration
@@ -470,4 +509,7 @@
 	// RemoteFactor is the factor by which a task takes longer when it runs
 	// outside its data rack.
 	RemoteFactor float64
+	// BlockTasks is the number of tasks in a part of a job's progress. 0 stands for the
+	// constant BlockTasks.
+	BlockTasks int
 }
