--- a/internal/entry/authority_test.go
+++ b/internal/entry/authority_test.go
@@ -209,3 +209,30 @@
 	assert.Assert(t, l.confirmation.majoritySince.Load().IsZero())
 	assert.Assert(t, !l.confirmation.earlierBlocked.Load())
 }
+
+// Guards against voters that can never be replaced once half of them are gone for good: each
+// next leader would wait for the bound.
+func TestVotersMayChangeAfterBoundWithoutMajority(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		l := testTermLeadership(t)
+		defer l.entry.options.Journal.Close()
+		time.Sleep(election.MaxConfirmedAuthority - time.Millisecond)
+		l.updateConfirmation(time.Now())
+		assert.Assert(t, !l.confirmation.earlierBlocked.Load())
+		time.Sleep(time.Millisecond)
+		l.updateConfirmation(time.Now())
+		assert.Assert(t, l.confirmation.earlierBlocked.Load())
+	})
+}
+
+// Guards against a confirmation of an earlier term that arrives on another link after that of a
+// later one.
+func TestLateConfirmationOfEarlierTermDoesNotCount(t *testing.T) {
+	d := newVoterDirectory()
+	now := time.Now()
+	for _, epoch := range []int64{9, 5} {
+		d.record(now, cellcodec.LinkHeartbeat{Nonce: 2, Sender: &testVoters[1], KnownTerms: []cellcodec.KnownTerm{{Epoch: epoch}}}, now)
+	}
+	assert.Equal(t, len(d.confirmations(0, 5)), 0)
+	assert.Equal(t, len(d.confirmations(0, 9)), 1)
+}
