entry: failing test of a leader that waits out workers without a renewal since

At the end of the wait for silent workers a leader starts their tasks up to 4 s after its last renewal, while a later leader may have extended their leases.

--- a/internal/entry/authority_test.go
+++ b/internal/entry/authority_test.go
@@ -148,8 +148,9 @@
 }
 
 // silentWorkerStarts returns how many tasks the leader of a later term starts in place of a
-// silent worker within a time, if the voters numbered told confirm the term at toldAt.
-func silentWorkerStarts(t *testing.T, wait, toldAt time.Duration, told ...int) int {
+// silent worker within a time, if the voters numbered told confirm the term at toldAt and its
+// last renewal is sent at lastRenewal.
+func silentWorkerStarts(t *testing.T, wait, lastRenewal, toldAt time.Duration, told ...int) int {
 	starts := 0
 	virtualtime.Test(t, func(t *testing.T) {
 		l := testTermLeadership(t)
@@ -170,8 +171,10 @@
 					hear(l.entry.leaders, n, l.term.Epoch, time.Now())
 				}
 			}
-			renewed := boottime.Now()
-			l.lastRenewal.Store(&renewed)
+			if time.Since(now) <= lastRenewal {
+				renewed := boottime.Now()
+				l.lastRenewal.Store(&renewed)
+			}
 			l.cell.ApplyReport(time.Now(), cell.Report{Worker: "a", Incarnation: 1, Sent: time.Now(), Complete: true})
 			l.cell.MarkUnresponsive(time.Now(), "b", time.Time{})
 			l.tick()
@@ -190,13 +193,20 @@
 // still extend their leases, and against one that waits for the bound although it needn't.
 func TestNextLeaderWaitsUntilEarlierLeadersCanNotExtendLeases(t *testing.T) {
 	const lease, confirmed = workerlink.LeaseDuration, startAuthorityPeriod - election.TermLease + workerlink.LeaseDuration
-	assert.Equal(t, silentWorkerStarts(t, election.MaxConfirmedAuthority+lease, 0), 0, "no voter but the leader has confirmed the term")
-	assert.Equal(t, silentWorkerStarts(t, election.MaxConfirmedAuthority+lease+2*time.Second, 0), 1)
-	assert.Equal(t, silentWorkerStarts(t, confirmed, 0, 2), 0, "leases of the earlier leader may not have expired")
-	assert.Equal(t, silentWorkerStarts(t, confirmed+2*time.Second, 0, 2), 1)
+	assert.Equal(t, silentWorkerStarts(t, election.MaxConfirmedAuthority+lease, time.Hour, 0), 0, "no voter but the leader has confirmed the term")
+	assert.Equal(t, silentWorkerStarts(t, election.MaxConfirmedAuthority+lease+2*time.Second, time.Hour, 0), 1)
+	assert.Equal(t, silentWorkerStarts(t, confirmed, time.Hour, 0, 2), 0, "leases of the earlier leader may not have expired")
+	assert.Equal(t, silentWorkerStarts(t, confirmed+2*time.Second, time.Hour, 0, 2), 1)
 	const late, confirmedLate = 20 * time.Second, 20*time.Second + election.ConfirmationMaxAge + lease
-	assert.Equal(t, silentWorkerStarts(t, confirmedLate, late, 2), 0, "an earlier leader may have got its last confirmation just before")
-	assert.Equal(t, silentWorkerStarts(t, confirmedLate+2*time.Second, late, 2), 1)
+	assert.Equal(t, silentWorkerStarts(t, confirmedLate, time.Hour, late, 2), 0, "an earlier leader may have got its last confirmation just before")
+	assert.Equal(t, silentWorkerStarts(t, confirmedLate+2*time.Second, time.Hour, late, 2), 1)
+}
+
+// Guards against a leader that waits out the leases of earlier leaders while a later one, which
+// it hasn't heard of, extends them.
+func TestLeaderWithoutRenewalWaitsOutNoWorker(t *testing.T) {
+	const lastRenewal = 6 * time.Second
+	assert.Equal(t, silentWorkerStarts(t, lastRenewal+startAuthorityPeriod, lastRenewal, 0, 2), 0)
 }
 
 // Guards against a leader that counts itself among the voters although it knows a later term.
