--- a/internal/entry/authority_test.go
+++ b/internal/entry/authority_test.go
@@ -199,16 +199,11 @@
 					hear(l.entry.leaders, n, l.term.Epoch, time.Now())
 				}
 			}
-<<<<<<< HEAD
-			renewed := boottime.Now()
-			l.lastRenewal.Store(&renewed)
-			l.cell.TermRenewed(renewed.Time())
-=======
 			if time.Since(now) <= lastRenewal {
 				renewed := boottime.Now()
 				l.lastRenewal.Store(&renewed)
+				l.cell.TermRenewed(renewed.Time())
 			}
->>>>>>> h-review
 			l.cell.ApplyReport(time.Now(), cell.Report{Worker: "a", Incarnation: 1, Sent: time.Now(), Complete: true})
 			l.cell.MarkUnresponsive(time.Now(), "b", time.Time{})
 			l.tick()
--- a/internal/entry/linked.go
+++ b/internal/entry/linked.go
@@ -31,8 +31,9 @@
 	return largest
 }
 
-// countLinksOfLeader starts to count the links of an instance that leads. A leader also opens
-// links to instances that don't lead, which end with its term.
+// countLinksOfLeader starts to count the links of an instance that leads. Those of an instance
+// that doesn't lead say nothing: it may have been linked only by a leader that announced its
+// term.
 func (l *leaderDirectory) countLinksOfLeader() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
