cell: sort only the parts of the progress that are removed

Each write of a job's progress sorted the names of all its parts, of which a job of 65,536 tasks has 1,024 or more, to find those that it has outlived. No change of what is stored; the tests of cellcodec and the simulations of the cell pass.

--- a/internal/version/cell/progress.go
+++ b/internal/version/cell/progress.go
@@ -114,12 +114,22 @@
 		c.writeChangedParts(j)
 	}
 	c.write.Progress = append(c.write.Progress, j.progressRecord())
-	for _, part := range slices.SortedFunc(maps.Keys(j.storedParts), PartID.compare) {
+	for _, part := range j.outlivedParts() {
+		delete(j.storedParts, part)
+		c.write.RemovedParts = append(c.write.RemovedParts, RemovedPart{j.id, part})
+	}
+}
+
+// outlivedParts returns, in order, the stored parts that the job needs no more.
+func (j *job) outlivedParts() []PartID {
+	var outlived []PartID
+	for part := range j.storedParts {
 		if j.state.IsFinal() || part.Occurrence < j.nextOccurrence {
-			delete(j.storedParts, part)
-			c.write.RemovedParts = append(c.write.RemovedParts, RemovedPart{j.id, part})
+			outlived = append(outlived, part)
 		}
 	}
+	slices.SortFunc(outlived, PartID.compare)
+	return outlived
 }
 
 func (p PartID) compare(other PartID) int {
