cell: a cut report of a restarted worker loses no run it may have started

A leader that does not know yet that a worker has restarted may start runs there; the new incarnation carries them out. Its first report shows the new incarnation, and all runs counted as lost with the earlier one. A complete report puts that right at once, since it lists the run or its end; a cut one does not, and the task was started again after it was done.

A run that the earlier incarnation has not listed is now given up by a complete report only.

--- a/internal/version/cell/page_test.go
+++ b/internal/version/cell/page_test.go
@@ -217,3 +217,44 @@
 	c.Tick(testStart.Add(9 * time.Second))
 	assert.Equal(t, len(takeStarts(c, testStart.Add(9*time.Second))), 1)
 }
+
+// A worker restarted, started a run before the leader knew of that, and listed a page of ends
+// without the end of that run. The run counted as one of the earlier incarnation, and its
+// task was started again after it was done (seed 406, one end listed at a time).
+func TestRunOfNewIncarnationIsNotLostByCutReport(t *testing.T) {
+	for _, ended := range []bool{true, false} {
+		c, order := startedOn(t, testSpec())
+		accepted := testStart.Add(100 * time.Millisecond) // The worker has restarted at testStart.
+		c.ApplyStartResult(accepted, StartResult{Worker: order.Worker, Task: order.Task, Run: order.Run, Outcome: StartAccepted, Token: 1})
+		now := testStart.Add(time.Second)
+		page := cutReport(order.Worker, now)
+		page.Incarnation = 2
+		page.Ended = []RunEnd{{Number: 1, Task: TaskID{Job: "00000000000000bb"}, Run: 1, Reason: EndSucceeded}}
+		c.ApplyReport(now, page)
+		assert.Equal(t, len(takeStarts(c, now)), 0, "the run may have ended beyond the page")
+		now = now.Add(100 * time.Millisecond)
+		last := newReport(order.Worker, now)
+		last.Incarnation = 2
+		if ended {
+			last.Ended = []RunEnd{{Number: 2, Task: order.Task, Run: order.Run, Reason: EndSucceeded}}
+		}
+		c.ApplyReport(now, last)
+		assert.Equal(t, len(takeStarts(c, now)) == 0, ended, "without an end, the run was lost with the earlier incarnation")
+		state, _ := c.Lookup(jobA)
+		assert.Equal(t, state == Completed, ended)
+	}
+}
+
+// Guards against a run that was lost with the earlier incarnation and stays with its task
+// while the new one lists cut reports only.
+func TestListedRunIsLostWithItsIncarnationByCutReport(t *testing.T) {
+	c, order := startedOn(t, testSpec())
+	c.ApplyStartResult(testStart, StartResult{Worker: order.Worker, Task: order.Task, Run: order.Run, Outcome: StartAccepted, Token: 1})
+	now := testStart.Add(time.Second)
+	c.ApplyReport(now, newReport(order.Worker, now, RunReport{Task: order.Task, Run: order.Run}))
+	now = now.Add(time.Second)
+	page := cutReport(order.Worker, now)
+	page.Incarnation = 2
+	c.ApplyReport(now, page)
+	assert.Equal(t, len(takeStarts(c, now)), 1)
+}
--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -20,7 +20,7 @@
 		if report.Sent.Before(w.lastResponse) {
 			return
 		}
-		c.handleRestart(now, w, report.Incarnation)
+		c.handleRestart(now, w, report)
 	} else if report.Sent.Before(w.lastReportSent) {
 		return
 	}
@@ -155,19 +155,20 @@
 }
 
 // handleRestart handles the first answer of a new incarnation of the worker.
-// Nothing that the earlier incarnation started is running any more.
-func (c *Cell) handleRestart(now time.Time, w *worker, incarnation int64) {
+// Nothing that the earlier incarnation started is running any more. A run that it has not
+// listed may have been started by the new one, and its end may be missing in the report.
+func (c *Cell) handleRestart(now time.Time, w *worker, report Report) {
 	c.addEvent(DecisionEvent{Event: "worker restarted", Worker: w.info.ID})
 	c.judgeCrash(now, w, w.crashSuspects())
 	for _, r := range w.runs {
 		// A start order in flight may still arrive at the new incarnation. A
 		// report under a higher token resolves it.
-		if r.hasStarted() || r.phase == over {
+		if (r.hasStarted() || r.phase == over) && (report.Complete || !r.unproven()) {
 			c.recordLostRun(now, r, "worker restarted")
 		}
 	}
 	c.effects.Resolve = append(c.effects.Resolve, w.info.ID)
-	w.info.Incarnation = incarnation
+	w.info.Incarnation = report.Incarnation
 	c.storeWorker(w)
 	w.lastEndNumber = 0
 	w.renewed = false
