cell: count memory in the room held for tasks of earlier terms

Only cores were counted, so that new long-running tasks could take the memory that waiting ones need. The held room and the totals now count both.

TestNewLongRunningTasksLeaveMemoryForWaitingOnes recovery_test.go:243: assertion failed: 4 (int) != 2 (int)

before the change. Without room held for tasks of earlier terms nothing changes.

--- a/internal/version/cell/place.go
+++ b/internal/version/cell/place.go
@@ -22,7 +22,7 @@
 // reserved for short tasks, or the room held for tasks of earlier terms, although there
 // are not enoughPlaces beside the held ones.
 func (c *Cell) blockedByReserve(now time.Time, t *task) bool {
-	if !t.spec().LongRunning || c.mayUseReserve(now, t) || c.reserve.allows(c.totals.free-c.held.cpu, t.size().CPU) {
+	if !t.spec().LongRunning || c.mayUseReserve(now, t) || c.leavesHeldRoom(t.size()) {
 		return false
 	}
 	enough := enoughPlaces + c.held.places
--- a/internal/version/cell/recovery_test.go
+++ b/internal/version/cell/recovery_test.go
@@ -229,6 +229,20 @@
 	}
 }
 
+// Guards against new long-running tasks that take the memory of waiting ones, since only
+// cores are counted.
+func TestNewLongRunningTasksLeaveMemoryForWaitingOnes(t *testing.T) {
+	const memory = 3500
+	record := testRecord(3)
+	record.Job.Steps[0] = jobspec.Step{Count: 2, CPUMillis: 100, MemoryMB: memory, LongRunning: true}
+	c := newRecoveringCell(record, testInfo("w3"))
+	c.ApplyReport(testStart, newReport(testWorker, testStart))
+	c.ApplyReport(testStart, newReport("w3", testStart))
+	c.Submit(testStart, 1, "00000000000000bb", &jobspec.Job{Steps: []jobspec.Step{{Count: 4, CPUMillis: 100, MemoryMB: memory, LongRunning: true}}},
+		QueueTerms{Queue: "q", Pool: "pool", Attempts: 3, Stretch: 2})
+	assert.Equal(t, len(takeStarts(c, testStart)), 2)
+}
+
 // Guards against room that stands empty for tasks that may not be started yet, while short
 // tasks could use it and return it.
 func TestShortTasksUseRoomHeldForWaitingOnes(t *testing.T) {
--- a/internal/version/cell/reserve.go
+++ b/internal/version/cell/reserve.go
@@ -50,23 +50,36 @@
 // return it in time. Short tasks may use it meanwhile.
 type heldRoom struct {
 	// cpu is in thousandths of a core.
-	cpu, places int
+	cpu, memoryMB, places int
 }
 
 // add holds room for a task that may not be started yet.
-func (h *heldRoom) add(t *task, capacity int) {
+func (h *heldRoom) add(t *task, totals capacityTotals) {
 	if t.spec().LongRunning {
-		h.cpu += min(t.size().CPU, capacity) // A caller may name any size; the sum must not overflow.
+		// A caller may name any size; the sums must not overflow.
+		h.cpu += min(t.size().CPU, totals.capacity)
+		h.memoryMB += min(t.size().MemoryMB, totals.memoryMB)
 		h.places++
 	}
 }
 
+// leavesHeldRoom reports whether what is not held has room for a long-running task beside
+// the reserve for short tasks.
+func (c *Cell) leavesHeldRoom(size Size) bool {
+	if !c.reserve.allows(c.totals.free-c.held.cpu, size.CPU) {
+		return false
+	}
+	return c.held.places == 0 || c.totals.freeMemoryMB-c.held.memoryMB >= size.MemoryMB
+}
+
 // capacityTotals holds totals over the usable workers, in thousandths of a
 // core.
 type capacityTotals struct {
 	capacity int
 	// free is the capacity minus what long-running tasks reserve.
 	free int
+	// memoryMB and freeMemoryMB are the same for memory.
+	memoryMB, freeMemoryMB int
 	// shortDemand is the CPU that short tasks reserve or wait for.
 	shortDemand int
 }
@@ -87,9 +100,12 @@
 		}
 		c.totals.capacity += w.info.Capacity.CPU
 		c.totals.free += w.info.Capacity.CPU
+		c.totals.memoryMB += w.info.Capacity.MemoryMB
+		c.totals.freeMemoryMB += w.info.Capacity.MemoryMB
 		for _, r := range w.runs {
 			if r.task.spec().LongRunning {
 				c.totals.free -= r.size.CPU
+				c.totals.freeMemoryMB -= r.size.MemoryMB
 			} else {
 				c.totals.shortDemand += r.size.CPU
 			}
--- a/internal/version/cell/schedule.go
+++ b/internal/version/cell/schedule.go
@@ -138,7 +138,7 @@
 			continue
 		}
 		if c.mayRunElsewhere(now, t) {
-			c.held.add(t, c.totals.capacity)
+			c.held.add(t, c.totals)
 		} else if now.Before(t.step.retryAt) {
 			if c.startOnFreedWorker(now, t) {
 				continue
@@ -336,6 +336,7 @@
 	w.lastStartAt = now
 	if t.spec().LongRunning {
 		c.totals.free -= r.size.CPU
+		c.totals.freeMemoryMB -= r.size.MemoryMB
 	}
 	ticket, _ := t.step.ticketFor(now, w) // Empty if the queue needs no ticket.
 	order := StartOrder{
