entry: the test of queued reports renews the term, as it says

TestRunIsGivenUpWhenAllLeasesThatWereSentHaveEnded failed since a lease counts as over only once the term was renewed after its end; decide() set the age of the renewal, but did not pass the renewal to the cell.

--- a/internal/entry/leases_test.go
+++ b/internal/entry/leases_test.go
@@ -121,6 +121,7 @@
 func (q *queueTest) decide() {
 	renewed := boottime.Now()
 	q.lastRenewal.Store(&renewed)
+	q.cell.TermRenewed(renewed.Time())
 	q.openSessions(q.ctx)
 	effects := q.takeEffects()
 	for _, order := range effects.Starts {
