entry: the tests of queued reports renew the term while the cell is held back

Leases are extended only while the newest renewal is young; the goroutine that renews the term is not the one that is held back. A lease counts as over only once the term was renewed after its end, so the test passes the renewal to the cell too. The checks are the same.

--- a/internal/entry/leases_test.go
+++ b/internal/entry/leases_test.go
@@ -134,6 +134,15 @@
 	}
 }
 
+// holdBack keeps the goroutine of the cell from working for a time, while the term is renewed.
+func (q *queueTest) holdBack(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(renewalPeriod) {
+		renewed := boottime.Now()
+		q.lastRenewal.Store(&renewed)
+		q.post(func(_ time.Time, c *cell.Cell) { c.TermRenewed(renewed.Time()) })
+	}
+}
+
 // work applies events and ticks for a time.
 func (q *queueTest) work(d time.Duration) {
 	for end := time.Now().Add(d); time.Now().Before(end); {
@@ -168,7 +177,7 @@
 		busy.silent.Store(true)
 		q.work(3 * time.Second)
 		busy.silent.Store(false)
-		time.Sleep(10 * time.Second) // The goroutine of the cell is held back.
+		q.holdBack(10 * time.Second)
 		assert.Assert(t, busy.runs(), "the session must have extended the lease meanwhile")
 		q.decide()
 		q.tick()
@@ -211,9 +220,9 @@
 		q.work(3 * time.Second)
 		busy.endRuns()
 		busy.silent.Store(false)
-		time.Sleep(2 * time.Second) // The goroutine of the cell is held back.
+		q.holdBack(2 * time.Second)
 		busy.silent.Store(true)
-		time.Sleep(10 * time.Second)
+		q.holdBack(10 * time.Second)
 		q.decide()
 		q.tick()
 		q.decide()
@@ -241,7 +250,7 @@
 		workers["a"].silent.Store(true)
 		q.work(2 * time.Second)
 		workers["a"].silent.Store(false)
-		time.Sleep(10 * time.Second) // The goroutine of the cell is held back.
+		q.holdBack(10 * time.Second)
 		assert.Assert(t, workers["a"].runs(), "the session must have extended the lease meanwhile")
 		q.decide()
 		assert.Equal(t, len(q.starts), 0, "the task was started while it ran")
