--- a/internal/version/cell/crash_test.go
+++ b/internal/version/cell/crash_test.go
@@ -288,6 +288,7 @@
 		for _, keepIDs := range []bool{false, true} {
 			for _, downFor := range []time.Duration{100 * time.Millisecond, 3200 * time.Millisecond, 8 * time.Second} {
 				t.Run(fmt.Sprint(kind, " ", keepIDs, " ", downFor), func(t *testing.T) {
+					t.Parallel()
 					f := newCrashFleet(t, 8)
 					f.keepIDs, f.downFor = keepIDs, downFor
 					f.deadly[firstTaskID()] = true
@@ -770,6 +771,7 @@
 		for _, keepIDs := range []bool{false, true} {
 			for term := 200 * time.Millisecond; term < 12*time.Second; term += 200 * time.Millisecond {
 				t.Run(fmt.Sprint(speculative, " ", keepIDs, " ", term), func(t *testing.T) {
+					t.Parallel()
 					f := newCrashFleet(t, 12)
 					f.keepIDs = keepIDs
 					f.deadly[firstTaskID()] = true
--- a/internal/version/cell/liveness_test.go
+++ b/internal/version/cell/liveness_test.go
@@ -477,7 +477,10 @@
 	for kind, seeds := range map[string][]uint64{"crash": {2, 7, 34, 35, 94}, "loss": {12, 32, 35}, "cut": {19, 29}} {
 		for _, seed := range seeds {
 			for _, listed := range listedEnds {
-				t.Run(fmt.Sprintf("%s, seed %d, listed %d", kind, seed, listed), func(t *testing.T) { testLiveness(t, seed, besideEarlierLeader+","+kind, listed) })
+				t.Run(fmt.Sprintf("%s, seed %d, listed %d", kind, seed, listed), func(t *testing.T) {
+					t.Parallel()
+					testLiveness(t, seed, besideEarlierLeader+","+kind, listed)
+				})
 			}
 		}
 	}
@@ -491,7 +494,10 @@
 		first, count = *seedFlag, 1
 	}
 	for seed := first; seed < first+count; seed++ {
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { testLiveness(t, seed, *kindsFlag, *listedFlag) })
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			testLiveness(t, seed, *kindsFlag, *listedFlag)
+		})
 	}
 }
 
@@ -535,7 +541,10 @@
 		}
 	}
 	for _, seed := range seeds {
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { testLossOfWorkersAndLeader(t, seed) })
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			testLossOfWorkersAndLeader(t, seed)
+		})
 	}
 }
 
--- a/internal/version/cell/page_test.go
+++ b/internal/version/cell/page_test.go
@@ -218,9 +218,11 @@
 	c.ExtendLease(order.Worker, testStart.Add(9*time.Second))
 	c.ExtendLease(order.Worker, testStart.Add(8*time.Second)) // An earlier end shortens nothing.
 	for _, now := range []time.Duration{5 * time.Second, 6 * time.Second, 8900 * time.Millisecond} {
+		c.TermRenewed(testStart.Add(now))
 		c.Tick(testStart.Add(now))
 		assert.Equal(t, len(takeStarts(c, testStart.Add(now))), 0, "after %v", now)
 	}
+	c.TermRenewed(testStart.Add(9 * time.Second))
 	c.Tick(testStart.Add(9 * time.Second))
 	assert.Equal(t, len(takeStarts(c, testStart.Add(9*time.Second))), 1)
 }
--- a/internal/version/cell/simulation_test.go
+++ b/internal/version/cell/simulation_test.go
@@ -1210,7 +1210,10 @@
 // runs, lost jobs or workers with more runs than capacity.
 func TestGuaranteesHoldUnderRandomFaults(t *testing.T) {
 	for seed := range uint64(12) {
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { testRandomFaults(t, seed) })
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			testRandomFaults(t, seed)
+		})
 	}
 }
 
