--- a/test/fleet/log.go
+++ b/test/fleet/log.go
@@ -5,6 +5,7 @@
 package fleet
 
 import (
+	"cmp"
 	"encoding/base64"
 	"encoding/binary"
 	"encoding/json"
@@ -228,13 +229,16 @@
 }
 
 // serveRead sends the records from an offset on, after the end offset and the
-// first offset, which take 16 bytes. If there are none, it waits for the next
+// first offset, which take 16 bytes. It stops before a record with which they would exceed
+// max_kb, but sends at least one. If there are none, it waits for the next
 // append for up to wait_ms. It answers with status 410 if the offset has been
 // dropped.
 func (l *Log) serveRead(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	from, _ := strconv.Atoi(query.Get("from"))
 	wait, _ := strconv.Atoi(query.Get("wait_ms"))
+	maxKB, _ := strconv.Atoi(query.Get("max_kb"))
+	limit := cmp.Or(maxKB, defaultMaxReadKB) << 10
 	deadline := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		if l.refuseIfDown(w) {
@@ -250,6 +254,9 @@
 		encoded := binary.BigEndian.AppendUint64(nil, uint64(p.endOffset()))
 		encoded = binary.BigEndian.AppendUint64(encoded, uint64(p.firstOffset))
 		for _, record := range p.records[min(from-p.firstOffset, len(p.records)):] {
+			if len(encoded) > 16 && len(encoded)+4+len(record) > limit {
+				break
+			}
 			encoded = binary.BigEndian.AppendUint32(encoded, uint32(len(record)))
 			encoded = append(encoded, record...)
 		}
@@ -269,6 +276,9 @@
 	}
 }
 
+// defaultMaxReadKB limits a read that names no limit.
+const defaultMaxReadKB = 1024
+
 // maxPageItems bounds the items in one response of serveNewest. It is small, so
 // that tests need several pages.
 const maxPageItems = 50
