--- a/Makefile
+++ b/Makefile
@@ -9,9 +9,10 @@
 build:
 	$(GO) build -o bin/ ./cmd/... ./test/cmd/...
 
-# Passes over the tests that KNOWN-RED.txt lists, and prints the list.
+# Passes over the tests that KNOWN-RED.txt lists, and prints the list. The simulations of
+# internal/version/cell take several minutes of processor time with the race detector.
 test:
-	skip=$$(.ci/known-red) && $(GO) test -race -skip "$$skip" ./...
+	skip=$$(.ci/known-red) && $(GO) test -race -timeout 20m -skip "$$skip" ./...
 
 lint:
 	test -z "$$(gofmt -l cmd internal platform test)"
