--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -11,7 +11,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin2 CASE PROGRAM RECORD")
 		os.Exit(2)
 	}
-	cases := map[string]func(*system, bool) (bool, error){"repeat": repeatCase}
+	cases := map[string]func(*system, bool) (bool, error){"repeat": repeatCase, "region": regionCase}
 	rec, err := newRecorder(os.Args[3])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/review/standin2/system.go
+++ b/review/standin2/system.go
@@ -63,7 +63,10 @@
 	workers   []*fleet.Worker
 	client    *http.Client
 	stop      chan struct{}
-	stopOnce  sync.Once
+	// logAddress returns the address under which an instance reaches the log. If it is nil, all
+	// reach it directly.
+	logAddress func(instance int) string
+	stopOnce   sync.Once
 
 	mu      sync.Mutex
 	version int
@@ -127,6 +130,10 @@
 // addInstance writes the settings of an instance, as the platform fills in the template.
 func (s *system) addInstance(zone string) (*instance, error) {
 	i := &instance{s: s, name: fmt.Sprintf("edge-%s-%d", zone, len(s.instances)+1), caller: freeAddress(), ready: freeAddress()}
+	logAddress := s.log.Address()
+	if s.logAddress != nil {
+		logAddress = s.logAddress(len(s.instances))
+	}
 	text := fmt.Sprintf(`[instance]
 name = %s
 zone = %s
@@ -151,7 +158,7 @@
 memory_mb = %d
 cpu_share = %g
 grace_s = %g
-`, i.name, zone, i.caller, i.ready, freeAddress(), freeAddress(), s.log.Address(), holdMax.Milliseconds(), memoryMB, cpuShare, grace.Seconds())
+`, i.name, zone, i.caller, i.ready, freeAddress(), freeAddress(), logAddress, holdMax.Milliseconds(), memoryMB, cpuShare, grace.Seconds())
 	i.settings = filepath.Join(s.dir, i.name+".ini")
 	if err := os.WriteFile(i.settings, []byte(text), 0o600); err != nil {
 		return nil, err
@@ -309,6 +316,12 @@
 // startUsual starts three instances in three zones and workers whose runs take a time, and waits
 // until the instances are ready.
 func (s *system) startUsual(workers int, runTime time.Duration) error {
+	return s.startInstances(workers, runTime, "north", "south", "hoh")
+}
+
+// startInstances starts an instance in each of the zones and workers, and waits until the instances
+// are ready.
+func (s *system) startInstances(workers int, runTime time.Duration, zones ...string) error {
 	for n := range workers {
 		w := fleet.NewWorker(fmt.Sprintf("i-%04x", n+1), "p", runTime, s.overlaps)
 		w.EnforceLeases(holdMax)
@@ -316,7 +329,7 @@
 		s.register(w)
 		s.workers = append(s.workers, w)
 	}
-	for _, zone := range []string{"north", "south", "hoh"} {
+	for _, zone := range zones {
 		i, err := s.addInstance(zone)
 		if err != nil {
 			return err
