--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,4 +4,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/poplarvalved ] && [ -x target/standin2 ] || { echo "build first: the deploy file's build, then review/build-2.sh" >&2; exit 2; }
 export TROUBLE="${TROUBLE:-1}"
-exec timeout -k 2 118 target/standin2 repeat target/poplarvalved review/8/record.txt
+timeout -k 1 118 target/standin2 repeat target/poplarvalved review/8/record.txt
+status=$?
+[ $status -le 2 ] || status=2 # Ended by timeout.
+exit $status
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -27,6 +27,7 @@
 		_ = os.CopyFS(keep, os.DirFS(s.dir))
 	}
 	s.close()
+	fmt.Println(rec.last)
 	switch {
 	case err != nil:
 		rec.line("the case can't run: %v", err)
--- a/review/standin2/region.go
+++ b/review/standin2/region.go
@@ -188,7 +188,7 @@
 	for n := 0; time.Since(begin) < traffic; n++ {
 		requesters.Go(func() {
 			id := fmt.Sprintf("%016x", n+1)
-			if s.submitQuietly(id, n, body) {
+			if s.submit(id, n, body) {
 				mu.Lock()
 				defer mu.Unlock()
 				accepted = append(accepted, id)
--- a/review/standin2/repeat.go
+++ b/review/standin2/repeat.go
@@ -97,20 +97,6 @@
 	return false
 }
 
-// submitQuietly is submit without a line for each try that succeeds.
-func (s *system) submitQuietly(id string, first int, body string) bool {
-	for n := range tries {
-		i := s.instances[(first+n)%len(s.instances)]
-		if status, _ := i.call("POST", id, body); status == 200 {
-			return true
-		} else {
-			s.rec.line("POST %s to %s: %d", id, i.name, status)
-		}
-		time.Sleep(200 * time.Millisecond)
-	}
-	return false
-}
-
 // ask asks for the state of a job until it is answered, at another instance with each try, for at
 // most answerWait.
 func (s *system) ask(id string, first int) (status int, state string) {
--- a/review/standin2/system.go
+++ b/review/standin2/system.go
@@ -19,12 +19,11 @@
 	"poplarvalve/test/fleet"
 )
 
-// The bounds are those of the small site cbp-sched.
+// Bounds of the small site cbp-sched, and the pause before the platform restarts a process.
 const (
 	holdMax    = 6 * time.Second
 	memoryMB   = 284
 	cpuShare   = 0.16
-	heartbeat  = 1500 * time.Millisecond
 	grace      = 6 * time.Second
 	restartGap = time.Second
 )
@@ -34,6 +33,8 @@
 	mu      sync.Mutex
 	file    *os.File
 	started time.Time
+	// last is the newest line.
+	last string
 }
 
 func newRecorder(path string) (*recorder, error) {
@@ -47,11 +48,26 @@
 func (r *recorder) line(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	text := fmt.Sprintf("%8.3f %s\n", time.Since(r.started).Seconds(), fmt.Sprintf(format, args...))
-	_, _ = r.file.WriteString(text)
-	fmt.Print(text)
+	r.last = fmt.Sprintf("%8.3f %s", time.Since(r.started).Seconds(), fmt.Sprintf(format, args...))
+	_, _ = r.file.WriteString(r.last + "\n")
 }
 
+// RunStarted implements fleet.Observer.
+func (r *recorder) RunStarted(worker, task string, run int64) {
+	r.line("%s starts %s, run %d", worker, task, run)
+}
+
+// RunEnded implements fleet.Observer.
+func (r *recorder) RunEnded(worker, task string, run int64, outcome string) {
+	r.line("%s: end of %s, run %d: %s", worker, task, run, outcome)
+}
+
+// EndAcknowledged implements fleet.Observer.
+func (r *recorder) EndAcknowledged(string, string, int64) {}
+
+// EndsVoid implements fleet.Observer.
+func (r *recorder) EndsVoid(string) {}
+
 // system is a small deployment on loopback: the platform's log, workers and entry instances.
 type system struct {
 	rec       *recorder
@@ -67,9 +83,6 @@
 	// reach it directly.
 	logAddress func(instance int) string
 	stopOnce   sync.Once
-
-	mu      sync.Mutex
-	version int
 }
 
 // newSystem starts the log and writes the manifest with one queue.
@@ -97,7 +110,7 @@
 	_ = os.RemoveAll(s.dir)
 }
 
-// registerRegularly writes the registry entry of a worker once per heartbeat.
+// register writes the registry entry of a worker.
 func (s *system) register(w *fleet.Worker) {
 	s.log.AppendRecord("keyed.servers", w.ID, w.RegistryEntry())
 }
@@ -326,6 +339,7 @@
 		w := fleet.NewWorker(fmt.Sprintf("i-%04x", n+1), "p", runTime, s.overlaps)
 		w.EnforceLeases(holdMax)
 		w.SetCPU(32000)
+		w.Observe(s.rec)
 		s.register(w)
 		s.workers = append(s.workers, w)
 	}
