cell: bound the tasks that are open at a time

Cause: a leader made the tasks of all due occurrences at once, 1,600,000 of some 330 bytes, and each next leader did the same in Restore. Nothing bounded the sum over jobs either: 30 jobs of 65,536 tasks, or 20 jobs with 5,000 occurrences due, reach as much. Ended jobs kept their tasks for as long as callers may ask for them.

Change: an occurrence is opened only while there is room for its tasks, in three shares (first occurrences, those of wide jobs, later occurrences), in order. What is not opened has no state beside its job. The bound is the same on all instances, so that any can restore what another holds. Ended jobs keep no tasks. The urgency of a job is computed once per ranking and kept with the job, since a share can be full of waiting tasks.

--- a/internal/version/cell/cell.go
+++ b/internal/version/cell/cell.go
@@ -52,12 +52,18 @@
 	rankedAt     time.Time
 	// waitReportedAt is when a waiting task was last logged.
 	waitReportedAt time.Time
+	// unopenedReportedAt is when jobs that wait for room among the open tasks were last logged.
+	unopenedReportedAt time.Time
 	// heldOffStartAt is, for each class, the time up to which the starts of held-off tasks
 	// are counted.
 	heldOffStartAt [heldOffClassCount]time.Time
 	// lastSubmitAt is when a job was last submitted.
 	lastSubmitAt time.Time
+	// open counts the tasks of occurrences in memory. periodicJobs holds the jobs whose next
+	// occurrence is not due, and unopenedJobs those with one that is due and not open.
+	open         openTasks
 	periodicJobs []*job
+	unopenedJobs []*job
 	changedJobs  []*job
 
 	effects Effects
@@ -163,8 +169,9 @@
 	c.recoveryDeadline = now.Add(max(c.config.RecoveryWait, c.config.UnconfirmedRecoveryWait))
 	c.authorityEnd = now.Add(c.config.EarlierAuthority)
 	for _, record := range jobs {
-		c.openSteps(now, c.jobs[record.ID])
+		c.awaitNextDue(now, c.jobs[record.ID])
 	}
+	c.openWaiting(now)
 	c.recordAwayAtStart(now)
 }
 
@@ -401,7 +408,7 @@
 		tree, _, _ := c.storedJobs.Load().Insert([]byte(j.id), j)
 		c.storedJobs.Store(tree)
 		j.visibleState.CompareAndSwap(uint32(Hidden), uint32(Queued))
-		c.openSteps(now, j)
+		c.awaitNextDue(now, j)
 	}, RecordOwner{Job: j.id})
 }
 
@@ -456,6 +463,7 @@
 		j.visibleState.Store(uint32(state))
 		c.stopJobRuns(now, j)
 	}, RecordOwner{Job: j.id})
+	j.dropEndedOccurrences()
 }
 
 func (c *Cell) stopJobRuns(now time.Time, j *job) {
@@ -522,6 +530,7 @@
 // TakeEffects starts the tasks that can be started, and returns the effects of
 // all events since the last call.
 func (c *Cell) TakeEffects(now time.Time) Effects {
+	c.openWaiting(now)
 	c.advanceMoves(now)
 	c.moveToFreedWorkers(now)
 	c.startReadyTasks(now)
--- a/internal/version/cell/dump.go
+++ b/internal/version/cell/dump.go
@@ -30,6 +30,7 @@
 	for _, j := range c.jobs {
 		states[j.state.String()]++
 	}
-	return map[string]any{"epoch": c.config.Epoch, "jobs": states, "ready_tasks": len(c.readyTasks), "workers": workers,
+	return map[string]any{"epoch": c.config.Epoch, "jobs": states, "ready_tasks": len(c.readyTasks),
+		"open_tasks": c.open.total(), "unopened_jobs": len(c.unopenedJobs), "workers": workers,
 		"recovering": len(c.recovering), "confined_workers": len(c.confinements), "handing_over": c.HandingOver(), "starts_paused": c.startsPaused}
 }
--- a/internal/version/cell/job.go
+++ b/internal/version/cell/job.go
@@ -27,9 +27,21 @@
 	// nextOccurrence is the lowest occurrence that is not complete.
 	nextOccurrence int
 	occurrences    map[int]*occurrence
-	endedAt        time.Time
-	changed        bool
-	health         *jobHealth
+	// tasksPerOccurrence is the number of tasks of all steps of the job.
+	tasksPerOccurrence int
+	// open counts the open tasks of all jobs of the cell.
+	open *openTasks
+	// opened is an occurrence below which all are open or complete.
+	opened int
+	// awaitsDueTime is set while the job is one of periodicJobs, and awaitsOpening while it is
+	// one of unopenedJobs.
+	awaitsDueTime, awaitsOpening bool
+	// urgency is what rankReady has found at urgencyAt.
+	urgency   urgency
+	urgencyAt time.Time
+	endedAt   time.Time
+	changed   bool
+	health    *jobHealth
 	// inParts is set once the progress of the job is stored in parts. storedParts holds
 	// the parts that are stored or about to be.
 	inParts     bool
@@ -43,6 +55,10 @@
 	steps  []*step
 	// unfinishedSteps is the number of steps with tasks that are not done.
 	unfinishedSteps int
+	// share is the share in which the tasks are counted.
+	share openShare
+	// runs is the number of runs of the tasks on workers.
+	runs int
 }
 
 // step is one step of one occurrence.
@@ -222,6 +238,9 @@
 		health:      &jobHealth{},
 		state:       Queued,
 		occurrences: map[int]*occurrence{},
+		open:        &openTasks{},
+
+		tasksPerOccurrence: spec.Tasks(),
 	}
 }
 
@@ -229,24 +248,11 @@
 func (c *Cell) addJob(record JobRecord, acceptedAt time.Time) *job {
 	j := newJob(record, acceptedAt)
 	j.blockTasks = c.config.BlockTasks
+	j.open = &c.open
 	c.jobs[j.id] = j
 	return j
 }
 
-// ensureOccurrence returns an occurrence and creates it with its tasks on first
-// use.
-func (j *job) ensureOccurrence(number int) *occurrence {
-	if existing := j.occurrences[number]; existing != nil {
-		return existing
-	}
-	o := &occurrence{job: j, number: number, unfinishedSteps: len(j.spec.Steps)}
-	for i := range j.spec.Steps {
-		o.steps = append(o.steps, newStep(o, i))
-	}
-	j.occurrences[number] = o
-	return o
-}
-
 func newStep(o *occurrence, index int) *step {
 	spec := &o.job.spec.Steps[index]
 	s := &step{spec: spec, occurrence: o, index: index, unfinishedTasks: spec.Count}
@@ -261,8 +267,8 @@
 	return s
 }
 
-// findTask returns the task with that ID, or nil if the job has no such task or
-// its occurrence is complete.
+// findTask returns the task with that ID, or nil if the job has no such task, its
+// occurrence is complete, or the job has ended and its tasks are forgotten.
 func (j *job) findTask(id TaskID) *task {
 	if id.Occurrence < j.nextOccurrence || id.Occurrence >= j.spec.OccurrenceCount() {
 		return nil
@@ -270,6 +276,9 @@
 	if id.Step < 0 || id.Step >= len(j.spec.Steps) {
 		return nil
 	}
+	if j.state.IsFinal() && j.occurrences[id.Occurrence] == nil {
+		return nil
+	}
 	o := j.ensureOccurrence(id.Occurrence)
 	tasks := o.steps[id.Step].tasks
 	if id.Index < 0 || id.Index >= len(tasks) {
@@ -279,9 +288,13 @@
 }
 
 // findCompletedTask returns a done task that stands for the one with that ID, whose
-// occurrence is complete and not kept any more, or nil if the job has no such task.
+// occurrence is complete or whose job has ended and which is not kept any more, or nil if
+// the job has no such task.
 func (j *job) findCompletedTask(id TaskID) *task {
-	if id.Occurrence < 0 || id.Occurrence >= j.nextOccurrence || id.Step < 0 || id.Step >= len(j.spec.Steps) {
+	if id.Occurrence < 0 || id.Occurrence >= j.spec.OccurrenceCount() || id.Step < 0 || id.Step >= len(j.spec.Steps) {
+		return nil
+	}
+	if id.Occurrence >= j.nextOccurrence && !j.state.IsFinal() {
 		return nil
 	}
 	s := newStep(&occurrence{job: j, number: id.Occurrence}, id.Step)
--- a/internal/version/cell/progress.go
+++ b/internal/version/cell/progress.go
@@ -94,13 +94,7 @@
 
 // openTasks returns the number of tasks of all occurrences that are open.
 func (j *job) openTasks() int {
-	count := 0
-	for _, o := range j.occurrences {
-		for _, s := range o.steps {
-			count += len(s.tasks)
-		}
-	}
-	return count
+	return len(j.occurrences) * j.tasksPerOccurrence
 }
 
 // writeProgress adds the progress of a job to the write. The parts come before the record
--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -205,7 +205,9 @@
 
 // removeRun removes a run. It remains a suspect only if its worker may have crashed.
 func (c *Cell) removeRun(r *run) {
-	r.worker.removeRun(r)
+	if r.worker.removeRun(r) {
+		r.task.step.occurrence.countRemovedRun()
+	}
 	c.freedWorkers = append(c.freedWorkers, r.worker)
 	if !slices.Contains(r.worker.earlierSuspects, r) {
 		c.dropSuspect(r)
@@ -261,6 +263,11 @@
 		return
 	}
 	w.lastEndNumber = end.Number
+	var t *task
+	j := c.jobs[end.Task.Job]
+	if j != nil {
+		t = j.findTask(end.Task) // The removal of its last run may let the cell forget it.
+	}
 	duration := time.Duration(0)
 	if r := w.findRun(end.Task, end.Run); r != nil {
 		if w.partial != nil && w.partial.shows(r) {
@@ -273,11 +280,6 @@
 		}
 		c.removeRun(r)
 	}
-	j := c.jobs[end.Task.Job]
-	if j == nil {
-		return
-	}
-	t := j.findTask(end.Task)
 	if t == nil {
 		return
 	}
@@ -348,8 +350,8 @@
 		}
 	}
 	if t.step.unfinishedTasks == 0 {
+		c.openOccurrence(now, t.step.occurrence)
 		c.advanceOccurrence(now, t.job())
-		c.openSteps(now, t.job())
 	}
 }
 
@@ -361,8 +363,7 @@
 		if o == nil || o.unfinishedSteps > 0 {
 			return
 		}
-		delete(j.occurrences, j.nextOccurrence)
-		j.nextOccurrence++
+		j.completeCurrent()
 		if j.nextOccurrence >= j.spec.OccurrenceCount() {
 			c.endJob(now, j, Completed)
 		}
@@ -406,6 +407,7 @@
 	r := &run{task: t, number: reported.Run, phase: running, size: t.size(), orderedAt: now, runningSince: now, throttle: unknownThrottle, progressAt: now}
 	unwanted := t.done || t.job().state.IsFinal() || (len(t.runs) > 0 && !t.spec().Speculative)
 	t.runs = append(t.runs, r)
+	t.step.occurrence.runs++
 	t.lastRun = max(t.lastRun, reported.Run)
 	w.addRun(r)
 	if t.implicated() && !unwanted {
--- a/internal/version/cell/schedule.go
+++ b/internal/version/cell/schedule.go
@@ -6,58 +6,6 @@
 	"time"
 )
 
-// openSteps makes the tasks of all steps ready whose dependencies are done.
-func (c *Cell) openSteps(now time.Time, j *job) {
-	if j.state.IsFinal() {
-		return
-	}
-	if j.spec.Occurrences > 0 {
-		c.openDueOccurrences(now, j)
-		return
-	}
-	c.openOccurrence(now, j.ensureOccurrence(0))
-}
-
-func (c *Cell) openOccurrence(now time.Time, o *occurrence) {
-	for _, s := range o.steps {
-		if s.opened || !s.dependenciesDone() {
-			continue
-		}
-		s.opened = true
-		untouched := s.unopenedEarlier()
-		for _, t := range s.tasks {
-			t.located = t.located || untouched
-			t.notDoneEarlier = t.notDoneEarlier || untouched
-			t.mayHaveStarted = t.job().fromEarlierTerm && !untouched
-			c.requeue(now, t)
-		}
-	}
-}
-
-// openDueOccurrences opens the occurrences of a job that are due, and adds the
-// job to periodicJobs if a later occurrence remains.
-func (c *Cell) openDueOccurrences(now time.Time, j *job) {
-	for number := j.nextOccurrence; number < j.spec.OccurrenceCount(); number++ {
-		if now.Before(j.spec.DueTime(number)) {
-			if !slices.Contains(c.periodicJobs, j) {
-				c.periodicJobs = append(c.periodicJobs, j)
-			}
-			return
-		}
-		c.openOccurrence(now, j.ensureOccurrence(number))
-	}
-}
-
-func (c *Cell) openDueJobs(now time.Time) {
-	waiting := c.periodicJobs
-	c.periodicJobs = nil
-	for _, j := range waiting {
-		if !j.state.IsFinal() {
-			c.openDueOccurrences(now, j)
-		}
-	}
-}
-
 // requeue makes a task ready if it needs a run and its step is open.
 func (c *Cell) requeue(now time.Time, t *task) {
 	if t.done || t.queued || len(t.runs) > 0 || !t.step.opened || t.job().state.IsFinal() {
@@ -210,10 +158,9 @@
 func (c *Cell) rankReady(now time.Time) {
 	c.needsRanking = false
 	c.rankedAt = now
-	urgencies := map[*job]urgency{}
 	for _, t := range c.readyTasks {
-		if _, known := urgencies[t.job()]; !known {
-			urgencies[t.job()] = c.urgencyOf(now, t.job())
+		if j := t.job(); !j.urgencyAt.Equal(now) {
+			j.urgency, j.urgencyAt = c.urgencyOf(now, j), now
 		}
 	}
 	slices.SortStableFunc(c.readyTasks, func(a, b *task) int {
@@ -223,7 +170,7 @@
 		if overdue := a.overdue(now); overdue != b.overdue(now) {
 			return map[bool]int{true: -1, false: 1}[overdue]
 		}
-		return urgencies[a.job()].compare(urgencies[b.job()])
+		return a.job().urgency.compare(b.job().urgency)
 	})
 }
 
@@ -365,6 +312,7 @@
 	t.queued = false
 	t.lastRun = number
 	t.runs = append(t.runs, r)
+	t.step.occurrence.runs++
 	w.addRun(r)
 	if t.spec().LongRunning {
 		c.totals.free -= r.size.CPU
--- a/internal/version/cell/tick.go
+++ b/internal/version/cell/tick.go
@@ -25,6 +25,7 @@
 	c.forgetEndedJobs(now)
 	c.handleSlowRuns(now)
 	c.reportWaiting(now)
+	c.reportUnopened(now)
 }
 
 // expireLeases gives up the runs on an unresponsive worker once their leases
@@ -101,12 +102,8 @@
 
 func (c *Cell) hasRuns(j *job) bool {
 	for _, o := range j.occurrences {
-		for _, s := range o.steps {
-			for _, t := range s.tasks {
-				if len(t.runs) > 0 {
-					return true
-				}
-			}
+		if o.runs > 0 {
+			return true
 		}
 	}
 	return false
--- a/internal/version/cell/waiting.go
+++ b/internal/version/cell/waiting.go
@@ -93,6 +93,18 @@
 	c.addEvent(DecisionEvent{Event: "task waiting", Task: t.id(), Run: t.lastRun + 1, Outcome: c.describeObstacles(now, t), Age: now.Sub(t.readySince)})
 }
 
+// reportUnopened logs how many jobs have an occurrence that is due and finds no room among the
+// open tasks, with the first of them.
+func (c *Cell) reportUnopened(now time.Time) {
+	if len(c.unopenedJobs) == 0 || now.Sub(c.unopenedReportedAt) < waitReportPeriod {
+		return
+	}
+	c.unopenedReportedAt = now
+	first := c.unopenedJobs[0]
+	c.addEvent(DecisionEvent{Event: "occurrences wait", Task: TaskID{Job: first.id, Occurrence: first.opened},
+		Outcome: fmt.Sprintf("%d jobs, %d tasks open", len(c.unopenedJobs), c.open.total()), Age: now.Sub(first.acceptedAt)})
+}
+
 // describeRecovery tells for which workers of earlier terms a task waits, how many of them have
 // left the registry, and for how long the leader waits for the last of them.
 func (c *Cell) describeRecovery(now time.Time, t *task) string {
--- a/internal/version/cell/worker.go
+++ b/internal/version/cell/worker.go
@@ -127,11 +127,11 @@
 }
 
 // removeRun removes a run from the worker and from its task, and releases the
-// reserved size. It does nothing if the worker does not have the run.
-func (w *worker) removeRun(r *run) {
+// reserved size. It does nothing and returns false if the worker does not have the run.
+func (w *worker) removeRun(r *run) bool {
 	index := slices.Index(w.runs, r)
 	if index < 0 {
-		return
+		return false
 	}
 	w.runs = slices.Concat(w.runs[:index], w.runs[index+1:])
 	w.load = nil
@@ -143,6 +143,7 @@
 		r.task.step.runsPerWorker[w.info.ID]--
 	}
 	r.task.runs = slices.DeleteFunc(r.task.runs, func(other *run) bool { return other == r })
+	return true
 }
 
 // hasStartInFlight reports whether the outcome of a start order is not known yet.
