workerlink: reckon with the longest lease after a worker has restarted

The second run of a task outlives the lease that the leader has counted, and a third one starts elsewhere.

Cause: orders name the end of their lease on the clock of the incarnation that the leader knows. The next incarnation carries them out, its clock starts anew, and it grants the longest lease (6 s) in place of 4.5 s. That holds for the renewal whose answer shows the restart, for starts, and for orders that are carried out late.

Change: a session compares the incarnation that answers with the one whose clock the order went by. Until a report under a higher token, which the session asks for at once, leases there may last for the longest lease, and as long as orders may be late besides. After a start that another incarnation has answered, the clock is unknown. A new leader counts a longest lease from the first answer of each worker.

Open takes its parameters as a struct, since the longest lease is one more. The clock of fakeWorker in the tests runs on, as that of a worker does: a clock that stands still is that of another incarnation now.

--- a/internal/connection/workerlink/ends_test.go
+++ b/internal/connection/workerlink/ends_test.go
@@ -93,7 +93,7 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				worker := &busyWorker{startTime: startTime, boot: time.Now()}
 				sink := &storingSink{}
-				session := Open(ctx, "w", worker, sink, 7)
+				session := Open(ctx, Options{Worker: "w", Client: worker, Sink: sink, Token: 7, MaxLease: testMaxLease})
 				sink.session.Store(session)
 				for range 1000 {
 					time.Sleep(60 * time.Millisecond)
@@ -120,7 +120,7 @@
 			virtualtime.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				worker := &busyWorker{boot: time.Now(), ends: 1}
-				session := Open(ctx, "w", worker, &recordingSink{}, 7)
+				session := Open(ctx, Options{Worker: "w", Client: worker, Sink: &recordingSink{}, Token: 7, MaxLease: testMaxLease})
 				time.Sleep(900 * time.Millisecond) // Between two renewals.
 				worker.setStart(4*time.Second, outcome == "lost")
 				go session.Start(ctx, cell.StartOrder{Worker: "w", Run: 1})
@@ -144,7 +144,7 @@
 func TestHeldStartEndsWithItsSession(t *testing.T) {
 	virtualtime.Test(t, func(t *testing.T) {
 		worker, sink := &busyWorker{boot: time.Now()}, &recordingSink{}
-		session := Open(t.Context(), "w", worker, sink, 7)
+		session := Open(t.Context(), Options{Worker: "w", Client: worker, Sink: sink, Token: 7, MaxLease: testMaxLease})
 		synctest.Wait()
 		released := make(chan struct{})
 		session.startsHeld.Store(&released)
--- a/internal/connection/workerlink/extension_test.go
+++ b/internal/connection/workerlink/extension_test.go
@@ -17,7 +17,7 @@
 	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		worker, recorder := &fakeWorker{}, &recordingSink{}
-		session := Open(ctx, "w", worker, recorder, 7)
+		session := Open(ctx, Options{Worker: "w", Client: worker, Sink: recorder, Token: 7, MaxLease: testMaxLease})
 		time.Sleep(5 * time.Second)
 		session.StopExtension()
 		end := session.LeaseEnd()
@@ -42,7 +42,7 @@
 	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		worker := &fakeWorker{}
-		session := OpenBound(ctx, "w", worker, &recordingSink{}, 7)
+		session := Open(ctx, Options{Worker: "w", Client: worker, Sink: &recordingSink{}, Token: 7, MaxLease: testMaxLease, Bound: true})
 		time.Sleep(5 * time.Second)
 		assert.Assert(t, session.LeaseEnd().IsZero())
 		session.AllowExtension()
@@ -59,7 +59,7 @@
 	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		recorder := &recordingSink{}
-		session := Open(ctx, "w", &fakeWorker{}, recorder, 7)
+		session := Open(ctx, Options{Worker: "w", Client: &fakeWorker{}, Sink: recorder, Token: 7, MaxLease: testMaxLease})
 		time.Sleep(5 * time.Second)
 		session.Close()
 		end := session.LeaseEnd()
--- a/internal/connection/workerlink/session.go
+++ b/internal/connection/workerlink/session.go
@@ -27,6 +27,9 @@
 	// LeaseUntil is when the lease ends, in milliseconds of the worker's own clock.
 	// It is 0, which grants no lease, while that clock is unknown.
 	LeaseUntil int64
+	// Incarnation is the incarnation of the worker whose clock that is, as far as known. It is
+	// not sent: the worker can't tell for which incarnation an order was meant.
+	Incarnation int64
 }
 
 // RenewalOrder is a lease renewal: it extends the lease and requests a report.
@@ -136,15 +139,20 @@
 	worker cell.WorkerID
 	client WorkerClient
 	sink   Sink
+	// maxLease is the longest lease that the worker grants.
+	maxLease time.Duration
 
 	// bound is set while no order may extend the lease.
 	bound atomic.Bool
 	// token is the fencing token of the next order.
 	token atomic.Int64
-	// clock is the newest reading of the worker's clock, or nil before the
-	// first.
-	clock  atomic.Pointer[clockReading]
-	stored atomic.Pointer[storedEnds]
+	// clock is the newest reading of the worker's clock, or nil while that is unknown.
+	clock atomic.Pointer[clockReading]
+	// earlierClock is the highest token of the orders that name the end of their lease on the
+	// clock of an earlier incarnation of the worker and may still be carried out by this one, or
+	// nil if there are none.
+	earlierClock atomic.Pointer[int64]
+	stored       atomic.Pointer[storedEnds]
 	// leaseEnd is when the leases that orders of the session may have granted so far have
 	// ended for certain, or nil.
 	leaseEnd atomic.Pointer[time.Time]
@@ -181,65 +189,36 @@
 // are stored.
 type storedEnds struct{ incarnation, number int64 }
 
-// clockReading is the clock of one incarnation of the worker, in milliseconds,
-// and the local time at which it was read. sent is when the call that read it was
-// sent.
-type clockReading struct {
-	millis       int64
-	sent, readAt time.Time
-	incarnation  int64
-}
-
-// newest returns the newer one of an earlier reading and this one. It returns nil if they
-// are of two incarnations and the call of this one was sent before the earlier one was
-// read: numbers don't tell which incarnation is newer, since the time of day may have been
-// stepped.
-func (r *clockReading) newest(earlier *clockReading) *clockReading {
-	switch {
-	case earlier == nil:
-		return r
-	case r.incarnation != earlier.incarnation && r.sent.Before(earlier.readAt):
-		return nil
-	case r.sent.Before(earlier.sent):
-		return earlier
-	}
-	return r
-}
-
-// isContinuedBy reports whether a reading by a call that was sent and answered at the given
-// times continues this one, as that of another incarnation does not: its clock starts anew.
-func (r *clockReading) isContinuedBy(millis int64, sent, answered time.Time) bool {
-	least := float64(sent.Sub(r.readAt).Milliseconds()) * (1 - maxClockDrift)
-	most := float64(answered.Sub(r.sent).Milliseconds()) * (1 + maxClockDrift)
-	elapsed := float64(millis - r.millis)
-	return least-1 <= elapsed && elapsed <= most+1
-}
-
-// Open starts a session and its lease renewals. token is the first fencing token;
-// the session uses higher ones up to the next multiple of TokensPerTerm.
-func Open(ctx context.Context, worker cell.WorkerID, client WorkerClient, sink Sink, token int64) *Session {
-	return open(ctx, worker, client, sink, token, false)
-}
-
-// OpenBound is Open for a session that extends no lease before AllowExtension is called.
-func OpenBound(ctx context.Context, worker cell.WorkerID, client WorkerClient, sink Sink, token int64) *Session {
-	return open(ctx, worker, client, sink, token, true)
+// Options are the parameters of a session.
+type Options struct {
+	Worker cell.WorkerID
+	Client WorkerClient
+	Sink   Sink
+	// Token is the first fencing token; the session uses higher ones up to the next multiple of
+	// TokensPerTerm.
+	Token int64
+	// MaxLease is the longest lease that a worker grants.
+	MaxLease time.Duration
+	// Bound is set if no order may extend the lease before AllowExtension is called.
+	Bound bool
 }
 
-func open(ctx context.Context, worker cell.WorkerID, client WorkerClient, sink Sink, token int64, bound bool) *Session {
+// Open starts a session and its lease renewals.
+func Open(ctx context.Context, options Options) *Session {
 	ctx, cancel := context.WithCancel(ctx)
 	s := &Session{
-		worker:        worker,
-		client:        client,
-		sink:          sink,
+		worker:        options.Worker,
+		client:        options.Client,
+		sink:          options.Sink,
+		maxLease:      options.MaxLease,
 		storedSignal:  make(chan struct{}, 1),
 		startsSignal:  make(chan struct{}, 1),
 		resolveSignal: make(chan struct{}, 1),
 		extendSignal:  make(chan struct{}, 1),
 		cancel:        cancel,
 	}
-	s.bound.Store(bound)
-	s.token.Store(token)
+	s.bound.Store(options.Bound)
+	s.token.Store(options.Token)
 	s.stored.Store(&storedEnds{})
 	s.goroutines.Add(1)
 	go s.renewLeases(ctx)
@@ -520,50 +499,6 @@
 	}()
 }
 
-// newReport returns the report that an answer contains and records the worker's
-// clock.
-func (s *Session) newReport(order RenewalOrder, sent time.Time, answer RenewalAnswer) cell.Report {
-	s.recordClock(answer.Clock, answer.Incarnation, sent)
-	report := cell.Report{
-		Worker:      s.worker,
-		Incarnation: answer.Incarnation,
-		Sent:        sent,
-		Token:       order.Token,
-		Running:     answer.Running,
-		Ended:       answer.Ended,
-		Complete:    answer.Complete,
-	}
-	report.LeaseUntil = order.leaseEnd(sent)
-	return report
-}
-
-// leaseEnd returns when the lease that the order grants has ended at the latest.
-// It is zero if the order grants none.
-func (o RenewalOrder) leaseEnd(sent time.Time) time.Time {
-	if o.LeaseUntil == 0 {
-		return time.Time{}
-	}
-	return latestLeaseEnd(sent)
-}
-
-// recordClock records a reading of the worker's clock by a call that was sent at
-// sent, unless a later call has read it already. The worker took the reading before
-// its answer arrived here, so its clock now shows at least millis. The clock becomes
-// unknown if it may be that of an ended incarnation; the next renewal then grants no
-// lease.
-func (s *Session) recordClock(millis, incarnation int64, sent time.Time) {
-	if millis <= 0 {
-		return
-	}
-	reading := &clockReading{millis: millis, sent: sent, readAt: time.Now(), incarnation: incarnation}
-	for {
-		earlier := s.clock.Load()
-		if s.clock.CompareAndSwap(earlier, reading.newest(earlier)) {
-			return
-		}
-	}
-}
-
 // newGrant returns the grant for an order sent now: the current fencing token,
 // and a lease if the worker's clock is known.
 func (s *Session) newGrant() Grant {
@@ -571,16 +506,11 @@
 	if reading := s.clock.Load(); reading != nil {
 		elapsed := time.Since(reading.readAt)
 		grant.LeaseUntil = reading.millis + (elapsed + LeaseDuration).Milliseconds()
+		grant.Incarnation = reading.incarnation
 	}
 	return grant
 }
 
-// latestLeaseEnd returns the local time at which a lease granted by a call sent
-// at sent has ended for certain, even if the worker's clock is slow.
-func latestLeaseEnd(sent time.Time) time.Time {
-	return sent.Add(time.Duration(float64(LeaseDuration)*(1+2*maxClockDrift)) + callTimeout/2 + leaseMargin)
-}
-
 // Stop sends a stop order. A later report lists the end of the run; the owner of
 // the session repeats the order if no report does.
 func (s *Session) Stop(ctx context.Context, order cell.StopOrder) error {
--- a/internal/connection/workerlink/session_test.go
+++ b/internal/connection/workerlink/session_test.go
@@ -16,6 +16,9 @@
 	"poplarvalve/test/virtualtime"
 )
 
+// testMaxLease is the longest lease that the workers grant.
+const testMaxLease = 6 * time.Second
+
 // fakeWorker answers a lease renewal at once if it has ends to list, otherwise
 // after the renewal's Wait, and never while it is unresponsive.
 type fakeWorker struct {
@@ -26,12 +29,24 @@
 	networkDelay time.Duration
 	renewals     []RenewalOrder
 	ended        []cell.RunEnd
+	// booted is when the clock showed 1000. It is set by the first call.
+	booted time.Time
 	// maxListed is the number of ends in one answer, or 0 for no limit.
 	maxListed int
 	// openRenewals is the number of lease renewals without an answer.
 	openRenewals atomic.Int64
 }
 
+// clock returns the worker's clock in milliseconds.
+func (f *fakeWorker) clock() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.booted.IsZero() {
+		f.booted = time.Now()
+	}
+	return 1000 + time.Since(f.booted).Milliseconds()
+}
+
 func (f *fakeWorker) RenewLease(ctx context.Context, order RenewalOrder) (RenewalAnswer, error) {
 	f.openRenewals.Add(1)
 	defer f.openRenewals.Add(-1)
@@ -64,13 +79,13 @@
 	if maxListed > 0 && len(listed) > maxListed {
 		listed = listed[:maxListed]
 	}
-	return RenewalAnswer{Clock: 1000, Incarnation: 1, Ended: listed, Complete: maxListed == 0 || len(listed) < maxListed}, nil
+	return RenewalAnswer{Clock: f.clock(), Incarnation: 1, Ended: listed, Complete: maxListed == 0 || len(listed) < maxListed}, nil
 }
 
 func (f *fakeWorker) Start(ctx context.Context, _ Grant, order cell.StartOrder) (int64, error) {
 	switch order.Run {
 	case 1:
-		return 1000, nil
+		return f.clock(), nil
 	case 2:
 		return 0, &RefusedError{cell.RefusedNoCapacity}
 	}
@@ -126,7 +141,7 @@
 	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		worker, recorder := &fakeWorker{}, &recordingSink{}
-		session := Open(ctx, "w", worker, recorder, 7)
+		session := Open(ctx, Options{Worker: "w", Client: worker, Sink: recorder, Token: 7, MaxLease: testMaxLease})
 		time.Sleep(5 * time.Second)
 		worker.mu.Lock()
 		worker.unresponsive = true
@@ -160,7 +175,7 @@
 		worker, recorder := &fakeWorker{networkDelay: 2 * time.Second}, &recordingSink{}
 		worker.ended = []cell.RunEnd{{Number: 1, Run: 1, Reason: cell.EndSucceeded}}
 		start := time.Now()
-		session := Open(ctx, "w", worker, recorder, 7)
+		session := Open(ctx, Options{Worker: "w", Client: worker, Sink: recorder, Token: 7, MaxLease: testMaxLease})
 		time.Sleep(LeaseDuration)
 		session.Close()
 		cancel()
@@ -182,7 +197,7 @@
 	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		worker, recorder := &fakeWorker{networkDelay: 1500 * time.Millisecond}, &recordingSink{}
-		session := Open(ctx, "w", worker, recorder, 7)
+		session := Open(ctx, Options{Worker: "w", Client: worker, Sink: recorder, Token: 7, MaxLease: testMaxLease})
 		time.Sleep(20 * time.Second)
 		session.Close()
 		session.Wait()
@@ -205,7 +220,7 @@
 	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		worker, recorder := &fakeWorker{networkDelay: time.Hour}, &recordingSink{}
-		session := Open(ctx, "w", worker, recorder, 7)
+		session := Open(ctx, Options{Worker: "w", Client: worker, Sink: recorder, Token: 7, MaxLease: testMaxLease})
 		for range 100 {
 			time.Sleep(50 * time.Millisecond)
 			assert.Assert(t, worker.openRenewals.Load() <= 2, "%d lease renewals are open", worker.openRenewals.Load())
@@ -225,7 +240,7 @@
 	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		worker := &fakeWorker{}
-		session := Open(ctx, "w", worker, &recordingSink{}, 7)
+		session := Open(ctx, Options{Worker: "w", Client: worker, Sink: &recordingSink{}, Token: 7, MaxLease: testMaxLease})
 		time.Sleep(time.Second)
 		renewals := worker.receivedRenewals()
 		assert.Equal(t, renewals[0].LeaseUntil, int64(0))
@@ -242,7 +257,7 @@
 	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		worker := &fakeWorker{ended: []cell.RunEnd{{Number: 3, Reason: cell.EndSucceeded}}}
-		session := Open(ctx, "w", worker, &recordingSink{}, 7)
+		session := Open(ctx, Options{Worker: "w", Client: worker, Sink: &recordingSink{}, Token: 7, MaxLease: testMaxLease})
 		time.Sleep(2 * time.Second)
 		for _, order := range worker.receivedRenewals() {
 			assert.Equal(t, order.AcknowledgedEnd, int64(0))
@@ -266,7 +281,7 @@
 		for number := int64(1); number <= 10; number++ {
 			worker.ended = append(worker.ended, cell.RunEnd{Number: number, Reason: cell.EndSucceeded})
 		}
-		session := Open(ctx, "w", worker, recorder, 7)
+		session := Open(ctx, Options{Worker: "w", Client: worker, Sink: recorder, Token: 7, MaxLease: testMaxLease})
 		newestReport := func() cell.Report {
 			recorder.mu.Lock()
 			defer recorder.mu.Unlock()
@@ -303,7 +318,7 @@
 	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		worker, recorder := &fakeWorker{}, &recordingSink{}
-		session := Open(ctx, "w", worker, recorder, 7)
+		session := Open(ctx, Options{Worker: "w", Client: worker, Sink: recorder, Token: 7, MaxLease: testMaxLease})
 		time.Sleep(100 * time.Millisecond)
 		for run := int64(1); run <= 3; run++ {
 			session.Start(ctx, cell.StartOrder{Worker: "w", Run: run})
@@ -330,7 +345,7 @@
 	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		worker, recorder := &fakeWorker{}, &recordingSink{}
-		session := Open(ctx, "w", worker, recorder, 7)
+		session := Open(ctx, Options{Worker: "w", Client: worker, Sink: recorder, Token: 7, MaxLease: testMaxLease})
 		assert.Assert(t, session.LeaseEnd().IsZero(), "no order granted a lease yet")
 		time.Sleep(5 * time.Second)
 		worker.mu.Lock()
@@ -359,7 +374,7 @@
 	virtualtime.Test(t, func(t *testing.T) {
 		worker, recorder := &fakeWorker{}, &recordingSink{}
 		recorder.unauthorized.Store(true)
-		session := Open(t.Context(), "w1", worker, recorder, 10)
+		session := Open(t.Context(), Options{Worker: "w1", Client: worker, Sink: recorder, Token: 10, MaxLease: testMaxLease})
 		defer session.Close()
 		session.Start(t.Context(), cell.StartOrder{Worker: "w1", Run: 1})
 		time.Sleep(10 * time.Second)
@@ -393,7 +408,7 @@
 	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		worker, recorder := &fakeWorker{}, &recordingSink{}
-		session := Open(ctx, "w", worker, recorder, 7)
+		session := Open(ctx, Options{Worker: "w", Client: worker, Sink: recorder, Token: 7, MaxLease: testMaxLease})
 		time.Sleep(2*idleWait + idleWait/2)
 		sent := time.Now().Add(-idleWait / 2)
 		renewals := len(worker.receivedRenewals())
@@ -423,7 +438,7 @@
 	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		worker, recorder := &fakeWorker{}, &recordingSink{}
-		session := Open(ctx, "w", worker, recorder, 7)
+		session := Open(ctx, Options{Worker: "w", Client: worker, Sink: recorder, Token: 7, MaxLease: testMaxLease})
 		time.Sleep(2*idleWait + idleWait/2)
 		renewals := len(worker.receivedRenewals())
 		recorder.unauthorized.Store(true)
@@ -466,7 +481,7 @@
 	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		worker := &restartingWorker{}
-		session := Open(ctx, "w", worker, &recordingSink{}, 7)
+		session := Open(ctx, Options{Worker: "w", Client: worker, Sink: &recordingSink{}, Token: 7, MaxLease: testMaxLease})
 		time.Sleep(900 * time.Millisecond) // Between two renewals.
 		worker.mu.Lock()
 		worker.restarted = true
@@ -491,7 +506,7 @@
 			virtualtime.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				worker := &fakeWorker{ended: []cell.RunEnd{{Number: 3, Reason: cell.EndSucceeded}}, networkDelay: delay}
-				session := Open(ctx, "w", worker, &recordingSink{}, 7)
+				session := Open(ctx, Options{Worker: "w", Client: worker, Sink: &recordingSink{}, Token: 7, MaxLease: testMaxLease})
 				time.Sleep(10 * time.Second)
 				session.AcknowledgeEnds(1, 3)
 				time.Sleep(20 * time.Second)
@@ -515,7 +530,7 @@
 			virtualtime.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				worker := &fakeWorker{ended: []cell.RunEnd{{Number: 3, Reason: cell.EndSucceeded}}}
-				session := Open(ctx, "w", worker, &recordingSink{}, 7)
+				session := Open(ctx, Options{Worker: "w", Client: worker, Sink: &recordingSink{}, Token: 7, MaxLease: testMaxLease})
 				time.Sleep(2 * time.Second)
 				worker.setUnresponsive(true)
 				if cause == "unanswered renewal" {
--- a/internal/connection/workerlink/starts.go
+++ b/internal/connection/workerlink/starts.go
@@ -87,12 +87,17 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	err := s.sendStart(callCtx, grant, order)
+	sameIncarnation, err := s.sendStart(callCtx, grant, order)
 	s.endStart()
 	result := cell.StartResult{
 		Worker: order.Worker, Task: order.Task, Run: order.Run,
 		Token: grant.Token, LeaseUntil: latestLeaseEnd(sent),
 	}
+	if err == nil && !sameIncarnation {
+		result.LeaseUntil = s.longestLeaseEnd()
+		result.StrayUntil = result.LeaseUntil.Add(maxOrderDelay)
+		recordLatest(&s.leaseEnd, result.LeaseUntil)
+	}
 	var refused *RefusedError
 	switch {
 	case err == nil:
@@ -109,21 +114,22 @@
 	s.sink.StartResult(result)
 }
 
-// sendStart sends a start order. If it may have been carried out by another incarnation than that
-// of the newest report, no ends are acknowledged before the next report.
-func (s *Session) sendStart(ctx context.Context, grant Grant, order cell.StartOrder) (err error) {
+// sendStart sends a start order, and reports whether the incarnation has answered that the order
+// was meant for.
+func (s *Session) sendStart(ctx context.Context, grant Grant, order cell.StartOrder) (sameIncarnation bool, err error) {
 	sent, millis := time.Now(), int64(0)
 	if unexpected := fault.Catch(func() { millis, err = s.client.Start(ctx, grant, order) }); unexpected != nil {
 		err = unexpected
 	}
 	var refused *RefusedError
 	if errors.As(err, &refused) {
-		return err
+		return false, err
 	}
-	if reading := s.clock.Load(); err != nil || reading == nil || !reading.isContinuedBy(millis, sent, time.Now()) {
+	if err != nil {
 		recordLatest(&s.doubtedAt, time.Now())
+		return false, err
 	}
-	return err
+	return s.recordStartClock(grant, millis, sent), nil
 }
 
 // isClosedByWorker reports whether the worker's end closed the connection of an order
--- a/internal/entry/authority.go
+++ b/internal/entry/authority.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"poplarvalve/internal/connection/workerlink"
 	"poplarvalve/internal/version/cell"
 	"poplarvalve/internal/version/election"
 )
@@ -146,7 +147,8 @@
 }
 
 // earlierTermConfig returns how long the cell has to reckon with earlier leaders.
-func earlierTermConfig(workerLease time.Duration) cell.Config {
+func earlierTermConfig(maxLease time.Duration) cell.Config {
+	workerLease := min(maxLease, workerlink.LeaseDuration)
 	maxEarlierLease := workerLease + recoveryMargin
 	return cell.Config{
 		// An earlier leader may have renewed its term, or read that it still holds it,
@@ -155,5 +157,6 @@
 		RecoveryWait:            startAuthorityPeriod - election.TermLease + maxEarlierLease,
 		UnconfirmedRecoveryWait: election.MaxConfirmedAuthority + maxEarlierLease,
 		MaxEarlierLease:         maxEarlierLease,
+		LeaseExcess:             workerlink.LeaseExcess(maxLease),
 	}
 }
--- a/internal/entry/effects_test.go
+++ b/internal/entry/effects_test.go
@@ -36,7 +36,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	l.cancel = cancel
 	w := &tokenWorker{queuedWorker: newQueuedWorker()}
-	session := workerlink.Open(ctx, "a", w, l, 1)
+	session := workerlink.Open(ctx, workerlink.Options{Worker: "a", Client: w, Sink: l, Token: 1, MaxLease: 6 * time.Second})
 	l.sessions["a"] = &openSession{session, "a"}
 	earlier := session.Token()
 	effects := cell.Effects{Resolve: []cell.WorkerID{"a"}}
--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -205,7 +205,7 @@
 	if err != nil {
 		return err
 	}
-	config := earlierTermConfig(min(options.Limits.MaxLease, workerlink.LeaseDuration))
+	config := earlierTermConfig(options.Limits.MaxLease)
 	config.Epoch = l.term.Epoch
 	config.EndedJobRetention = options.Limits.EndedJobRetention
 	config.RemoteFactor = options.Limits.RemoteFactor
@@ -378,11 +378,10 @@
 		if existing != nil {
 			l.closeSession(info.ID, existing)
 		}
-		open := workerlink.Open
-		if l.cell.LeasesBound(info.ID) {
-			open = workerlink.OpenBound
-		}
-		session := open(ctx, info.ID, l.entry.options.DialWorker(info), l, l.lastToken+1)
+		session := workerlink.Open(ctx, workerlink.Options{
+			Worker: info.ID, Client: l.entry.options.DialWorker(info), Sink: l, Token: l.lastToken + 1,
+			MaxLease: l.entry.options.Limits.MaxLease, Bound: l.cell.LeasesBound(info.ID),
+		})
 		l.sessions[info.ID] = &openSession{session, info.Address}
 	}
 	for id, session := range l.sessions {
--- a/internal/version/cell/leasebound.go
+++ b/internal/version/cell/leasebound.go
@@ -186,10 +186,11 @@
 
 // leaseEnd returns when the leases on a worker that is silent have ended for certain.
 func (c *Cell) leaseEnd(w *worker) time.Time {
-	if end := c.earlierLeaseEnd(w); c.awaitsFirstAnswer(w) && end.After(w.leaseUntil) {
-		return end
+	end := later(w.leaseUntil, w.strayUntil)
+	if c.awaitsFirstAnswer(w) {
+		return later(end, c.earlierLeaseEnd(w))
 	}
-	return w.leaseUntil
+	return end
 }
 
 // earlierLeaseEnd returns when the leases that earlier terms have granted on a worker have
--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -30,6 +30,8 @@
 		c.storeWorker(w)
 	}
 	c.recordResponse(now, w, report.LeaseUntil)
+	w.extendLease(report.EarlierClockUntil)
+	w.strayUntil = report.StrayUntil
 	listed := make(map[*run]bool, len(report.Running))
 	w.hasUnknownRuns = false
 	for _, end := range report.Ended {
@@ -63,9 +65,7 @@
 	if w == nil || until.IsZero() {
 		return
 	}
-	if until.After(w.leaseUntil) {
-		w.leaseUntil = until
-	}
+	w.extendLease(until)
 	if c.recovering[id] {
 		c.partlyRecovered[id] = true
 	}
@@ -76,17 +76,16 @@
 		c.addEvent(DecisionEvent{Event: "worker held", Worker: w.info.ID})
 	}
 	if !w.renewed {
-		// An earlier leader may have prolonged the lease just before.
-		w.leaseUntil = now.Add(c.config.MaxEarlierLease)
+		// An earlier leader, or an order to an earlier incarnation, may have prolonged the
+		// lease just before.
+		w.leaseUntil = now.Add(c.config.MaxEarlierLease + c.config.LeaseExcess)
 		c.handleSuccessor(now, w)
 	}
 	w.renewed = true
 	w.unresponsive = false
 	w.moved = false
 	w.lastResponse = now
-	if leaseUntil.After(w.leaseUntil) {
-		w.leaseUntil = leaseUntil
-	}
+	w.extendLease(leaseUntil)
 	c.dropEarlierSuspects(w)
 	c.markInUse(w)
 	c.liftBound(w)
@@ -145,9 +144,7 @@
 	if w == nil {
 		return
 	}
-	if leaseUntil.After(w.leaseUntil) {
-		w.leaseUntil = leaseUntil
-	}
+	w.extendLease(leaseUntil)
 	if w.unresponsive {
 		return
 	}
@@ -468,8 +465,9 @@
 	}
 	// The order prolongs the lease of everything on the worker, whatever became
 	// of its own run.
-	if result.LeaseUntil.After(w.leaseUntil) {
-		w.leaseUntil = result.LeaseUntil
+	w.extendLease(result.LeaseUntil)
+	if !result.StrayUntil.IsZero() {
+		w.strayUntil = result.StrayUntil
 	}
 	r := w.findRun(result.Task, result.Run)
 	if r == nil || r.phase != starting {
--- a/internal/version/cell/tick.go
+++ b/internal/version/cell/tick.go
@@ -33,10 +33,7 @@
 // registered. A start order whose outcome is not known yet may have granted a later
 // lease, so it waits for that outcome.
 func (c *Cell) expireLeases(now time.Time, w *worker) {
-	if !w.unresponsive || now.Before(w.leaseUntil) || w.hasStartInFlight() {
-		return
-	}
-	if !c.isOver(now, c.leaseEnd(w)) {
+	if !w.unresponsive || w.hasStartInFlight() || !c.isOver(now, c.leaseEnd(w)) {
 		return
 	}
 	if len(w.runs) > 0 {
--- a/internal/version/cell/types.go
+++ b/internal/version/cell/types.go
@@ -201,6 +201,13 @@
 	// LeaseUntil is the time by which the leases of all runs on the worker have
 	// expired, unless one of them is extended.
 	LeaseUntil time.Time
+	// EarlierClockUntil is zero or takes the place of LeaseUntil if it is later: orders that
+	// named the end of their lease on the clock of an earlier incarnation may have been carried
+	// out by this one, which grants the longest lease for them.
+	EarlierClockUntil time.Time
+	// StrayUntil is the same for such orders that may still be carried out. It is zero if none
+	// can any more, and replaces that of earlier reports.
+	StrayUntil time.Time
 	// Running lists all runs on the worker.
 	Running []RunReport
 	// Ended lists the ends that the worker keeps, those with the lowest numbers first.
@@ -250,8 +257,10 @@
 	ClosedAfter time.Duration
 	// Token is the fencing token that the order carried.
 	Token int64
-	// LeaseUntil has the same meaning as in Report.
-	LeaseUntil time.Time
+	// LeaseUntil and StrayUntil have the same meaning as in Report. StrayUntil is set if the
+	// answer shows that another incarnation has carried out the order than the one that it was
+	// meant for.
+	LeaseUntil, StrayUntil time.Time
 }
 
 // StartOrder tells a worker to start a task.
@@ -550,6 +559,9 @@
 	// MaxEarlierLease is the longest time for which a worker may keep running
 	// what an earlier leader started.
 	MaxEarlierLease time.Duration
+	// LeaseExcess is how much longer a lease may last than its order says, if another
+	// incarnation of the worker has carried out the order than the one it was meant for.
+	LeaseExcess time.Duration
 	// EndedJobRetention is the time for which an ended job is kept.
 	EndedJobRetention time.Duration
 	// RemoteFactor is the factor by which a task takes longer when it runs
--- a/internal/version/cell/worker.go
+++ b/internal/version/cell/worker.go
@@ -26,7 +26,10 @@
 	runs []*run
 	// leaseUntil is the time by which the leases of all runs on the worker have
 	// expired.
-	leaseUntil   time.Time
+	leaseUntil time.Time
+	// strayUntil is the same for orders that were meant for an earlier incarnation and may still
+	// be carried out by this one, or zero if the newest report excludes them.
+	strayUntil   time.Time
 	lastResponse time.Time
 	// lastReportSent is when the renewal was sent whose answer was applied last.
 	lastReportSent time.Time
@@ -85,6 +88,16 @@
 	return w.registered && w.renewed && !w.unresponsive && w.storedInUse() && w.binding == unbound && !w.departure.closed && !w.hasUnknownRuns && !now.Before(w.startsBlockedUntil)
 }
 
+// extendLease records until when the leases on the worker may last.
+func (w *worker) extendLease(until time.Time) { w.leaseUntil = later(w.leaseUntil, until) }
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // storedInUse reports whether the next leader would wait for the worker.
 func (w *worker) storedInUse() bool { return !w.info.Idle && w.inUseWrite == 0 }
 
