cell: keep runs accepted since the renewal that shows a restart was sent

A start that the new incarnation of a worker has accepted can overtake the report that shows the restart and doesn't list the run yet. The run counted as lost with the earlier incarnation, and its task was started a second time.

handleRestart now keeps runs that were accepted after the renewal was sent. The next report lists them or shows that they are gone, as within one incarnation.

Found by reading; not seen on the platform. The new test fails without the change: a second start is ordered at once.

--- a/internal/version/cell/earlierclock_test.go
+++ b/internal/version/cell/earlierclock_test.go
@@ -116,3 +116,25 @@
 	starts := takeStarts(c, now.Add(time.Second))
 	assert.Equal(t, len(starts), 1)
 }
+
+// Guards against a second run of a task whose start the new incarnation of a worker has accepted
+// after it made the report that shows the restart: the answer to the start overtakes the report.
+func TestStartAcceptedSinceReportOfRestartIsKept(t *testing.T) {
+	for name, listed := range map[string]bool{"at the new incarnation": true, "at the earlier one": false} {
+		t.Run(name, func(t *testing.T) {
+			c, start := startedOn(t, testSpec())
+			sent := testStart.Add(10 * time.Millisecond)
+			now := testStart.Add(20 * time.Millisecond)
+			c.ApplyStartResult(now, StartResult{Worker: start.Worker, Task: start.Task, Run: start.Run, Outcome: StartAccepted, LeaseUntil: now.Add(testLease)})
+			c.ApplyReport(now, Report{Worker: start.Worker, Incarnation: 2, Sent: sent, Token: 1, Complete: true})
+			assert.Equal(t, len(takeStarts(c, now)), 0, "the run may be on the new incarnation")
+			now = now.Add(10 * time.Millisecond)
+			report := Report{Worker: start.Worker, Incarnation: 2, Sent: now, Token: 2, Complete: true}
+			if listed {
+				report.Running = []RunReport{{Task: start.Task, Run: start.Run}}
+			}
+			c.ApplyReport(now, report)
+			assert.Equal(t, len(takeStarts(c, now)) == 0, listed)
+		})
+	}
+}
--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -176,8 +176,10 @@
 	c.judgeCrash(now, w, w.crashSuspects())
 	for _, r := range w.runs {
 		// A start order in flight may still arrive at the new incarnation. A
-		// report under a higher token resolves it.
-		if (r.hasStarted() || r.phase == over) && (report.Complete || !r.unproven()) {
+		// report under a higher token resolves it. One that was accepted since the renewal
+		// was sent may have reached the new incarnation after it made the report. The next
+		// report shows whether it has.
+		if (r.hasStarted() || r.phase == over) && (report.Complete || !r.unproven()) && r.runningSince.Before(report.Sent) {
 			c.recordLostRun(now, r, "worker restarted")
 		}
 	}
