soak: restart workers under their ids and cut them off soon after

Workers that are back as a new incarnation for 60 ms to 1.3 s and are then silent for longer than any lease were not drawn: the leases that they grant for orders to their former incarnation outlast those of the leader.

--- a/test/soak/workers_test.go
+++ b/test/soak/workers_test.go
@@ -68,6 +68,9 @@
 	// cutOff workers are silent and missing in the registry, and come back as the
 	// same incarnation.
 	cutOff
+	// restartedAndCutOff workers are back as a new incarnation for a moment, and are then silent
+	// for longer than any lease that they grant.
+	restartedAndCutOff
 	// absenceCount is the number of ways.
 	absenceCount
 )
@@ -87,6 +90,9 @@
 		removeAfter = 0
 	case cutOff:
 		w.CutOff()
+	case restartedAndCutOff:
+		d.restartAndCutOff(w, duration/8, duration/4)
+		duration = finalAbsence
 	}
 	time.Sleep(min(duration, removeAfter))
 	if duration > removeAfter {
@@ -97,13 +103,28 @@
 	switch kind {
 	case crashed:
 		w.Restart()
-	case cutOff:
+	case cutOff, restartedAndCutOff:
 		w.Reconnect()
 	}
+	d.register(w)
+}
+
+func (d *deployment) register(w *soakWorker) {
 	d.journal("%s: entry %s", w.ID, w.RegistryEntry())
 	d.log.AppendRecord("keyed.servers", w.ID, w.RegistryEntry())
 }
 
+// restartAndCutOff lets a worker start again under its id, and cuts it off once it has been back
+// for a time. Orders that were meant for its former life arrive in between.
+func (d *deployment) restartAndCutOff(w *soakWorker, down, back time.Duration) {
+	w.Crash()
+	time.Sleep(down)
+	w.Restart()
+	d.register(w)
+	time.Sleep(back)
+	w.CutOff()
+}
+
 // roomPeriod is the average time between two changes of a worker's room. It is longer
 // than capacityBound, so that a smaller room counts for a while.
 const roomPeriod = 7 * time.Second
