platform: bound the read of a page of records, not of all of them

Cause: the read of all records at the beginning of a term was broken off after 3.2 s and began again with the first page. A leader in the other region needs some 4 s for 18 MB, and it keeps its term meanwhile.

--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -244,17 +244,12 @@
 	}
 }
 
-// recoveryReadTimeout bounds one read of all records of a cell, which takes several
-// calls to the log.
-const recoveryReadTimeout = 4 * logCallTimeout
-
 // readRecords reads the records that earlier terms stored. It retries as long as
-// the term lasts, since giving up the term would cause another election.
+// the term lasts, since giving up the term would cause another election. The time that it takes
+// grows with the records, so that only each of its calls is bounded.
 func (l *leadership) readRecords(ctx context.Context) ([]store.Record, error) {
 	for {
-		callCtx, cancel := context.WithTimeout(ctx, recoveryReadTimeout)
-		records, _, err := l.entry.options.Log.Newest(callCtx, l.writer.partition)
-		cancel()
+		records, _, err := l.entry.options.Log.Newest(ctx, l.writer.partition)
 		if err == nil {
 			return records, nil
 		}
--- a/internal/entry/renew_test.go
+++ b/internal/entry/renew_test.go
@@ -78,3 +78,38 @@
 		assert.Equal(t, state.held.EndOffset, int64(11))
 	})
 }
+
+// slowLog takes a time to return the newest records.
+type slowLog struct {
+	store.Log
+	took  time.Duration
+	calls int
+}
+
+func (s *slowLog) Newest(ctx context.Context, _ store.Partition) ([]store.Record, int64, error) {
+	s.calls++
+	select {
+	case <-time.After(s.took):
+		return []store.Record{{Key: "a"}}, 1, nil
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	}
+}
+
+// Guards against a leader that breaks off each read of its records, begins again, and keeps its
+// term meanwhile, so that nobody leads: the read takes as long as the records need on its link.
+func TestRecoveryReadsRecordsForAsLongAsTheyNeed(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		l := testTermLeadership(t)
+		defer l.entry.options.Journal.Close()
+		slow := &slowLog{took: 10 * time.Second}
+		l.entry.options.Log = slow
+		l.writer.onRetry = func(error) {}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		records, err := l.readRecords(ctx)
+		assert.NilError(t, err)
+		assert.Equal(t, len(records), 1)
+		assert.Equal(t, slow.calls, 1)
+	})
+}
