cell: simulate workers that restart and are cut off soon after

The simulated workers granted the lease that an order meant, whichever incarnation carried it out, so that the fault of the longest lease could not show. They can now grant the longest one for orders that were meant for an earlier incarnation, and the sessions cover it as those of workerlink do.

--- a/internal/version/cell/simulation_test.go
+++ b/internal/version/cell/simulation_test.go
@@ -67,6 +67,13 @@
 	// heldOrdersReachNextIncarnation lets a new incarnation carry out orders that were
 	// sent to the last one and arrive late.
 	heldOrdersReachNextIncarnation bool
+	// longestAfterRestart lets a new incarnation of a worker grant the longest lease for orders
+	// that were meant for the last one.
+	longestAfterRestart bool
+	// leasesUncovered lets the sessions leave that out of account. longestGranted counts these
+	// orders.
+	leasesUncovered bool
+	longestGranted  int
 	// earlier holds the earlier leaders that still act beside the present one.
 	earlier []*simLeader
 	// network is the network of a simulation with partitions, or nil.
@@ -378,6 +385,7 @@
 	// renewals numbers the renewals; an answer to any but the newest is late.
 	renewals int
 	simAcknowledgement
+	simEarlierClock
 }
 
 type simRun struct {
@@ -551,7 +559,7 @@
 	previous := s.epoch
 	s.epoch += 3
 	c := New(Config{Epoch: s.epoch, RecoveryWait: testRecoveryWait, EarlierAuthority: testRecoveryWait - testLease - testLeaseMargin, EndedJobRetention: time.Minute,
-		UnconfirmedRecoveryWait: s.network.recoveryWait(), MaxEarlierLease: testLease + testLeaseMargin, RemoteFactor: 2, BlockTasks: s.blockTasks})
+		UnconfirmedRecoveryWait: s.network.recoveryWait(), MaxEarlierLease: testLease + testLeaseMargin, LeaseExcess: s.leaseExcess(), RemoteFactor: 2, BlockTasks: s.blockTasks})
 	var jobs []JobRecord
 	for _, id := range slices.Sorted(maps.Keys(s.stored.jobs)) {
 		jobs = append(jobs, s.stored.jobs[id])
@@ -694,12 +702,14 @@
 	}
 	session.renewals++
 	number := session.renewals
+	meant := session.incarnation
 	acknowledged := s.network.acknowledgedEnd(&session.simAcknowledgement)
 	answer := func(report Report, ok bool) {
 		if session.closed || !s.acts(session.cell) {
 			return
 		}
 		if ok {
+			s.coverEarlierClock(session, &report)
 			session.recordIncarnation(s.now, report)
 		}
 		if number != session.renewals {
@@ -751,7 +761,7 @@
 		}
 		w.token = token
 		if extend && !s.isOverInSeries(sent.Add(testLease)) {
-			s.extendLease(w, sent.Add(testLease))
+			s.extendLease(w, s.grantedUntil(w, meant, sent))
 		}
 		s.forgetEnds(w, acknowledged)
 		incarnation := w.incarnation
@@ -1043,6 +1053,7 @@
 		return
 	}
 	token, w, sent, shown := session.token, session.worker, s.now, session.worker.shown
+	meant := session.incarnation
 	session.leaseEnd = sent.Add(testLease + testLeaseMargin)
 	arrival, returnDelay := s.randomDelay(), s.randomDelay()
 	late := false
@@ -1067,7 +1078,7 @@
 		}
 		answered = true
 		c.ApplyStartResult(s.now, StartResult{Worker: order.Worker, Task: order.Task, Run: order.Run, Outcome: outcome,
-			Refusal: reason, Token: token, LeaseUntil: sent.Add(testLease + testLeaseMargin)})
+			Refusal: reason, Token: token, LeaseUntil: s.startLeaseEnd(session, meant, outcome, sent)})
 		s.applyEffects(c)
 	}
 	s.schedule(testCallTimeout, func() { answer(StartUnknown, "") })
@@ -1086,7 +1097,7 @@
 		} else if token < w.token {
 			outcome, reason = StartRefused, RefusedFenced
 		} else {
-			s.extendLease(w, sent.Add(testLease))
+			s.extendLease(w, s.grantedUntil(w, meant, sent))
 			if reason = s.startRun(w, order, shown, late); reason != "" {
 				outcome = StartRefused
 			}
