cell, entry: start nothing in evacuated availability zones

Change: the follower of the configuration keeps the set of evacuated zones by offset (internal/version/evacuation) and never skips a record that may hold a request. Heartbeats carry the set beside the check of the manifest; each leader reads the log itself. The cell starts nothing in these zones, and nothing at all while the set is unknown or older than the time to apply a request less 1 s. Cold workers come last. All of it is off without [evacuation] apply_ms.

--- a/cmd/poplarvalved/entry.go
+++ b/cmd/poplarvalved/entry.go
@@ -139,6 +139,7 @@
 			MaxLease:          s.MaxLease,
 			EndedJobRetention: s.EndedJobRetention,
 			RemoteFactor:      s.RemoteFactor,
+			EvacuationApply:   s.EvacuationApply,
 			Log:               s.LogLimits,
 		},
 		Journal: d.journal,
--- a/internal/connection/cellcodec/cellcodec.go
+++ b/internal/connection/cellcodec/cellcodec.go
@@ -308,6 +308,9 @@
 	// ManifestCheck says when the sender's manifest was the newest one, or is nil if the
 	// sender doesn't know.
 	ManifestCheck *ManifestCheck `cbor:"14,keyasint,omitempty"`
+	// Evacuations are the evacuated zones by the configuration up to the end that
+	// ManifestCheck names, or nil if the sender doesn't follow them.
+	Evacuations *Evacuations `cbor:"17,keyasint,omitempty"`
 	// ManifestSources is set if it has changed since the last heartbeat of the link.
 	ManifestSources *ManifestSources `cbor:"15,keyasint,omitempty"`
 	// ManifestWanted asks the receiver for a part of its manifest.
@@ -342,6 +345,14 @@
 	SentMillis int64
 }
 
+// Evacuations holds, by availability zone, the offset of the operators' request to evacuate it
+// that is in force by all records before Offset.
+type Evacuations struct {
+	_        struct{} `cbor:",toarray"`
+	Offset   int64
+	Requests map[string]int64
+}
+
 // ManifestWanted says that the sender has Offset bytes of the encoded manifest with a
 // checksum, and asks for those that follow. Offset is 0 if it has none. Request numbers what
 // the sender asks for.
--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -9,8 +9,10 @@
 	"time"
 
 	"poplarvalve/internal/connection/cellcodec"
+	"poplarvalve/internal/process/boottime"
 	"poplarvalve/internal/process/metrics"
 	"poplarvalve/internal/process/store"
+	"poplarvalve/internal/version/evacuation"
 	"poplarvalve/internal/version/manifest"
 )
 
@@ -99,8 +101,10 @@
 // manifestCheck says that at a time no manifest was newer than the one in force, and that the
 // configuration in the log ended at an offset.
 type manifestCheck struct {
-	at        time.Time
+	at        boottime.Moment
 	endOffset int64
+	// evacuations are the evacuated zones at endOffset, or nil if they are not followed.
+	evacuations *evacuation.View
 }
 
 // configurationReader reads the configuration from the log.
@@ -113,8 +117,11 @@
 	// manifest.
 	skipped bool
 	// checked is the time up to which nextOffset takes account of manifestCheck.
-	checked  time.Time
+	checked  boottime.Moment
 	failures int
+	// evacuations holds the evacuated zones up to nextOffset, or further; nil before the
+	// first read, or if they are not followed.
+	evacuations *evacuation.View
 }
 
 // followConfiguration reads the configuration from the log until ctx ends, as long as no
@@ -158,7 +165,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, configurationReadLimit)
 	defer cancel()
-	checked := time.Now()
+	checked, from := boottime.Now(), r.nextOffset
 	batch, err := r.entry.options.Log.Read(ctx, r.entry.options.Configuration, r.nextOffset, configurationReadWait)
 	if isExpired(err) {
 		r.nextOffset = -1
@@ -172,6 +179,10 @@
 		checked = checked.Add(configurationReadWait) // The log has waited before it answered.
 	}
 	found := r.entry.applyConfiguration(batch.Records)
+	if !r.advanceEvacuations(from, batch) {
+		r.nextOffset = -1
+		return sizeOf(batch.Records), nil
+	}
 	r.advance(batch, found, checked)
 	if found {
 		r.entry.leaders.notifyLinks() // Now the heartbeats include the check.
@@ -183,14 +194,17 @@
 func (r *configurationReader) readNewest(ctx context.Context) (read int, err error) {
 	ctx, cancel := context.WithTimeout(ctx, newestConfigurationLimit)
 	defer cancel()
-	checked := time.Now()
+	checked := boottime.Now()
 	records, end, err := r.entry.options.Log.Newest(ctx, r.entry.options.Configuration)
 	if err != nil {
 		return 0, err
 	}
 	r.entry.applyConfiguration(records)
 	r.nextOffset, r.skipped, r.checked = end, false, checked
-	r.entry.recordManifestCheck(manifestCheck{checked, end})
+	if r.entry.followsEvacuations() {
+		r.evacuations = evacuation.Newer(r.evacuations, evacuation.FromNewest(r.entry.evacuationRequests(records), end))
+	}
+	r.entry.recordManifestCheck(manifestCheck{checked, end, r.evacuations})
 	r.entry.leaders.notifyLinks()
 	return sizeOf(records), nil
 }
@@ -200,6 +214,10 @@
 func (r *configurationReader) skipSuperseded() {
 	if check := r.entry.manifestCheck.Load(); check != nil && check.at.After(r.checked) && (r.nextOffset < 0 || check.endOffset >= r.nextOffset) {
 		r.nextOffset, r.skipped, r.checked = check.endOffset, false, check.at
+		r.evacuations = evacuation.Newer(r.evacuations, check.evacuations)
+	}
+	if r.entry.followsEvacuations() {
+		return // A record that is left out may be a request to evacuate a zone.
 	}
 	if missing, lacks := r.entry.leaders.missingManifest(); lacks && r.nextOffset >= 0 && missing.endOffset-1 > r.nextOffset {
 		r.nextOffset, r.skipped = missing.endOffset-1, true
@@ -207,16 +225,19 @@
 }
 
 // advance moves on behind the records of a batch. If there are more, all but the last are
-// left out, since a later manifest replaces those before it.
-func (r *configurationReader) advance(batch store.Batch, found bool, checked time.Time) {
+// left out, since a later manifest replaces those before it. If evacuations are followed, the
+// newest record of each key is read instead.
+func (r *configurationReader) advance(batch store.Batch, found bool, checked boottime.Moment) {
 	switch {
+	case batch.NextOffset < batch.EndOffset && r.entry.followsEvacuations():
+		r.nextOffset = -1
 	case batch.NextOffset < batch.EndOffset:
 		r.nextOffset, r.skipped, r.checked = batch.EndOffset-1, true, checked
 	case r.skipped && !found:
 		r.nextOffset = -1 // The newest manifest may be among the records left out.
 	default:
 		r.nextOffset, r.skipped, r.checked = batch.NextOffset, false, checked
-		r.entry.recordManifestCheck(manifestCheck{checked, batch.NextOffset})
+		r.entry.recordManifestCheck(manifestCheck{checked, batch.NextOffset, r.evacuations})
 	}
 }
 
@@ -227,8 +248,12 @@
 		if current != nil && !found.at.After(current.at) {
 			return current
 		}
+		if current != nil {
+			found.evacuations = evacuation.Newer(current.evacuations, found.evacuations)
+		}
 		return &found
 	})
+	e.options.Metrics.EvacuatedZones(len(e.manifestCheck.Load().evacuations.Zones()))
 }
 
 // sizeOf returns the number of bytes of records.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -25,6 +25,7 @@
 	"poplarvalve/internal/request/intake"
 	"poplarvalve/internal/version/cell"
 	"poplarvalve/internal/version/election"
+	"poplarvalve/internal/version/evacuation"
 	"poplarvalve/internal/version/manifest"
 )
 
@@ -33,6 +34,9 @@
 	// Manifest decodes a record of the operators' configuration. It returns nil
 	// without an error for a record that holds no manifest.
 	Manifest(record store.Record) (*manifest.Manifest, error)
+	// Evacuation decodes a record of the operators. It returns nil without an error for a
+	// record that is no request about a zone.
+	Evacuation(record store.Record) (*evacuation.Request, error)
 	// Worker decodes the record by which a worker is registered.
 	Worker(record store.Record) (cell.WorkerInfo, error)
 }
@@ -74,6 +78,9 @@
 	// RemoteFactor is the factor by which a task takes longer if it does not run
 	// in the rack that holds its data.
 	RemoteFactor float64
+	// EvacuationApply is the time from the acknowledgement of a request to evacuate an
+	// availability zone within which it must be in force, or 0 if operators evacuate none.
+	EvacuationApply time.Duration
 	// Log holds the sizes above which the log refuses an append. The zero value stands
 	// for store.DefaultLimits.
 	Log store.Limits
--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -209,11 +209,13 @@
 	config.Epoch = l.term.Epoch
 	config.EndedJobRetention = options.Limits.EndedJobRetention
 	config.RemoteFactor = options.Limits.RemoteFactor
+	config.Evacuations = l.entry.followsEvacuations()
 	l.cell = cell.New(config)
 	now := time.Now()
 	l.confirmation.recoveredAt = now
 	l.cell.Restore(now, state.Jobs, state.Progress, withoutFutureStarts(now, state.Workers))
 	l.cell.RestoreLearned(state.Learned)
+	l.updateEvacuations()
 	l.cell.RestoreLeaseBounds(now, state.LeaseBounds, state.Confinements, l.term.Previous)
 	l.writer.onStored = func(number uint64, keptBack []cell.RecordOwner, took time.Duration) {
 		options.Metrics.AppendFinished(took)
@@ -308,6 +310,7 @@
 	l.applyQueuedEvents()
 	now := time.Now()
 	l.extendLeases()
+	l.updateEvacuations()
 	l.cell.SetStartsEnabled(l.MayStart() && !l.mayBeReplaced())
 	if !l.Authorized() {
 		l.requestRenewal()
--- a/internal/entry/simnet_test.go
+++ b/internal/entry/simnet_test.go
@@ -21,6 +21,7 @@
 	"poplarvalve/internal/process/store"
 	"poplarvalve/internal/version/cell"
 	"poplarvalve/internal/version/election"
+	"poplarvalve/internal/version/evacuation"
 	"poplarvalve/internal/version/manifest"
 )
 
@@ -469,6 +470,8 @@
 
 var errNotSimulated = errors.New("the simulation has no workers")
 
+func (simDecoder) Evacuation(store.Record) (*evacuation.Request, error) { return nil, nil }
+
 func (simDecoder) Manifest(record store.Record) (*manifest.Manifest, error) {
 	var version int64
 	if _, err := fmt.Sscanf(string(record.Value[:20]), "%d", &version); err != nil {
--- a/internal/entry/supply.go
+++ b/internal/entry/supply.go
@@ -7,6 +7,7 @@
 
 	"poplarvalve/internal/connection/cellcodec"
 	"poplarvalve/internal/connection/celllink"
+	"poplarvalve/internal/process/boottime"
 	"poplarvalve/internal/process/metrics"
 	"poplarvalve/internal/version/manifest"
 )
@@ -46,7 +47,7 @@
 // instance from which it takes them, or "" if that isn't known.
 func (l *leaderDirectory) manifestRole() (role manifest.Role, upstream string) {
 	table := l.table.Load()
-	if table.ledHere[sourcesCell] != nil {
+	if table.ledHere[sourcesCell] != nil || len(table.ledHere) > 0 && l.entry.followsEvacuations() {
 		return manifest.Reader, ""
 	}
 	source := table.sources.ByZone[l.entry.options.Zone]
@@ -70,8 +71,11 @@
 // check is read first: a manifest that comes into force meanwhile is no older.
 func (l *leaderDirectory) addManifest(heartbeat *cellcodec.LinkHeartbeat, remote celllink.RemoteManifest) {
 	now := time.Now()
-	if check := l.entry.manifestCheck.Load(); check != nil && now.Sub(check.at) < maxReportedCheckAge {
-		heartbeat.ManifestCheck = &cellcodec.ManifestCheck{AgeMillis: max(0, now.Sub(check.at).Milliseconds()), EndOffset: check.endOffset}
+	if check := l.entry.manifestCheck.Load(); check != nil && check.at.Since() < maxReportedCheckAge {
+		heartbeat.ManifestCheck = &cellcodec.ManifestCheck{AgeMillis: max(0, check.at.Since().Milliseconds()), EndOffset: check.endOffset}
+		if check.evacuations != nil {
+			heartbeat.Evacuations = &cellcodec.Evacuations{Offset: check.evacuations.Offset(), Requests: check.evacuations.Requests()}
+		}
 	}
 	if encoded := l.entry.encodedManifests.Load(); encoded != nil {
 		heartbeat.ManifestVersion = (*encoded)[0].version
@@ -138,11 +142,11 @@
 		l.missing = missingManifest{heartbeat.ManifestVersion, check.EndOffset}
 	}
 	if check != nil {
-		l.manifestSupply.Prove(checkedAt(now, check), heartbeat.ManifestVersion, own)
+		l.manifestSupply.Prove(checkedAt(check).Time(), heartbeat.ManifestVersion, own)
 	}
 	l.mu.Unlock()
-	if check != nil && heartbeat.ManifestVersion <= own {
-		l.entry.recordManifestCheck(manifestCheck{checkedAt(now, check), check.EndOffset})
+	if view, usable := l.entry.reportedEvacuations(heartbeat); check != nil && usable && heartbeat.ManifestVersion <= own {
+		l.entry.recordManifestCheck(manifestCheck{checkedAt(check), check.EndOffset, view})
 	}
 	if begins {
 		l.manifestMissing.Publish(nil)
@@ -154,9 +158,9 @@
 
 // checkedAt returns the time of a check that was received now. Its age includes what the
 // heartbeat has taken longer than the fastest one on its link.
-func checkedAt(now time.Time, check *cellcodec.ManifestCheck) time.Time {
+func checkedAt(check *cellcodec.ManifestCheck) boottime.Moment {
 	age := min(max(0, check.AgeMillis), maxReportedCheckAge.Milliseconds())
-	return now.Add(-time.Duration(age)*time.Millisecond - maxLinkLatency)
+	return boottime.Now().Add(-time.Duration(age)*time.Millisecond - maxLinkLatency)
 }
 
 // missingManifest returns the newest manifest that this instance is known to lack.
--- a/internal/process/boottime/boottime.go
+++ b/internal/process/boottime/boottime.go
@@ -46,6 +46,14 @@
 	return now.at.Sub(m.at) + now.suspended - m.suspended
 }
 
+// Add returns the point in time after m by d, with no suspension between the two.
+func (m Moment) Add(d time.Duration) Moment { return Moment{m.at.Add(d), m.suspended} }
+
+// After reports whether m is after another point in time of the same machine.
+func (m Moment) After(other Moment) bool {
+	return m.at.Add(m.suspended).After(other.at.Add(other.suspended))
+}
+
 // Time returns the reading of the local clock at m.
 func (m Moment) Time() time.Time { return m.at }
 
--- a/internal/process/metrics/entry.go
+++ b/internal/process/metrics/entry.go
@@ -27,6 +27,7 @@
 	away          *prometheus.HistogramVec
 	leasesBound   prometheus.Counter
 	handOvers     [2]prometheus.Counter // unprepared, prepared
+	evacuated     prometheus.Gauge
 	// skippedRecords is indexed by RecordSource.
 	skippedRecords [sourceCount]prometheus.Counter
 }
@@ -73,14 +74,16 @@
 		registry: prometheus.NewRegistry(),
 		appendSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: "append_seconds",
 			Help: "Time to store one batch of records.", Buckets: latencyBuckets}),
-		starts:       newCounter("task_starts_total", "Start orders sent to backend servers."),
-		stops:        newCounter("task_stops_total", "Stop orders sent to backend servers."),
-		throttles:    newCounter("task_paces_total", "Pace orders sent to backend servers."),
-		crashes:      newCounter("worker_crashes_total", "Backend servers that crashed, as far as a later one at their address shows."),
-		jobsGivenUp:  newCounter("jobs_given_up_total", "Jobs that failed because a task crashed its backend servers."),
-		keptBack:     newCounter("records_kept_back_total", "Records that were not stored because the log does not take them."),
-		away:         newHistogramVec("task_away_seconds", "Time for which a long-running task had no run, until it was started again.", "cause"),
-		leasesBound:  newCounter("leases_bound_total", "Silent backend servers of which the remaining time of the leases was stored for the next leader."),
+		starts:      newCounter("task_starts_total", "Start orders sent to backend servers."),
+		stops:       newCounter("task_stops_total", "Stop orders sent to backend servers."),
+		throttles:   newCounter("task_paces_total", "Pace orders sent to backend servers."),
+		crashes:     newCounter("worker_crashes_total", "Backend servers that crashed, as far as a later one at their address shows."),
+		jobsGivenUp: newCounter("jobs_given_up_total", "Jobs that failed because a task crashed its backend servers."),
+		keptBack:    newCounter("records_kept_back_total", "Records that were not stored because the log does not take them."),
+		away:        newHistogramVec("task_away_seconds", "Time for which a long-running task had no run, until it was started again.", "cause"),
+		leasesBound: newCounter("leases_bound_total", "Silent backend servers of which the remaining time of the leases was stored for the next leader."),
+		evacuated: prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "evacuated_zones",
+			Help: "Availability zones in which nothing is started, as far as the instance knows."}),
 		droppedLines: newCounter("log_lines_dropped_total", "Log lines left out because there were too many."),
 	}
 	requests := newCounterVec("job_requests_total", "Requests about jobs, by how they were answered.", "operation", "verdict")
@@ -102,7 +105,7 @@
 		}
 	}
 	e.registry.MustRegister(requests, latency, e.appendSeconds, e.starts, e.stops, e.throttles, e.crashes, e.jobsGivenUp, e.droppedLines, e.keptBack, skipped,
-		departures, moves, e.away, e.leasesBound, handOvers,
+		departures, moves, e.evacuated, e.away, e.leasesBound, handOvers,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return e
 }
@@ -156,6 +159,9 @@
 	e.departures.missed.Add(float64(missed))
 }
 
+// EvacuatedZones records the number of availability zones that are evacuated.
+func (e *EntryMetrics) EvacuatedZones(zones int) { e.evacuated.Set(float64(zones)) }
+
 // LeasesBound adds the number of silent workers whose leases were bound.
 func (e *EntryMetrics) LeasesBound(workers int) { e.leasesBound.Add(float64(workers)) }
 
--- a/internal/process/settings/entry.go
+++ b/internal/process/settings/entry.go
@@ -46,6 +46,9 @@
 	// RemoteFactor is how many times longer a task takes outside its data rack
 	// than on it.
 	RemoteFactor float64
+	// EvacuationApply is the time within which a request to evacuate an availability zone
+	// must be in force, or 0 if operators evacuate none.
+	EvacuationApply time.Duration
 	// LogLevel is the lowest level of log lines that are written: debug, info,
 	// warn or error.
 	LogLevel string
@@ -92,6 +95,7 @@
 		MaxLease:          r.millis("workers", "max_lease_ms"),
 		EndedJobRetention: r.seconds("jobs", "keep_ended_s"),
 		RemoteFactor:      r.number("workers", "remote_factor", 1, 1000),
+		EvacuationApply:   r.evacuationApply(),
 		LogLevel:          parsed.Section("output").Key("level").MustString("info"),
 	}
 	return s, r.problems
@@ -162,6 +166,17 @@
 	return limits
 }
 
+// minEvacuationApplyMillis leaves time to read a request and for orders that are on their way.
+const minEvacuationApplyMillis = 2000
+
+// evacuationApply returns 0 if the value is missing or empty.
+func (r *entryReader) evacuationApply() time.Duration {
+	if r.parsed.Section("evacuation").Key("apply_ms").String() == "" {
+		return 0
+	}
+	return time.Duration(r.number("evacuation", "apply_ms", minEvacuationApplyMillis, maxSettingSeconds*1000) * float64(time.Millisecond))
+}
+
 // maxSettingSeconds is the upper limit of all durations, which is one day.
 const maxSettingSeconds = 24 * 3600
 
--- a/internal/version/cell/cell.go
+++ b/internal/version/cell/cell.go
@@ -10,6 +10,7 @@
 	iradix "github.com/hashicorp/go-immutable-radix/v2"
 
 	"poplarvalve/internal/process/jobspec"
+	"poplarvalve/internal/version/evacuation"
 )
 
 // Cell is the state of one cell in one term.
@@ -85,6 +86,8 @@
 	// bounds is what is stored about the leases on silent workers.
 	bounds   leaseBounds
 	handOver handOverPhase
+	// evacuations holds the evacuated availability zones; nil while they are not known.
+	evacuations *evacuation.View
 	// effectsTaken counts the calls of TakeEffects.
 	effectsTaken uint64
 	// confinements holds what is stored about tasks that run on one worker or nowhere, and
@@ -273,6 +276,7 @@
 	changed := !info.Equal(w.info)
 	w.registered = true
 	w.info = info
+	w.evacuated = c.evacuates(info.Zone)
 	if changed {
 		c.storeWorker(w)
 	}
--- a/internal/version/cell/place.go
+++ b/internal/version/cell/place.go
@@ -155,7 +155,7 @@
 	if reason != suitable {
 		return 0, reason
 	}
-	score += isolation + w.departureScore()
+	score += isolation + w.departureScore() + c.coldScore(now, w)
 	spec := t.spec()
 	if spec.DataRack != "" && w.info.Rack != spec.DataRack {
 		score -= offDataRackPenalty * (c.config.RemoteFactor - 1)
--- a/internal/version/cell/schedule.go
+++ b/internal/version/cell/schedule.go
@@ -91,7 +91,9 @@
 }
 
 // mayStart reports whether tasks may be started.
-func (c *Cell) mayStart() bool { return !c.startsPaused && !c.HandingOver() }
+func (c *Cell) mayStart() bool {
+	return !c.startsPaused && !c.HandingOver() && !c.awaitsEvacuations()
+}
 
 // startReadyTasks starts the ready tasks that can be placed.
 func (c *Cell) startReadyTasks(now time.Time) {
@@ -368,7 +370,7 @@
 		return
 	}
 	t, w := r.task, r.worker
-	if t.done || t.job().state.IsFinal() || !w.usable(now) || !w.info.Capacity.canHold(w.reserved) || c.HandingOver() {
+	if t.done || t.job().state.IsFinal() || !w.usable(now) || !w.info.Capacity.canHold(w.reserved) || c.HandingOver() || c.awaitsEvacuations() {
 		c.withdrawPlanned(now, r)
 		return
 	}
--- a/internal/version/cell/types.go
+++ b/internal/version/cell/types.go
@@ -112,6 +112,9 @@
 	// Notice says when the worker leaves. It is not stored, since the next leader reads the
 	// registry, and is ignored by Equal.
 	Notice DrainNotice `cbor:"-"`
+	// ColdUntil is until when the worker stays slower than usual after its start, or zero. It
+	// is not stored, and is ignored by Equal.
+	ColdUntil time.Time `cbor:"-"`
 }
 
 const (
@@ -569,6 +572,9 @@
 	// RemoteFactor is the factor by which a task takes longer when it runs
 	// outside its data rack.
 	RemoteFactor float64
+	// Evacuations is set if operators may evacuate availability zones. Nothing is started
+	// before SetEvacuations has told which.
+	Evacuations bool
 	// BlockTasks is the number of tasks in a part of a job's progress. 0 stands for the
 	// constant BlockTasks.
 	BlockTasks int
--- a/internal/version/cell/waiting.go
+++ b/internal/version/cell/waiting.go
@@ -25,6 +25,7 @@
 	obstacleNotStored
 	obstacleBound
 	obstacleDraining
+	obstacleEvacuated
 	obstacleUnknownRuns
 	obstacleRefused
 	obstaclePolicy
@@ -36,7 +37,7 @@
 	obstacleCount
 )
 
-var obstacleNames = [obstacleCount]string{"available", "unlisted", "not renewed", "unresponsive", "not stored as in use", "leases bound", "draining",
+var obstacleNames = [obstacleCount]string{"available", "unlisted", "not renewed", "unresponsive", "not stored as in use", "leases bound", "draining", "in an evacuated zone",
 	"unknown runs", "refused a start", "other pool or label", "full", "no ticket", "excluded", "unsuitable", "reserved"}
 
 func (o obstacle) String() string { return obstacleNames[o] }
@@ -57,6 +58,8 @@
 		return obstacleBound
 	case w.departure.closed:
 		return obstacleDraining
+	case w.evacuated:
+		return obstacleEvacuated
 	case w.hasUnknownRuns:
 		return obstacleUnknownRuns
 	case now.Before(w.startsBlockedUntil):
@@ -125,6 +128,9 @@
 
 // describeObstacles returns the number of workers for each obstacle to a task.
 func (c *Cell) describeObstacles(now time.Time, t *task) string {
+	if c.awaitsEvacuations() {
+		return "the evacuated zones are not known"
+	}
 	if !c.mayStart() {
 		return "starts are paused"
 	}
--- a/internal/version/cell/worker.go
+++ b/internal/version/cell/worker.go
@@ -57,6 +57,8 @@
 	// moved is set while the worker's address has changed since the worker last answered.
 	// Its runs may still be at the earlier address.
 	moved bool
+	// evacuated is set while the availability zone of the worker is evacuated.
+	evacuated bool
 	// departure says whether and when the worker is going to leave.
 	departure departure
 	// lastStartAt is when the last start on the worker was ordered.
@@ -89,7 +91,7 @@
 
 // usable reports whether new runs may be started on the worker.
 func (w *worker) usable(now time.Time) bool {
-	return w.registered && w.renewed && !w.unresponsive && w.storedInUse() && w.binding == unbound && !w.departure.closed && !w.hasUnknownRuns && !now.Before(w.startsBlockedUntil)
+	return w.registered && w.renewed && !w.unresponsive && w.storedInUse() && w.binding == unbound && !w.departure.closed && !w.evacuated && !w.hasUnknownRuns && !now.Before(w.startsBlockedUntil)
 }
 
 // extendLease records until when the leases on the worker may last.
