--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -78,6 +78,10 @@
 	// RemoteFactor is the factor by which a task takes longer if it does not run
 	// in the rack that holds its data.
 	RemoteFactor float64
+	// NearWait, LearnSpeed and RefuseHopeless have the same meaning as in cell.Config.
+	NearWait       time.Duration
+	LearnSpeed     bool
+	RefuseHopeless bool
 	// EvacuationApply is the time from the acknowledgement of a request to evacuate an
 	// availability zone within which it must be in force, or 0 if operators evacuate none.
 	EvacuationApply time.Duration
--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -209,6 +209,9 @@
 	config.Epoch = l.term.Epoch
 	config.EndedJobRetention = options.Limits.EndedJobRetention
 	config.RemoteFactor = options.Limits.RemoteFactor
+	config.NearWait = options.Limits.NearWait
+	config.LearnSpeed = options.Limits.LearnSpeed
+	config.RefuseHopeless = options.Limits.RefuseHopeless
 	config.Evacuations = l.entry.followsEvacuations()
 	l.cell = cell.New(config)
 	now := time.Now()
--- a/internal/process/settings/entry.go
+++ b/internal/process/settings/entry.go
@@ -46,6 +46,13 @@
 	// RemoteFactor is how many times longer a task takes outside its data rack
 	// than on it.
 	RemoteFactor float64
+	// NearWait is the longest time for which a task waits for a place near its data or its
+	// group, or 0 if none waits.
+	NearWait time.Duration
+	// LearnSpeed is set if the speeds of workers are learned and placement weighs them.
+	LearnSpeed bool
+	// RefuseHopeless is set if submissions are refused that can't be of any worth.
+	RefuseHopeless bool
 	// EvacuationApply is the time within which a request to evacuate an availability zone
 	// must be in force, or 0 if operators evacuate none.
 	EvacuationApply time.Duration
@@ -95,7 +102,10 @@
 		MaxLease:          r.millis("workers", "max_lease_ms"),
 		EndedJobRetention: r.seconds("jobs", "keep_ended_s"),
 		RemoteFactor:      r.number("workers", "remote_factor", 1, 1000),
-		EvacuationApply:   r.evacuationApply(),
+		NearWait:          r.optionalMillis("placement", "near_wait_ms", 0),
+		LearnSpeed:        r.isOn("placement", "learn_worker_speed"),
+		RefuseHopeless:    r.isOn("admission", "refuse_hopeless"),
+		EvacuationApply:   r.optionalMillis("evacuation", "apply_ms", minEvacuationApplyMillis),
 		LogLevel:          parsed.Section("output").Key("level").MustString("info"),
 	}
 	return s, r.problems
@@ -169,12 +179,21 @@
 // minEvacuationApplyMillis leaves time to read a request and for orders that are on their way.
 const minEvacuationApplyMillis = 2000
 
-// evacuationApply returns 0 if the value is missing or empty.
-func (r *entryReader) evacuationApply() time.Duration {
-	if r.parsed.Section("evacuation").Key("apply_ms").String() == "" {
+// optionalMillis returns 0 if the value is missing or empty.
+func (r *entryReader) optionalMillis(section, key string, minimum float64) time.Duration {
+	if r.parsed.Section(section).Key(key).String() == "" {
 		return 0
 	}
-	return time.Duration(r.number("evacuation", "apply_ms", minEvacuationApplyMillis, maxSettingSeconds*1000) * float64(time.Millisecond))
+	return time.Duration(r.number(section, key, minimum, maxSettingSeconds*1000) * float64(time.Millisecond))
+}
+
+// isOn returns false if the value is missing or empty.
+func (r *entryReader) isOn(section, key string) bool {
+	value := r.parsed.Section(section).Key(key).String()
+	if value != "" && value != "on" && value != "off" {
+		r.report(section, key, "the value is not on or off")
+	}
+	return value == "on"
 }
 
 // maxSettingSeconds is the upper limit of all durations, which is one day.
--- a/internal/version/cell/types.go
+++ b/internal/version/cell/types.go
@@ -572,6 +572,13 @@
 	// RemoteFactor is the factor by which a task takes longer when it runs
 	// outside its data rack.
 	RemoteFactor float64
+	// NearWait is the longest time for which a task waits for a place near its data or its
+	// group, or 0 if none waits.
+	NearWait time.Duration
+	// LearnSpeed is set if the speeds of workers are learned and placement weighs them.
+	LearnSpeed bool
+	// RefuseHopeless is set if submissions are refused that can't be of any worth.
+	RefuseHopeless bool
 	// Evacuations is set if operators may evacuate availability zones. Nothing is started
 	// before SetEvacuations has told which.
 	Evacuations bool
