--- a/internal/process/settings/entry_test.go
+++ b/internal/process/settings/entry_test.go
@@ -21,6 +21,8 @@
 	text := strings.ReplaceAll(string(content), "{{ip}}:{{internal_ports.0}}", "10.0.0.1:7700")
 	text = strings.ReplaceAll(text, "{{ip}}:{{internal_ports.1}}", "10.0.0.1:7701")
 	text = regexp.MustCompile(`(address = ?)\{\{[^}]*\}\}`).ReplaceAllString(text, "${1}10.0.0.1:8000")
+	text = regexp.MustCompile(`\{\{#[^}]*\}\}([^{]*)\{\{/[^}]*\}\}`).ReplaceAllString(text, "$1")
+	text = regexp.MustCompile(`(apply_ms) = \{\{[^}]*\}\}`).ReplaceAllString(text, "$1 = 5000")
 	text = regexp.MustCompile(`(name) = \{\{[^}]*\}\}`).ReplaceAllString(text, "$1 = x")
 	text = regexp.MustCompile(`(record_bytes|call_bytes) = \{\{[^}]*\}\}`).ReplaceAllString(text, "$1 = 3000")
 	text = strings.Replace(text, "call_bytes = 3000", "call_bytes = 30000", 1)
@@ -36,6 +38,27 @@
 	assert.Equal(t, s.Grace, 20*time.Second)
 	assert.Equal(t, s.LogLimits, store.Limits{RecordBytes: 3000, CallBytes: 30000})
 	assert.Equal(t, s.LinkAddress.String(), "10.0.0.1:7700")
+	assert.Equal(t, s.EvacuationApply, 5*time.Second)
+	assert.Assert(t, s.LearnSpeed && !s.RefuseHopeless && s.NearWait == 0)
+}
+
+// The platform leaves a value empty that a deployment has not. What is new must then be off, so
+// that such a deployment is served as before.
+func TestEmptyValuesTurnPartsOff(t *testing.T) {
+	text := strings.Replace(filledTemplate(t), "apply_ms = 5000", "apply_ms = ", 1)
+	text = strings.Replace(text, "learn_worker_speed = on", "learn_worker_speed = ", 1)
+	s, problems := ParseEntrySettings("file", []byte(text))
+	assert.Equal(t, len(problems), 0, "%v", problems)
+	assert.Assert(t, s.EvacuationApply == 0 && !s.LearnSpeed && !s.RefuseHopeless && s.NearWait == 0)
+}
+
+// A value that is out of range or no choice must stop the start, and not turn a part off.
+func TestWrongValuesOfPartsAreReported(t *testing.T) {
+	for from, to := range map[string]string{"apply_ms = 5000": "apply_ms = 1999", "learn_worker_speed = on": "learn_worker_speed = yes",
+		"[evacuation]": "near_wait_ms = -1\n[evacuation]", "[placement]": "[admission]\nrefuse_hopeless = 1\n[placement]"} {
+		_, problems := ParseEntrySettings("file", []byte(strings.Replace(filledTemplate(t), from, to, 1)))
+		assert.Equal(t, len(problems), 1, "%s: %v", to, problems)
+	}
 }
 
 // Values that are not numbers or addresses must be rejected, and every problem
