--- a/test/fleet/worker.go
+++ b/test/fleet/worker.go
@@ -22,6 +22,8 @@
 	ID string
 	// Pool is the name of the service that the worker registers for.
 	Pool string
+	// Zone is the availability zone that the worker registers, z1 if it is empty.
+	Zone string
 	// RunDuration is the time that each run takes.
 	RunDuration time.Duration
 	// DurationOf returns the time that the runs of a task take, or 0 for runs that don't
@@ -340,7 +342,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	entry := map[string]any{
-		"service": w.Pool, "address": cmp.Or(w.RegisteredAddress, w.Address()), "zone": "z1", "state": "ready",
+		"service": w.Pool, "address": cmp.Or(w.RegisteredAddress, w.Address()), "zone": cmp.Or(w.Zone, "z1"), "state": "ready",
 		"capacity": map[string]int{"cpu": w.cpuMillis, "mem_mb": 64000}, "labels": []string{"a", "r1-1"},
 		"born": w.startedAt.Load().UnixMilli(), "sequence": 1,
 	}
--- a/test/soak/history_test.go
+++ b/test/soak/history_test.go
@@ -33,7 +33,10 @@
 	unacknowledged map[string][]*doneRun
 	// drainShownAt holds, by worker, when it announced its drain.
 	drainShownAt map[string]time.Time
-	lasting      *lastingRuns
+	// zones holds the zone of each worker, and evacuatedAt when each evacuated zone was.
+	zones       map[string]string
+	evacuatedAt map[string]time.Time
+	lasting     *lastingRuns
 }
 
 // shownSlots is the room that a worker shows from a time on, in tasks.
@@ -69,7 +72,7 @@
 func newHistory(d *disruptions, report, journal func(format string, args ...any)) *history {
 	return &history{disruptions: d, report: report, journal: journal, running: map[string]int{}, starts: map[string]int{},
 		slots: map[string][]shownSlots{}, tasks: map[string]*taskHistory{}, unacknowledged: map[string][]*doneRun{},
-		drainShownAt: map[string]time.Time{}, lasting: newLastingRuns()}
+		drainShownAt: map[string]time.Time{}, zones: map[string]string{}, evacuatedAt: map[string]time.Time{}, lasting: newLastingRuns()}
 }
 
 // showSlots records that a worker has shown room for a number of tasks.
@@ -88,7 +91,7 @@
 }
 
 // RunStarted implements fleet.Observer. It checks the worker's capacity, and that the worker
-// has not announced its drain long before.
+// has not announced its drain, nor its zone been evacuated, long before.
 func (h *history) RunStarted(worker, task string, run int64) {
 	now := time.Now()
 	h.mu.Lock()
@@ -104,6 +107,9 @@
 	if shownAt, drains := h.drainShownAt[worker]; drains && now.Sub(shownAt) > drainTime && h.disruptions.none(everything, now.Add(-calmBefore), now) {
 		h.report("%s run %d started on %s, which had announced its drain %v before", task, run, worker, now.Sub(shownAt))
 	}
+	if at, evacuated := h.evacuatedAt[h.zones[worker]]; evacuated && at.Before(h.disruptions.beforeCalm(now, evacuationApply)) {
+		h.report("%s run %d started on %s, whose zone has been evacuated for %v", task, run, worker, now.Sub(at))
+	}
 	bound := h.disruptions.beforeCalm(now, capacityBound)
 	allowed := 0
 	for i, shown := range h.slots[worker] {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -50,6 +50,8 @@
 	maxSlots int
 	// maxStopping is the number of instances that planned work stops at once.
 	maxStopping int
+	// evacuations is set if zones are evacuated.
+	evacuations bool
 	// submissionPause is the pause between two submissions.
 	submissionPause time.Duration
 	// longJobPause is the pause between two long jobs, and mediumJobPause the one between
@@ -58,8 +60,8 @@
 }
 
 var (
-	usualSize = size{instances: 4, workers: 5, maxSlots: 8, maxStopping: 2, submissionPause: 75 * time.Millisecond}
-	largeSize = size{instances: 8, workers: 24, maxSlots: 5, maxStopping: 4, submissionPause: 10 * time.Millisecond}
+	usualSize = size{evacuations: true, instances: 4, workers: 5, maxSlots: 8, maxStopping: 2, submissionPause: 75 * time.Millisecond}
+	largeSize = size{evacuations: true, instances: 8, workers: 24, maxSlots: 5, maxStopping: 4, submissionPause: 10 * time.Millisecond}
 )
 
 // callerPauses holds, for each caller with an open connection to an instance, its
@@ -74,13 +76,14 @@
 
 // At first there is planned work only: instances are shut down, restarted and told
 // to reload, one after the other and several at once, routes are added and dropped,
-// and workers change their capacity. No request on an open connection may remain
+// zones are evacuated, and workers change their capacity. No request on an open connection may remain
 // without an answer that a process has read. Then, beside the planned work, instances
 // are killed and paused at random, their connections to the log are reset, blocked or
 // delayed, the log is down, the log and a worker lose responses, workers crash, come
 // back and leave the registry, and another writer adds an odd entry to it. Despite
 // that, no accepted job may be lost or forgotten, none of its tasks may be done twice
-// or run twice at the same time, no worker may be filled beyond its capacity, and no
+// or run twice at the same time, no worker may be filled beyond its capacity, none may get
+// a task while its zone is evacuated, and no
 // instance that reaches the log may act on an old configuration. In the end, workers are
 // cut off or crash while nothing else happens, and must be used again when they are back.
 //
@@ -236,6 +239,7 @@
 	var callers, work sync.WaitGroup
 	work.Go(func() { d.doPlannedWork(ctx.Done()) })
 	work.Go(func() { d.changeWorkerRooms(d.newRandom("rooms"), ctx.Done()) })
+	work.Go(func() { d.evacuateZones(d.newRandom("evacuations"), ctx.Done()) })
 	work.Go(func() {
 		random := d.newRandom("configuration")
 		for pause(random, ctx.Done(), 200*time.Millisecond, 1800*time.Millisecond) {
