--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -300,7 +300,7 @@
 	})
 	applied := false
 	e.manifest.Update(func(current *manifest.Manifest) *manifest.Manifest {
-		if current != nil && current.Version >= received.Version {
+		if !received.Supersedes(current) {
 			return current
 		}
 		applied = true
--- a/internal/version/cell/progress.go
+++ b/internal/version/cell/progress.go
@@ -19,9 +19,9 @@
 	BlockTasks = 64
 	// MaxCheckpointBytes is the length of the longest checkpoint that is kept.
 	MaxCheckpointBytes = 512
-	// maxAttempts is the number of failed runs of a task after which its job fails,
+	// MaxAttempts is the number of failed runs of a task after which its job fails,
 	// whatever its queue allows.
-	maxAttempts = 128
+	MaxAttempts = 128
 	// maxStoredSuspects is the number of suspect runs that are stored of a task. An
 	// implicated task is given up after fewer crashes.
 	maxStoredSuspects = 6
--- a/internal/version/cell/progress_test.go
+++ b/internal/version/cell/progress_test.go
@@ -28,7 +28,7 @@
 		for _, task := range s.tasks {
 			c.keepCheckpoint(task, strings.Repeat("c", MaxCheckpointBytes))
 			c.keepCheckpoint(task, strings.Repeat("d", MaxCheckpointBytes+beyond))
-			for n := range maxAttempts - 1 {
+			for n := range MaxAttempts - 1 {
 				task.countFailure(math.MaxInt64 - int64(n))
 			}
 			task.index += jobspec.MaxTasks - BlockTasks
@@ -52,7 +52,7 @@
 // A queue may allow any number of attempts, and each failed run is stored.
 func TestAttemptsHaveALimit(t *testing.T) {
 	c := newRestoredCell(testRecord(1 << 30))
-	for n := range maxAttempts {
+	for n := range MaxAttempts {
 		assert.Assert(t, !c.jobs[jobA].state.IsFinal(), "%d failures", n)
 		report := newReport(testWorker, testStart)
 		report.Ended = []RunEnd{{Number: int64(n + 1), Task: firstTaskID(), Run: int64(n + 1), Reason: EndFailed}}
--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -301,7 +301,7 @@
 	case EndFailed:
 		t.countFailure(end.Run)
 		t.recordFailedWorker(w)
-		if !t.spec().LongRunning && len(t.failedRuns) >= min(max(1, t.job().terms.Attempts), maxAttempts) {
+		if !t.spec().LongRunning && len(t.failedRuns) >= min(max(1, t.job().terms.Attempts), MaxAttempts) {
 			c.addEvent(DecisionEvent{Event: "job failed", Task: t.id(), Run: end.Run, Worker: w.info.ID})
 			c.endJob(now, t.job(), Failed)
 			return
--- a/internal/version/manifest/manifest.go
+++ b/internal/version/manifest/manifest.go
@@ -84,3 +84,9 @@
 
 // Queue returns the queue with the given name, or nil if there is none.
 func (m *Manifest) Queue(name string) *Queue { return m.byName[name] }
+
+// Supersedes reports whether m takes the place of the manifest in force, which is nil if
+// there is none. The version in force never goes back.
+func (m *Manifest) Supersedes(inForce *Manifest) bool {
+	return inForce == nil || m.Version > inForce.Version
+}
