entry: serve the manifest in force and the pools to operators

A check of a manifest needs to know what is in force and which services have backend servers. The pools are complete only at an instance that leads all cells.

--- a/cmd/poplarvalved/entry.go
+++ b/cmd/poplarvalved/entry.go
@@ -194,6 +194,7 @@
 	operatorServer := newServer(s.OperatorAddress)
 	operatorServer.Handle("/metrics", counters.Handler())
 	operatorServer.HandleFunc(operator.PathDump, d.handleDump)
+	operatorServer.Handle(operator.PathConfiguration, operator.NewConfigurationHandler(d.entry))
 	operatorServer.HandlePrefix(jobapi.PathQueues, jobapi.NewHandler(d.entry))
 	return []transport.Server{callerServer, readinessServer, linkServer, operatorServer}
 }
--- a/cmd/poplarvalved/entry_test.go
+++ b/cmd/poplarvalved/entry_test.go
@@ -1,6 +1,9 @@
 package main
 
 import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -9,6 +12,11 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"poplarvalve/internal/connection/operator"
+	"poplarvalve/internal/connection/orderly"
+	"poplarvalve/internal/process/metrics"
+	"poplarvalve/internal/process/settings"
 )
 
 // With a grace period of 3.5 s or less, nothing was left for the hand-over: the instance
@@ -50,3 +58,19 @@
 	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
 	assert.Equal(t, <-hangups, syscall.SIGHUP)
 }
+
+// Guards against a handler that the daemon doesn't register at its operator address.
+func TestOperatorAddressServesConfiguration(t *testing.T) {
+	callers, err := orderly.Listen("127.0.0.1:0")
+	assert.NilError(t, err)
+	defer callers.Close()
+	d := newEntryDaemon("", &settings.EntrySettings{Name: "e", LogLevel: "info"}, callers)
+	defer d.journal.Close()
+	servers := d.servers(metrics.NewEntryMetrics())
+	recorder := httptest.NewRecorder()
+	servers[len(servers)-1].(http.Handler).ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, operator.PathConfiguration, nil))
+	assert.Equal(t, recorder.Code, http.StatusOK)
+	var received operator.Configuration
+	assert.NilError(t, json.Unmarshal(recorder.Body.Bytes(), &received))
+	assert.Assert(t, !received.InForce, "no manifest has been read yet")
+}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -22,6 +22,7 @@
 	"poplarvalve/internal/entry"
 	"poplarvalve/internal/process/logging"
 	"poplarvalve/internal/process/metrics"
+	"poplarvalve/internal/process/store"
 	"poplarvalve/internal/version/cell"
 	"poplarvalve/internal/version/election"
 	"poplarvalve/platform"
@@ -628,3 +629,30 @@
 	d.log.SetRecordLimit(262144)
 	d.awaitState(jobID(2), "completed")
 }
+
+// Operators check a manifest against what an instance returns. Workers that it misses make it
+// report a service as unused, and another version a change that nobody made.
+func TestLeaderKnowsManifestAndPools(t *testing.T) {
+	d := deploy(t, 1, time.Millisecond)
+	d.awaitWorkers(func(workers []dumpedWorker) bool {
+		return len(slices.DeleteFunc(workers, func(w dumpedWorker) bool { return !w.Listed })) == 3
+	})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if d.entries[0].entry.Ready() {
+			return poll.Success()
+		}
+		return poll.Continue("not ready")
+	}, poll.WithTimeout(waitTimeout))
+	known, err := d.entries[0].entry.Deployment(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, known.InForce.Version, int64(3))
+	assert.Assert(t, known.PoolsComplete && known.LacksAdviceService)
+	assert.Equal(t, known.RecordBytes, store.DefaultLimits.RecordBytes)
+	assert.Equal(t, len(known.Pools), 1)
+	assert.Equal(t, known.Pools[0].Pool, "pool")
+	assert.Equal(t, known.Pools[0].Workers, 3)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = d.entries[0].entry.Deployment(ctx)
+	assert.Assert(t, err != nil, "an answer with a part of the pools after the request has ended")
+}
