poplarvalve: config check

Errors lead to exit code 3, whose meaning is that the file must be corrected before it is sent; warnings alone do not.

--- a/cmd/poplarvalve/commands.go
+++ b/cmd/poplarvalve/commands.go
@@ -92,7 +92,7 @@
 		Flags: flags,
 		Subcommands: []*ff.Command{
 			t.rulesCommand(flags), t.submitCommand(flags), t.callCommand(flags),
-			t.jobCommand(flags), t.cancelCommand(flags), t.queueCommand(flags),
+			t.jobCommand(flags), t.cancelCommand(flags), t.queueCommand(flags), t.configCommand(flags),
 			t.getCommand(flags, "status", "", "show the state of an instance", statusPath),
 			t.getCommand(flags, "explain", "JOB", "say where a job stands and why", explainPath),
 			t.getCommand(flags, "dump", "", "print the state dump of an instance", dumpPath),
--- a/cmd/poplarvalve/exit.go
+++ b/cmd/poplarvalve/exit.go
@@ -16,7 +16,7 @@
 	// that no request was sent.
 	exitUsage = 2
 	// exitNotRun means that the request was refused and did not take effect, or
-	// that a rules file has problems.
+	// that a rules file has problems or a manifest file has errors.
 	exitNotRun = 3
 	// exitConflict means that the rules were not changed, because another change came
 	// into force first.
