--- a/cmd/poplarvalve/docs_test.go
+++ b/cmd/poplarvalve/docs_test.go
@@ -97,3 +97,15 @@
 	slices.Sort(found)
 	return found
 }
+
+// A finding that is added or renamed must be changed on the page too, since scripts rely on the
+// codes that it lists.
+func TestOperatorsPageListsExactlyTheFindings(t *testing.T) {
+	source, err := os.ReadFile("../../internal/version/manifestcheck/manifestcheck.go")
+	assert.NilError(t, err)
+	_, section, found := strings.Cut(readOperatorsPage(t), "\n## Check a manifest\n")
+	assert.Assert(t, found)
+	section, _, _ = strings.Cut(section, "\n## ")
+	rows := strings.Join(sortedMatches("(?m)^\\| (`[^|]*) \\| (?:error|warning)", section), "\n")
+	assert.DeepEqual(t, sortedMatches("`(\\w+)`", rows), sortedMatches(`Code = "(\w+)"`, string(source)))
+}
