cell: let tasks wait for room near their data

A rack that holds much data is full for some hundred milliseconds at a time from moderate load on. Tasks that start elsewhere at once take longer and keep capacity from others: with a factor of 2 and a load of 0.7 the queue grew without bound.

With NearWait set, a task that could start only away from its data, or a gang of a SameRack step only spread over racks, waits while nearplace expects that to pay off: at most min(NearWait, 1500 ms) from when it became ready, without a reservation, and not after a leader change. Long-running tasks don't wait. Durations are then learned as those near the data. Waits are logged as "near wait" and counted in near_wait_seconds by outcome.

--- a/internal/process/metrics/entry.go
+++ b/internal/process/metrics/entry.go
@@ -25,6 +25,7 @@
 	keptBack      prometheus.Counter
 	departures    departureCounters
 	away          *prometheus.HistogramVec
+	nearWaits     *prometheus.HistogramVec
 	leasesBound   prometheus.Counter
 	handOvers     [2]prometheus.Counter // unprepared, prepared
 	evacuated     prometheus.Gauge
@@ -81,6 +82,7 @@
 		jobsGivenUp: newCounter("jobs_given_up_total", "Jobs that failed because a task crashed its backend servers."),
 		keptBack:    newCounter("records_kept_back_total", "Records that were not stored because the log does not take them."),
 		away:        newHistogramVec("task_away_seconds", "Time for which a long-running task had no run, until it was started again.", "cause"),
+		nearWaits:   newHistogramVec("near_wait_seconds", "Time for which a task or a group waited for room in one rack, by how the wait ended.", "outcome"),
 		leasesBound: newCounter("leases_bound_total", "Silent backend servers of which the remaining time of the leases was stored for the next leader."),
 		evacuated: prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "evacuated_zones",
 			Help: "Availability zones in which nothing is started, as far as the instance knows."}),
@@ -105,7 +107,7 @@
 		}
 	}
 	e.registry.MustRegister(requests, latency, e.appendSeconds, e.starts, e.stops, e.throttles, e.crashes, e.jobsGivenUp, e.droppedLines, e.keptBack, skipped,
-		departures, moves, e.evacuated, e.away, e.leasesBound, handOvers,
+		departures, moves, e.evacuated, e.away, e.nearWaits, e.leasesBound, handOvers,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return e
 }
@@ -187,6 +189,11 @@
 	e.away.WithLabelValues(cause).Observe(took.Seconds())
 }
 
+// NearWaitEnded records how long a task or a group waited for room in one rack, by the outcome.
+func (e *EntryMetrics) NearWaitEnded(outcome string, took time.Duration) {
+	e.nearWaits.WithLabelValues(outcome).Observe(took.Seconds())
+}
+
 // LineDropped counts one log line that was dropped.
 func (e *EntryMetrics) LineDropped() { e.droppedLines.Inc() }
 
--- a/internal/process/metrics/metrics_test.go
+++ b/internal/process/metrics/metrics_test.go
@@ -21,6 +21,7 @@
 	e.LeasesBound(2)
 	e.HandedOver(true)
 	e.TaskAway("departure", 300*time.Millisecond)
+	e.NearWaitEnded("gave_up", 300*time.Millisecond)
 	recorder := httptest.NewRecorder()
 	e.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
 	for _, want := range []string{
@@ -32,6 +33,7 @@
 		`poplarvalve_hand_overs_total{record="missing"} 0`,
 		`poplarvalve_task_moves_total{cause="interference"} 0`,
 		`poplarvalve_task_away_seconds_bucket{cause="departure",le="0.5"} 1`,
+		`poplarvalve_near_wait_seconds_bucket{outcome="gave_up",le="0.5"} 1`,
 	} {
 		assert.Assert(t, strings.Contains(recorder.Body.String(), want+"\n"), want)
 	}
--- a/internal/version/cell/gang.go
+++ b/internal/version/cell/gang.go
@@ -22,6 +22,9 @@
 		checkpoint = max(checkpoint, t.checkpoint)
 	}
 	placed := c.placeGang(now, s)
+	if c.gangWaitsNear(now, s, placed) {
+		return false
+	}
 	if placed == nil {
 		c.requestAdvice(now, s.tasks[0])
 		return false
--- a/internal/version/cell/job.go
+++ b/internal/version/cell/job.go
@@ -133,6 +133,13 @@
 	// displaced is set while the task has no run because its last one was stopped.
 	displaced bool
 	absence   absence
+	// near is the last wait for a place near the data or the group, or nil. percentDone is the
+	// highest progress that an ended run has reported.
+	near        *nearWait
+	percentDone int
+	// nearPass is the number of the last pass that has counted the task among those that ask
+	// for a rack.
+	nearPass uint64
 	// suspects are the runs that are stored, so that a crash under them counts at the next
 	// leader as well: runs on probation whose worker is silent or whose task is not
 	// proven harmless, and runs given up whose worker has not answered since.
--- a/internal/version/cell/liveness_test.go
+++ b/internal/version/cell/liveness_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"poplarvalve/internal/process/jobspec"
+	"poplarvalve/internal/version/nearplace"
 )
 
 const (
@@ -472,6 +473,9 @@
 // besideEarlierLeader is a kind of fault that a seed does not choose.
 const besideEarlierLeader = "beside"
 
+// nearWaits is a kind that a seed does not choose: tasks wait for racks.
+const nearWaits = "nearwaits"
+
 // Guards against an earlier leader that cannot reach the log any more and, beside the next
 // one, starts a task that runs or is done.
 func TestNothingRunsTwiceBesideEarlierLeader(t *testing.T) {
@@ -615,6 +619,10 @@
 			s.every(day, 5000, 16000, s.startTermBesideEarlier)
 			continue
 		}
+		if kind == nearWaits {
+			s.nearWait, s.cell.config.NearWait = nearplace.MaxWait, nearplace.MaxWait
+			continue
+		}
 		if departs := departureKinds[kind]; departs != nil {
 			departs(s, day)
 			continue
--- a/internal/version/cell/move.go
+++ b/internal/version/cell/move.go
@@ -391,7 +391,7 @@
 
 // remainingTime returns how long a run is expected to go on.
 func (c *Cell) remainingTime(r *run) time.Duration {
-	remaining := float64(c.durations.expectedDuration(r.task)) * float64(100-min(r.percent, 100)) / 100
+	remaining := float64(c.expectedRunTime(r)) * float64(100-min(r.percent, 100)) / 100
 	if r.throttle > 0 {
 		remaining *= 100 / float64(r.throttle)
 	}
--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -205,6 +205,7 @@
 
 // removeRun removes a run. It remains a suspect only if its worker may have crashed.
 func (c *Cell) removeRun(r *run) {
+	r.task.percentDone = max(r.task.percentDone, r.percent)
 	if r.worker.removeRun(r) {
 		r.task.step.occurrence.countRemovedRun()
 	}
@@ -276,7 +277,7 @@
 		duration = now.Sub(r.runningSince)
 		r.recordRunEnd(end.Reason, now)
 		if r.phase != over { // Otherwise it ended some time ago.
-			c.durations.recordEnd(now, r, end.Reason, duration)
+			c.durations.recordEnd(now, r, end.Reason, c.nearDuration(r, duration))
 		}
 		c.removeRun(r)
 	}
--- a/internal/version/cell/schedule.go
+++ b/internal/version/cell/schedule.go
@@ -97,7 +97,7 @@
 
 // startReadyTasks starts the ready tasks that can be placed.
 func (c *Cell) startReadyTasks(now time.Time) {
-	defer func() { c.freedWorkers = nil }()
+	defer func() { c.freedWorkers, c.near.pass = nil, nil }()
 	if len(c.readyTasks) == 0 || !c.mayStart() {
 		return
 	}
@@ -114,14 +114,16 @@
 		}
 		if c.mayRunElsewhere(now, t) {
 			c.held.add(t, c.totals)
-		} else if now.Before(t.step.retryAt) {
+		} else if !t.waitsNear() && now.Before(t.step.retryAt) {
 			if c.startOnFreedWorker(now, t) {
 				continue
 			}
-		} else if c.startTask(now, t) {
+		} else if !c.pausesNear(now, t) && c.startTask(now, t) {
 			continue
 		}
-		t.step.postpone(now)
+		if !t.waitsNear() {
+			t.step.postpone(now)
+		}
 		stillWaiting = append(stillWaiting, t)
 	}
 	clear(c.readyTasks[len(stillWaiting):])
@@ -272,7 +274,13 @@
 	if t.spec().Gang {
 		return c.startGang(now, t.step)
 	}
-	w := c.findWorker(now, t)
+	w := c.continueNearWait(now, t)
+	if w == nil && !t.waitsNear() {
+		w = c.chooseNear(now, t, c.findFarWorker(now, t))
+	}
+	if w == nil && t.waitsNear() {
+		return false
+	}
 	if w == nil {
 		c.requestAdvice(now, t)
 		c.markHeldOff(now, t)
@@ -311,6 +319,7 @@
 		r.readySince = t.readySince
 	}
 	c.recordTrial(now, t, w)
+	c.endNearWaitAt(now, t, w)
 	t.queued = false
 	t.lastRun = number
 	t.runs = append(t.runs, r)
@@ -412,7 +421,7 @@
 	if t.spec().LongRunning || t.done || len(t.runs) > 1 || t.job().state.IsFinal() {
 		return false
 	}
-	expected := c.durations.expectedDuration(t)
+	expected := c.expectedRunTime(r)
 	return now.Sub(r.runningSince) > time.Duration(speculativeFactor*float64(expected))+endReportMargin
 }
 
--- a/internal/version/cell/simulation_test.go
+++ b/internal/version/cell/simulation_test.go
@@ -43,6 +43,8 @@
 	openJobs map[jobspec.ID]*jobspec.Job
 	// blockTasks is the number of tasks in a part of the stored progress.
 	blockTasks int
+	// nearWait is Config.NearWait.
+	nearWait time.Duration
 	// writeDelay is the time that a write takes to be stored.
 	writeDelay time.Duration
 	// distance is added to the delay of each message.
@@ -559,7 +561,7 @@
 	previous := s.epoch
 	s.epoch += 3
 	c := New(Config{Epoch: s.epoch, RecoveryWait: testRecoveryWait, EarlierAuthority: testRecoveryWait - testLease - testLeaseMargin, EndedJobRetention: time.Minute,
-		UnconfirmedRecoveryWait: s.network.recoveryWait(), MaxEarlierLease: testLease + testLeaseMargin, LeaseExcess: s.leaseExcess(), RemoteFactor: 2, BlockTasks: s.blockTasks})
+		UnconfirmedRecoveryWait: s.network.recoveryWait(), MaxEarlierLease: testLease + testLeaseMargin, LeaseExcess: s.leaseExcess(), RemoteFactor: 2, NearWait: s.nearWait, BlockTasks: s.blockTasks})
 	var jobs []JobRecord
 	for _, id := range slices.Sorted(maps.Keys(s.stored.jobs)) {
 		jobs = append(jobs, s.stored.jobs[id])
--- a/internal/version/cell/types.go
+++ b/internal/version/cell/types.go
@@ -414,6 +414,8 @@
 	MovedForDeparture, MovedForInterference int
 	// Away lists how long long-running tasks were away that have been started again.
 	Away []AwayTime
+	// NearWaits lists the waits for places near data or groups that have ended.
+	NearWaits []NearWait
 }
 
 // DecisionEvent is a log entry about one decision.
