cell: fewer steps per ready task for waits near data

Each pass asked every ready task whether it waits, also without the setting, and hashed the rack of each task that asks for one.

--- a/internal/version/cell/nearplace.go
+++ b/internal/version/cell/nearplace.go
@@ -46,19 +46,24 @@
 // nearPass caches the inputs of one pass, so that they are computed once at most for each rack
 // that a ready task asks for.
 type nearPass struct {
-	racks map[string][]*worker
-	// asking holds the ready tasks that ask for a rack, in their ranking.
-	asking    map[nearKey][]*task
+	racks     map[string][]*worker
+	asking    map[nearKey]*nearAsking
 	forecasts map[nearKey]*nearplace.Forecast
-	// slots holds the tasks to which room of a rack was given. shared tells for which racks.
-	slots  map[*task]nearplace.Slot
-	shared map[nearKey]bool
+	// slots holds the tasks to which room of a rack was given.
+	slots map[*task]nearplace.Slot
 	// found is the worker that the last task of foundStep could have started on and did not,
 	// because it waits. It is nil after any start.
 	found     *worker
 	foundStep *step
 }
 
+// nearAsking holds the ready tasks that ask for a rack, in their ranking. shared is set once the
+// room of the rack is shared out among them.
+type nearAsking struct {
+	tasks  []*task
+	shared bool
+}
+
 // nearKey is a rack, with what limits a task to a part of its workers.
 type nearKey struct{ rack, pool, label string }
 
@@ -89,6 +94,10 @@
 	return t
 }
 
+// waitsNear reports whether the task, or its gang, waits for a rack. Without the setting it
+// costs a pass over many ready tasks nothing.
+func (c *Cell) waitsNear(t *task) bool { return c.config.NearWait > 0 && t.waitsNear() }
+
 // waitsNear reports whether the task, or its gang, waits for a rack.
 func (t *task) waitsNear() bool {
 	n := t.nearHolder().near
@@ -116,7 +125,7 @@
 // pausesNear reports whether a waiting task need not be tried in this pass: its pause isn't
 // over, and no room was freed in its rack since the last pass.
 func (c *Cell) pausesNear(now time.Time, t *task) bool {
-	if !t.waitsNear() {
+	if !c.waitsNear(t) {
 		return false
 	}
 	n := t.nearHolder().near
@@ -145,7 +154,7 @@
 		near = c.nearWorker(now, t)
 	}
 	switch {
-	case near != nil && len(pass.asking[key]) > 1 && !t.hasWaitedNear() && !c.nearSlot(now, t).Granted:
+	case near != nil && len(pass.askingFor(key).tasks) > 1 && !t.hasWaitedNear() && !c.nearSlot(now, t).Granted:
 		return c.yieldNear(now, t, found, near)
 	case near != nil:
 		return near
@@ -168,7 +177,7 @@
 // continueNearWait returns a worker in the rack that a task waits for, or nil. It ends the wait
 // if that doesn't pay off any more. Room elsewhere is not looked for as long as it does.
 func (c *Cell) continueNearWait(now time.Time, t *task) *worker {
-	if !t.waitsNear() {
+	if !c.waitsNear(t) {
 		return nil
 	}
 	if c.giveUpIfDue(now, t); !t.waitsNear() {
@@ -316,33 +325,48 @@
 	if c.near.pass != nil {
 		return c.near.pass
 	}
-	pass := &nearPass{racks: map[string][]*worker{}, asking: map[nearKey][]*task{}, forecasts: map[nearKey]*nearplace.Forecast{},
-		slots: map[*task]nearplace.Slot{}, shared: map[nearKey]bool{}}
+	pass := &nearPass{racks: map[string][]*worker{}, asking: map[nearKey]*nearAsking{}, forecasts: map[nearKey]*nearplace.Forecast{},
+		slots: map[*task]nearplace.Slot{}}
 	c.near.pass = pass
 	for _, w := range c.sortedWorkers() {
 		pass.racks[w.info.Rack] = append(pass.racks[w.info.Rack], w)
 	}
 	c.near.passes++
+	var last *step
+	var asking *nearAsking // Of the step of the last task, or nil if it asks for no rack.
 	for _, t := range c.readyTasks {
+		if t.step != last {
+			last, asking = t.step, nil
+			if c.prefersRack(t) {
+				asking = pass.askingFor(t.nearKey())
+			}
+		}
 		// The pass moves tasks that stay ready to the front, so that they may appear twice.
-		if t.nearPass == c.near.passes || !t.queued || t.done || len(t.runs) > 0 || !c.prefersRack(t) {
+		if asking == nil || len(asking.tasks) == maxNearAsks || t.nearPass == c.near.passes || !t.queued || t.done || len(t.runs) > 0 {
 			continue
 		}
 		t.nearPass = c.near.passes
-		if key := t.nearKey(); len(pass.asking[key]) < maxNearAsks {
-			pass.asking[key] = append(pass.asking[key], t)
-		}
+		asking.tasks = append(asking.tasks, t)
 	}
 	return pass
 }
 
+func (p *nearPass) askingFor(key nearKey) *nearAsking {
+	asking := p.asking[key]
+	if asking == nil {
+		asking = &nearAsking{}
+		p.asking[key] = asking
+	}
+	return asking
+}
+
 // nearSlot returns the share of a task in the room of the rack of its data.
 func (c *Cell) nearSlot(now time.Time, t *task) nearplace.Slot {
 	pass, key := c.nearPassOf(), t.nearKey()
-	if !pass.shared[key] {
-		pass.shared[key] = true
+	if queue := pass.askingFor(key); !queue.shared {
+		queue.shared = true
 		var tasks []*task
-		for _, asking := range pass.asking[key] {
+		for _, asking := range queue.tasks {
 			if !c.mayRunElsewhere(now, asking) {
 				tasks = append(tasks, asking)
 			}
--- a/internal/version/cell/schedule.go
+++ b/internal/version/cell/schedule.go
@@ -114,14 +114,14 @@
 		}
 		if c.mayRunElsewhere(now, t) {
 			c.held.add(t, c.totals)
-		} else if !t.waitsNear() && now.Before(t.step.retryAt) {
+		} else if !c.waitsNear(t) && now.Before(t.step.retryAt) {
 			if c.startOnFreedWorker(now, t) {
 				continue
 			}
 		} else if !c.pausesNear(now, t) && c.startTask(now, t) {
 			continue
 		}
-		if !t.waitsNear() {
+		if !c.waitsNear(t) {
 			t.step.postpone(now)
 		}
 		stillWaiting = append(stillWaiting, t)
@@ -275,10 +275,10 @@
 		return c.startGang(now, t.step)
 	}
 	w := c.continueNearWait(now, t)
-	if w == nil && !t.waitsNear() {
+	if w == nil && !c.waitsNear(t) {
 		w = c.chooseNear(now, t, c.findFarWorker(now, t))
 	}
-	if w == nil && t.waitsNear() {
+	if w == nil && c.waitsNear(t) {
 		return false
 	}
 	if w == nil {
