cell: refuse jobs that can't have any value under overload

Cause: submissions are accepted without a forecast. Under bursts of 3.6 and 2.4 times the room beside half a load, most accepted jobs become late.

Change: package overload forecasts the completion of a job from running sums of the accepted work, and the cell refuses jobs that can't have any value where refuse_hopeless is on. The reply carries the wait, intake rounds it up to whole seconds; a submission whose earlier attempt is in doubt is marked and accepted. A pass over the ready tasks bounds its failed attempts there.

--- a/internal/connection/cellcodec/cellcodec.go
+++ b/internal/connection/cellcodec/cellcodec.go
@@ -266,6 +266,9 @@
 	Queue     string           `cbor:"4,keyasint,omitempty"`
 	Job       *jobspec.Job     `cbor:"5,keyasint,omitempty"`
 	Terms     *cell.QueueTerms `cbor:"6,keyasint,omitempty"`
+	// InDoubt is set if an earlier attempt at the same call may have had its effect. Such a
+	// submission is not refused for lack of capacity.
+	InDoubt bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Result is the outcome of a call.
@@ -291,6 +294,9 @@
 	Result  Result     `cbor:"1,keyasint"`
 	State   cell.State `cbor:"2,keyasint,omitempty"`
 	Pending int        `cbor:"3,keyasint,omitempty"`
+	// RetryAfterMillis is set with Refused if the job was refused for lack of capacity. It is
+	// when its caller should return.
+	RetryAfterMillis int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // LinkHeartbeat is the message that instances send periodically on a link. It also
--- a/internal/entry/effects.go
+++ b/internal/entry/effects.go
@@ -140,6 +140,7 @@
 	options.Metrics.LeasesBound(effects.LeasesBound)
 	options.Metrics.WorkersCrashed(effects.CrashedWorkers, effects.JobsGivenUp)
 	l.countDepartures(effects)
+	l.countAdmissions(effects)
 	for _, order := range effects.Starts {
 		options.Journal.LogTask(logging.TaskLine{Event: "start ordered", Task: taskName(order.Task), Run: order.Run, Worker: string(order.Worker), KnownRun: order.KnownRun, Recovery: order.Recovery, Epoch: l.term.Epoch})
 	}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -22,9 +22,7 @@
 		if _, known := l.cell.Lookup(call.ID); known {
 			return cellcodec.Reply{Result: cellcodec.OK}
 		}
-		return l.applyAndWait(ctx, func(now time.Time, c *cell.Cell, request uint64) (alreadyStored, found bool) {
-			return c.Submit(now, request, call.ID, call.Job, *call.Terms) == cell.SubmitStored, true
-		})
+		return l.submit(ctx, call)
 	case cellcodec.OpCancel:
 		return l.applyAndWait(ctx, func(now time.Time, c *cell.Cell, request uint64) (alreadyStored, found bool) {
 			return false, c.Cancel(now, request, call.ID)
@@ -35,6 +33,27 @@
 	return cellcodec.Reply{Result: cellcodec.Refused}
 }
 
+// submit passes a valid job to the cell. A refusal is answered with NotLeader while a later
+// term may have begun: an earlier attempt may be stored there.
+func (l *leadership) submit(ctx context.Context, call cellcodec.Call) cellcodec.Reply {
+	refusal := make(chan time.Duration, 1)
+	reply := l.applyAndWait(ctx, func(now time.Time, c *cell.Cell, request uint64) (alreadyStored, found bool) {
+		submit := c.Submit
+		if call.InDoubt {
+			submit = c.SubmitInDoubt
+		}
+		result := submit(now, request, call.ID, call.Job, *call.Terms)
+		if result == cell.SubmitRefused {
+			refusal <- c.RefusalWait(now, call.ID)
+		}
+		return result == cell.SubmitStored, result != cell.SubmitRefused
+	})
+	if reply.Result == cellcodec.NotFound {
+		return cellcodec.Reply{Result: cellcodec.Refused, RetryAfterMillis: (<-refusal).Milliseconds()}
+	}
+	return reply
+}
+
 // status returns the stored state of a job. If the job is not found while a later
 // term may have begun, it returns NotLeader instead of NotFound.
 func (l *leadership) status(call cellcodec.Call) cellcodec.Reply {
--- a/internal/layering_test.go
+++ b/internal/layering_test.go
@@ -36,7 +36,7 @@
 // itself, its decisions would not depend on the arguments alone.
 func TestDecisionPackagesImportNoIO(t *testing.T) {
 	decisionPackages := []string{"request/placement", "request/admission", "request/fairness", "request/eviction", "request/retry",
-		"request/answer", "request/job", "version/cell", "version/election", "version/manifest"}
+		"request/answer", "request/job", "version/cell", "version/election", "version/manifest", "version/overload"}
 	for _, name := range decisionPackages {
 		output, err := exec.Command("go", "list", "-f", "{{join .Imports \" \"}}", internalPrefix+name).Output()
 		assert.NilError(t, err, "listing the imports of %s", name)
--- a/internal/process/metrics/entry.go
+++ b/internal/process/metrics/entry.go
@@ -28,6 +28,8 @@
 	leasesBound   prometheus.Counter
 	handOvers     [2]prometheus.Counter // unprepared, prepared
 	evacuated     prometheus.Gauge
+	refused       *prometheus.CounterVec
+	completion    prometheus.Histogram
 	// skippedRecords is indexed by RecordSource.
 	skippedRecords [sourceCount]prometheus.Counter
 }
@@ -67,6 +69,9 @@
 	verdictNames   = [verdictCount]string{"unknown", "ok", "no_queue", "absent", "not_run", "bad_request"}
 )
 
+// completionBuckets are finest around 1, where the forecast is right.
+var completionBuckets = []float64{.1, .25, .5, .75, .9, 1, 1.1, 1.25, 1.5, 2, 3, 5, 10}
+
 // NewEntryMetrics returns metrics that are registered with a registry of their
 // own.
 func NewEntryMetrics() *EntryMetrics {
@@ -84,6 +89,9 @@
 		leasesBound: newCounter("leases_bound_total", "Silent backend servers of which the remaining time of the leases was stored for the next leader."),
 		evacuated: prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "evacuated_zones",
 			Help: "Availability zones in which nothing is started, as far as the instance knows."}),
+		refused: newCounterVec("jobs_refused_total", "Submissions refused because the job could not have any value, by queue.", "queue"),
+		completion: prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: "job_completion_ratio",
+			Help: "Actual over expected time to completion of accepted jobs.", Buckets: completionBuckets}),
 		droppedLines: newCounter("log_lines_dropped_total", "Log lines left out because there were too many."),
 	}
 	requests := newCounterVec("job_requests_total", "Requests about jobs, by how they were answered.", "operation", "verdict")
@@ -105,7 +113,7 @@
 		}
 	}
 	e.registry.MustRegister(requests, latency, e.appendSeconds, e.starts, e.stops, e.throttles, e.crashes, e.jobsGivenUp, e.droppedLines, e.keptBack, skipped,
-		departures, moves, e.evacuated, e.away, e.leasesBound, handOvers,
+		departures, moves, e.evacuated, e.refused, e.completion, e.away, e.leasesBound, handOvers,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return e
 }
@@ -162,6 +170,15 @@
 // EvacuatedZones records the number of availability zones that are evacuated.
 func (e *EntryMetrics) EvacuatedZones(zones int) { e.evacuated.Set(float64(zones)) }
 
+// JobsRefused adds a number of submissions to a queue that were refused because their jobs could
+// not have any value.
+func (e *EntryMetrics) JobsRefused(queue string, jobs int) {
+	e.refused.WithLabelValues(queue).Add(float64(jobs))
+}
+
+// CompletionRatio records the ratio of the actual to the expected time to completion of a job.
+func (e *EntryMetrics) CompletionRatio(ratio float64) { e.completion.Observe(ratio) }
+
 // LeasesBound adds the number of silent workers whose leases were bound.
 func (e *EntryMetrics) LeasesBound(workers int) { e.leasesBound.Add(float64(workers)) }
 
--- a/internal/request/intake/intake.go
+++ b/internal/request/intake/intake.go
@@ -106,7 +106,7 @@
 		}
 	}
 	answer := callLeader(ctx, leaders, call)
-	if answer.Verdict == jobapi.NotRun {
+	if answer.Verdict == jobapi.NotRun && answer.FailureKind != fault.Overloaded {
 		answer.RetryAfter = retryAfter(answer.FailureKind, id)
 	}
 	answer.Job = id
@@ -164,6 +164,7 @@
 	leaderWaitOver := false
 	for ctx.Err() == nil {
 		changed := leaders.Changed()
+		call.InDoubt = inDoubt
 		reply, sent := leaders.Call(ctx, call)
 		if answer, final := answerFromReply(reply); final && !(inDoubt && answer.Verdict == jobapi.NotRun) {
 			return answer
@@ -196,6 +197,9 @@
 	case cellcodec.NotFound:
 		return jobapi.Answer{Verdict: jobapi.NotFound}, true
 	case cellcodec.Refused:
+		if reply.RetryAfterMillis > 0 {
+			return overloaded(reply.RetryAfterMillis), true
+		}
 		return refusal(fault.LogUnavailable), true
 	}
 	return jobapi.Answer{}, false
--- a/internal/request/intake/retry.go
+++ b/internal/request/intake/retry.go
@@ -5,8 +5,10 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"poplarvalve/internal/connection/jobapi"
 	"poplarvalve/internal/process/fault"
 	"poplarvalve/internal/process/jobspec"
+	"poplarvalve/internal/version/overload"
 )
 
 const (
@@ -18,6 +20,14 @@
 	logRetrySpread = 3 * time.Second
 )
 
+// overloaded returns the answer to a job that the leader has refused for lack of capacity. The
+// leader's wait is rounded up to whole seconds, the unit of the answer.
+func overloaded(waitMillis int64) jobapi.Answer {
+	wait := time.Duration(min(waitMillis, overload.MaxWait.Milliseconds())) * time.Millisecond
+	wait = (wait + time.Second - 1).Truncate(time.Second)
+	return jobapi.Answer{Verdict: jobapi.NotRun, RetryAfter: max(minRetryAfter, wait), FailureKind: fault.Overloaded}
+}
+
 // retryAfter returns the wait that the refusal of a request states. An outage of the log
 // refuses everybody at once. If all of them were told the same wait, they would return
 // together, and the log has least to spare right after an outage.
--- /dev/null
+++ b/internal/version/cell/admission.go
@@ -0,0 +1,208 @@
+package cell
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"poplarvalve/internal/process/jobspec"
+	"poplarvalve/internal/version/overload"
+)
+
+// refusals holds the submissions that were refused recently. Another attempt to submit a refused
+// job may still be on its way. If it were accepted, a job would run of which the caller was told
+// that it never runs.
+type refusals struct {
+	until map[jobspec.ID]time.Time
+	// order lists the IDs in the order in which they were refused.
+	order []jobspec.ID
+	// loggedAt is when a refusal was last logged, and unlogged the number of those since.
+	loggedAt time.Time
+	unlogged int
+}
+
+const (
+	// maxRefusals bounds the remembered refusals. It is what is refused within
+	// overload.MaxWait at ten times the target of job arrivals.
+	maxRefusals = 1 << 16
+	// refusalLogPeriod is the shortest time between two log lines about refusals.
+	refusalLogPeriod = 200 * time.Millisecond
+)
+
+// add remembers a refusal until the end of the wait that the caller was told.
+func (r *refusals) add(now time.Time, id jobspec.ID, wait time.Duration) {
+	if r.until == nil {
+		r.until = map[jobspec.ID]time.Time{}
+	}
+	for len(r.order) > 0 && (len(r.order) >= maxRefusals || !now.Before(r.until[r.order[0]])) {
+		delete(r.until, r.order[0])
+		r.order = r.order[1:]
+	}
+	r.until[id] = now.Add(wait)
+	r.order = append(r.order, id)
+}
+
+// RefusalWait returns the wait for the caller of a submission that was refused. It is at least
+// overload.MinWait.
+func (c *Cell) RefusalWait(now time.Time, id jobspec.ID) time.Duration {
+	return max(overload.MinWait, c.refused.until[id].Sub(now))
+}
+
+// SubmitInDoubt is like Submit for a job that an earlier leader may have stored: it is never
+// refused, because a refusal would say that the job never runs.
+func (c *Cell) SubmitInDoubt(now time.Time, request uint64, id jobspec.ID, spec *jobspec.Job, terms QueueTerms) SubmitResult {
+	return c.submit(now, request, id, spec, terms, false)
+}
+
+// refuses decides whether to refuse a new job, from the sums of the work that is accepted.
+func (c *Cell) refuses(now time.Time, record JobRecord) bool {
+	if c.work == nil || !isJudged(&record.Job) {
+		return false
+	}
+	if now.Before(c.refused.until[record.ID]) {
+		return true
+	}
+	j := newJob(record, now)
+	j.work = c.newJobWork(j)
+	kind, work := j.work.mainKind(j)
+	k := &j.work.pool[kind]
+	load, share := k.load(now, j), k.share(j.terms.Queue)
+	objective := c.objective(j)
+	decision := overload.Decide(load, share, overload.Job{
+		Work: float64(work), Chain: c.expectedChain(j), Objective: objective, LateFactor: lateFactor,
+	})
+	k.floors.Observe(float64(work))
+	if !decision.Refused() || k.floors.Allow(now, float64(work), load.Capacity) {
+		c.expected = decision.Expected
+		return false
+	}
+	need := time.Duration(min(float64(work)/load.Capacity, float64(overload.MaxWait.Milliseconds()))) * time.Millisecond
+	wait := k.pacer.Wait(now, decision.Excess, need, xxhash.Sum64String(string(j.id)))
+	c.refused.add(now, j.id, wait)
+	if c.effects.Refused == nil {
+		c.effects.Refused = map[string]int{}
+	}
+	c.effects.Refused[j.terms.Queue]++
+	c.reportRefusal(now, j, decision.Expected, wait, objective, load)
+	return true
+}
+
+// isJudged reports whether jobs of the kind may be refused. Nothing is forecast for long-running
+// jobs and for jobs with due times.
+func isJudged(spec *jobspec.Job) bool {
+	if spec.Occurrences > 0 {
+		return false
+	}
+	for i := range spec.Steps {
+		if spec.Steps[i].LongRunning {
+			return false
+		}
+	}
+	return true
+}
+
+// mainKind returns the kind of most of the work of the job, and the work of that kind.
+func (w *jobWork) mainKind(j *job) (kind workKind, work int64) {
+	total := w.total(j)
+	if total[spareWork] > total[reservedWork] {
+		return spareWork, total[spareWork]
+	}
+	return reservedWork, total[reservedWork]
+}
+
+// load returns what competes with a job for the kind of capacity. Its cost grows with the number
+// of ranks, not with what waits.
+func (k *kindWork) load(now time.Time, j *job) overload.Load {
+	load := overload.Load{Capacity: k.capacity, Free: k.free, Running: float64(k.running)}
+	for rank, sums := range k.byRank {
+		if rank.priority <= j.work.rank.priority {
+			load.Rate += sums.accepted.PerMilli(now)
+		}
+		if rank.isServedBefore(j.work.rank) {
+			load.Queued += float64(sums.groups[inTimeWork].queued)
+			load.Late += float64(sums.groups[lateWork].queued)
+		}
+	}
+	return load
+}
+
+// share returns the part of a queue in the work that waits. All queues have the same weight.
+func (k *kindWork) share(queue string) overload.Share {
+	share := overload.Share{Queued: float64(k.queued[queue]), Weight: 1, TotalWeight: float64(len(k.queued))}
+	if share.Queued == 0 {
+		share.TotalWeight++
+	}
+	return share
+}
+
+// countAccepted counts a job that was just accepted.
+func (c *Cell) countAccepted(now time.Time, j *job) {
+	if c.work == nil {
+		return
+	}
+	c.countJob(j)
+	j.work.expected, c.expected = c.expected, 0
+	for kind, work := range j.work.total(j) {
+		if work > 0 {
+			j.work.pool[kind].rank(j.work.rank).accepted.Add(now, float64(work))
+		}
+	}
+}
+
+// countEnded counts a job that has just ended, and compares its time to completion with the
+// forecast.
+func (c *Cell) countEnded(now time.Time, j *job) {
+	if c.work == nil {
+		return
+	}
+	c.countJob(j)
+	if j.state == Completed && j.work.expected > 0 {
+		c.effects.CompletionRatios = append(c.effects.CompletionRatios, float64(now.Sub(j.acceptedAt))/float64(j.work.expected))
+	}
+}
+
+func (c *Cell) reportRefusal(now time.Time, j *job, expected, wait, objective time.Duration, load overload.Load) {
+	c.refused.unlogged++
+	if now.Sub(c.refused.loggedAt) < refusalLogPeriod {
+		return
+	}
+	const coreSecond = 1e6
+	c.addEvent(DecisionEvent{Event: "job refused", Task: TaskID{Job: j.id}, Outcome: fmt.Sprintf(
+		"queue %s: expected after %d ms, objective %d ms, %.0f core seconds queued before it and %.0f late, capacity %.0f cores, wait %d ms; %d refused since the last line",
+		j.terms.Queue, expected.Milliseconds(), objective.Milliseconds(), load.Queued/coreSecond, load.Late/coreSecond, load.Capacity/1000,
+		wait.Milliseconds(), c.refused.unlogged)})
+	c.refused.loggedAt, c.refused.unlogged = now, 0
+}
+
+// expectedChain returns the time that the job takes if nothing waits, by what its images took
+// before.
+func (c *Cell) expectedChain(j *job) time.Duration {
+	return c.durations.scale(j, c.longestChain(j, func(int) bool { return true }))
+}
+
+// remainingByForecast returns the time that an unstarted job is expected to take. Without
+// Config.RefuseHopeless it is the time by the caller's estimates. If that is too short, jobs
+// start that can't be complete in time any more, and others become late behind them.
+func (c *Cell) remainingByForecast(j *job) time.Duration {
+	remaining := c.remaining(j)
+	if c.work == nil || j.started {
+		return remaining
+	}
+	return c.durations.scale(j, remaining)
+}
+
+// noteUrgency counts the work of a job by its urgency, and ranks a job of a queue that has more
+// work waiting than its share of the capacity completes in time behind the jobs of the others.
+func (c *Cell) noteUrgency(j *job) {
+	if c.work == nil || j.work == nil {
+		return
+	}
+	j.work.setGroup(workGroupOf(j.urgency.class))
+	if j.urgency.class != unstartedInTime {
+		return
+	}
+	kind, _ := j.work.mainKind(j)
+	k := &j.work.pool[kind]
+	j.urgency.beyondShare = k.share(j.terms.Queue).Exceeded(k.capacity, c.objective(j))
+}
--- a/internal/version/cell/cell.go
+++ b/internal/version/cell/cell.go
@@ -83,6 +83,13 @@
 	learnedSavedAt time.Time
 	reserve        shortTaskReserve
 	totals         capacityTotals
+	// work sums up the work of the accepted jobs, and refused holds the refused ones; work is
+	// nil unless hopeless jobs are refused. expected is the forecast for the job that is being
+	// accepted.
+	work     *workSums
+	refused  refusals
+	expected time.Duration
+	placing  placingBudget
 	// bounds is what is stored about the leases on silent workers.
 	bounds   leaseBounds
 	handOver handOverPhase
@@ -137,6 +144,9 @@
 		confinements:    map[WorkerID]*confinement{},
 	}
 	c.storedJobs.Store(iradix.New[*job]())
+	if config.RefuseHopeless {
+		c.work = newWorkSums()
+	}
 	return c
 }
 
@@ -174,6 +184,7 @@
 	for _, record := range jobs {
 		c.awaitNextDue(now, c.jobs[record.ID])
 	}
+	c.recountWork()
 	c.openWaiting(now)
 	c.recordAwayAtStart(now)
 }
@@ -402,18 +413,29 @@
 	// SubmitPending means that the request is listed in
 	// Effects.AnswerableRequests once the job is stored.
 	SubmitPending
+	// SubmitRefused means that the job was not accepted, since it can't have any value.
+	// RefusalWait returns when its caller should return.
+	SubmitRefused
 )
 
 // Submit accepts a validated job. If a job with the same ID is known, the
 // content of spec is ignored. If Submit returns SubmitPending, request is
 // listed in Effects.AnswerableRequests once the job is stored.
 func (c *Cell) Submit(now time.Time, request uint64, id jobspec.ID, spec *jobspec.Job, terms QueueTerms) SubmitResult {
+	return c.submit(now, request, id, spec, terms, true)
+}
+
+func (c *Cell) submit(now time.Time, request uint64, id jobspec.ID, spec *jobspec.Job, terms QueueTerms, mayRefuse bool) SubmitResult {
 	known := c.jobs[id]
 	if known != nil && State(known.visibleState.Load()) != Hidden {
 		return SubmitStored
 	}
 	if known == nil {
-		c.acceptJob(now, JobRecord{ID: id, Job: *spec, Terms: terms, AcceptedMillis: now.UnixMilli()})
+		record := JobRecord{ID: id, Job: *spec, Terms: terms, AcceptedMillis: now.UnixMilli()}
+		if mayRefuse && c.refuses(now, record) {
+			return SubmitRefused
+		}
+		c.acceptJob(now, record)
 	}
 	c.answerAfterWrite(request, id)
 	return SubmitPending
@@ -422,6 +444,7 @@
 func (c *Cell) acceptJob(now time.Time, record JobRecord) {
 	c.lastSubmitAt = now
 	j := c.addJob(record, now)
+	c.countAccepted(now, j)
 	c.write.Jobs = append(c.write.Jobs, record)
 	c.afterWrite(func(now time.Time) {
 		tree, _, _ := c.storedJobs.Load().Insert([]byte(j.id), j)
@@ -476,6 +499,7 @@
 func (c *Cell) endJob(now time.Time, j *job, state State) {
 	j.state = state
 	j.endedAt = now
+	c.countEnded(now, j)
 	c.addEvent(DecisionEvent{Event: "job ended", Task: TaskID{Job: j.id}, Outcome: state.String(), Age: now.Sub(j.acceptedAt)})
 	c.markChanged(j)
 	c.afterWrite(func(now time.Time) {
--- a/internal/version/cell/duration.go
+++ b/internal/version/cell/duration.go
@@ -1,6 +1,10 @@
 package cell
 
-import "time"
+import (
+	"time"
+
+	"poplarvalve/internal/process/jobspec"
+)
 
 // durationModel holds, for each image, the learned ratio of the actual to the
 // estimated duration of its tasks.
@@ -37,18 +41,40 @@
 
 // expectedDuration returns the expected duration of a run of the task.
 func (m *durationModel) expectedDuration(t *task) time.Duration {
-	ratio := initialDurationRatio
-	if learned := m.ratios[imageKey(t)]; learned != nil {
-		ratio = learned.value
+	return m.expectedOf(t.spec(), t.job().terms.Queue)
+}
+
+// expectedOf returns the expected duration of a run of a task of the step.
+func (m *durationModel) expectedOf(spec *jobspec.Step, queue string) time.Duration {
+	return time.Duration(m.ratio(spec, queue) * float64(spec.EstimateMillis) * float64(time.Millisecond))
+}
+
+func (m *durationModel) ratio(spec *jobspec.Step, queue string) float64 {
+	if learned := m.ratios[imageKeyOf(spec, queue)]; learned != nil {
+		return learned.value
 	}
-	return time.Duration(ratio * float64(t.spec().EstimateMillis) * float64(time.Millisecond))
+	return initialDurationRatio
+}
+
+// scale multiplies a time that is a sum of estimates of the job's steps by the highest ratio of
+// their images.
+func (m *durationModel) scale(j *job, estimated time.Duration) time.Duration {
+	highest := 0.0
+	for i := range j.spec.Steps {
+		if spec := &j.spec.Steps[i]; !spec.LongRunning {
+			highest = max(highest, m.ratio(spec, j.terms.Queue))
+		}
+	}
+	return time.Duration(highest * float64(estimated))
 }
 
 // imageKey returns the task's image, or a key made of its queue for tasks
 // without an image.
-func imageKey(t *task) string {
-	if image := t.spec().Image; image != "" {
-		return image
+func imageKey(t *task) string { return imageKeyOf(t.spec(), t.job().terms.Queue) }
+
+func imageKeyOf(spec *jobspec.Step, queue string) string {
+	if spec.Image != "" {
+		return spec.Image
 	}
-	return "queue " + t.job().terms.Queue
+	return "queue " + queue
 }
--- a/internal/version/cell/job.go
+++ b/internal/version/cell/job.go
@@ -42,6 +42,8 @@
 	endedAt   time.Time
 	changed   bool
 	health    *jobHealth
+	// work is what is counted of the job, or nil unless hopeless jobs are refused.
+	work *jobWork
 	// inParts is set once the progress of the job is stored in parts. storedParts holds
 	// the parts that are stored or about to be.
 	inParts     bool
@@ -99,6 +101,8 @@
 	runs       []*run
 	readySince time.Time
 	queued     bool
+	// counted is how the task is counted in the work of its job.
+	counted countedState
 	// retreats is the number of runs of the task that were stopped or moved because of
 	// interference.
 	retreats int
@@ -324,4 +328,5 @@
 	if t.step.unfinishedTasks == 0 {
 		t.step.occurrence.unfinishedSteps--
 	}
+	t.countWork()
 }
--- a/internal/version/cell/learned.go
+++ b/internal/version/cell/learned.go
@@ -19,6 +19,7 @@
 	}
 	restoreEstimates(c.pressures.unloadedTails, record.UnloadedTails)
 	restoreEstimates(c.durations.ratios, record.DurationRatios)
+	c.recountWork()
 }
 
 func restoreEstimates(estimates map[string]*imageEstimate, stored map[string]float64) {
--- a/internal/version/cell/open.go
+++ b/internal/version/cell/open.go
@@ -106,6 +106,7 @@
 	j.occurrences[number] = o
 	j.open.add(o.share, j.tasksPerOccurrence)
 	j.open.created = append(j.open.created, o)
+	o.countWork()
 	return o
 }
 
@@ -116,12 +117,14 @@
 	}
 	delete(j.occurrences, o.number)
 	j.open.add(o.share, -j.tasksPerOccurrence)
+	o.countWork()
 }
 
 // completeCurrent moves on from the first incomplete occurrence.
 func (j *job) completeCurrent() {
-	j.dropOccurrence(j.occurrences[j.nextOccurrence])
+	completed := j.occurrences[j.nextOccurrence]
 	j.nextOccurrence++
+	j.dropOccurrence(completed)
 	if next := j.occurrences[j.nextOccurrence]; next != nil {
 		j.open.add(next.share, -j.tasksPerOccurrence)
 		next.share = j.shareOf(next.number)
--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -208,6 +208,7 @@
 	if r.worker.removeRun(r) {
 		r.task.step.occurrence.countRemovedRun()
 	}
+	r.task.countWork()
 	c.freedWorkers = append(c.freedWorkers, r.worker)
 	if !slices.Contains(r.worker.earlierSuspects, r) {
 		c.dropSuspect(r)
@@ -410,6 +411,7 @@
 	t.step.occurrence.runs++
 	t.lastRun = max(t.lastRun, reported.Run)
 	w.addRun(r)
+	t.countWork()
 	if t.implicated() && !unwanted {
 		r.startProbation()
 		c.addSuspect(r)
--- a/internal/version/cell/reserve.go
+++ b/internal/version/cell/reserve.go
@@ -105,6 +105,7 @@
 	if now.Sub(c.reserve.updatedAt) < measurePeriod {
 		return
 	}
+	c.measureWork(now, now.Sub(c.reserve.updatedAt))
 	c.totals = capacityTotals{}
 	for _, w := range c.sortedWorkers() {
 		if !w.usable(now) {
--- a/internal/version/cell/schedule.go
+++ b/internal/version/cell/schedule.go
@@ -101,13 +101,14 @@
 	if len(c.readyTasks) == 0 || !c.mayStart() {
 		return
 	}
-	if c.needsRanking || now.Sub(c.rankedAt) > rankPeriod {
+	if c.rankingDue(now) {
 		c.rankReady(now)
 	}
 	c.measureCapacity(now)
 	c.held = heldRoom{}
+	c.beginPlacing()
 	stillWaiting := c.readyTasks[:0]
-	for _, t := range c.readyTasks {
+	for i, t := range c.readyTasks {
 		if t.done || len(t.runs) > 0 || t.job().state.IsFinal() {
 			t.queued = false // It is done or has a run by now, or its job ended.
 			continue
@@ -118,8 +119,13 @@
 			if c.startOnFreedWorker(now, t) {
 				continue
 			}
+		} else if c.defersPlacing(i, t) {
+			stillWaiting = append(stillWaiting, t)
+			continue
 		} else if c.startTask(now, t) {
 			continue
+		} else {
+			c.placing.failed(i)
 		}
 		t.step.postpone(now)
 		stillWaiting = append(stillWaiting, t)
@@ -163,6 +169,7 @@
 	for _, t := range c.readyTasks {
 		if j := t.job(); !j.urgencyAt.Equal(now) {
 			j.urgency, j.urgencyAt = c.urgencyOf(now, j), now
+			c.noteUrgency(j)
 		}
 	}
 	slices.SortStableFunc(c.readyTasks, func(a, b *task) int {
@@ -201,12 +208,18 @@
 type urgency struct {
 	class    urgencyClass
 	sortTime time.Time
+	// beyondShare is set for a job of a queue that has more work waiting than its share of the
+	// capacity can complete in time, if hopeless jobs are refused.
+	beyondShare bool
 }
 
 func (u urgency) compare(other urgency) int {
 	if order := cmp.Compare(u.class, other.class); order != 0 {
 		return order
 	}
+	if u.beyondShare != other.beyondShare {
+		return map[bool]int{true: 1, false: -1}[u.beyondShare]
+	}
 	return u.sortTime.Compare(other.sortTime)
 }
 
@@ -219,17 +232,17 @@
 // completes started jobs first.
 func (c *Cell) urgencyOf(now time.Time, j *job) urgency {
 	objective := c.objective(j)
-	end := now.Add(c.remaining(j))
+	end := now.Add(c.remainingByForecast(j))
 	switch {
 	case !end.After(j.acceptedAt.Add(objective)):
 		if j.started {
-			return urgency{startedInTime, j.acceptedAt.Add(objective)}
+			return urgency{class: startedInTime, sortTime: j.acceptedAt.Add(objective)}
 		}
-		return urgency{unstartedInTime, j.acceptedAt.Add(objective)}
+		return urgency{class: unstartedInTime, sortTime: j.acceptedAt.Add(objective)}
 	case !end.After(j.acceptedAt.Add(lateFactor * objective)):
-		return urgency{late, j.acceptedAt.Add(lateFactor * objective)}
+		return urgency{class: late, sortTime: j.acceptedAt.Add(lateFactor * objective)}
 	}
-	return urgency{tooLate, j.acceptedAt}
+	return urgency{class: tooLate, sortTime: j.acceptedAt}
 }
 
 // objective returns the time, from its acceptance, within which a job should be
@@ -316,6 +329,7 @@
 	t.runs = append(t.runs, r)
 	t.step.occurrence.runs++
 	w.addRun(r)
+	t.countWork()
 	if t.spec().LongRunning {
 		c.totals.free -= r.size.CPU
 		c.totals.freeMemoryMB -= r.size.MemoryMB
--- a/internal/version/cell/simulation_test.go
+++ b/internal/version/cell/simulation_test.go
@@ -41,6 +41,8 @@
 	// openJobs holds the submitted jobs that had not ended when they were last looked
 	// at.
 	openJobs map[jobspec.ID]*jobspec.Job
+	// refuseHopeless lets the cell refuse hopeless jobs.
+	refuseHopeless bool
 	// blockTasks is the number of tasks in a part of the stored progress.
 	blockTasks int
 	// writeDelay is the time that a write takes to be stored.
@@ -559,7 +561,7 @@
 	previous := s.epoch
 	s.epoch += 3
 	c := New(Config{Epoch: s.epoch, RecoveryWait: testRecoveryWait, EarlierAuthority: testRecoveryWait - testLease - testLeaseMargin, EndedJobRetention: time.Minute,
-		UnconfirmedRecoveryWait: s.network.recoveryWait(), MaxEarlierLease: testLease + testLeaseMargin, LeaseExcess: s.leaseExcess(), RemoteFactor: 2, BlockTasks: s.blockTasks})
+		UnconfirmedRecoveryWait: s.network.recoveryWait(), MaxEarlierLease: testLease + testLeaseMargin, LeaseExcess: s.leaseExcess(), RemoteFactor: 2, BlockTasks: s.blockTasks, RefuseHopeless: s.refuseHopeless})
 	var jobs []JobRecord
 	for _, id := range slices.Sorted(maps.Keys(s.stored.jobs)) {
 		jobs = append(jobs, s.stored.jobs[id])
--- a/internal/version/cell/types.go
+++ b/internal/version/cell/types.go
@@ -414,6 +414,10 @@
 	MovedForDeparture, MovedForInterference int
 	// Away lists how long long-running tasks were away that have been started again.
 	Away []AwayTime
+	// Refused is the number of refused submissions by queue, or nil. CompletionRatios lists the
+	// ratios of the actual to the expected time to completion of accepted jobs.
+	Refused          map[string]int
+	CompletionRatios []float64
 }
 
 // DecisionEvent is a log entry about one decision.
