overload: don't refuse a job for its own size; keep ranks in order

Cause: a job whose image takes longer than its objective allows even on an idle fleet was refused whenever less than a tenth was free. The sums of rates were added in map order, so that a decision could depend on rounding.

Change: such a job may wait for a tenth of its objective, and its limit is what it takes alone. Ranks are a sorted slice.

--- a/internal/version/cell/admission.go
+++ b/internal/version/cell/admission.go
@@ -124,7 +124,8 @@
 // of ranks, not with what waits.
 func (k *kindWork) load(now time.Time, j *job) overload.Load {
 	load := overload.Load{Capacity: k.capacity, Free: k.free, Running: float64(k.running)}
-	for rank, sums := range k.byRank {
+	for _, sums := range k.ranks {
+		rank := sums.rank
 		if rank.priority <= j.work.rank.priority {
 			load.Rate += sums.accepted.PerMilli(now)
 		}
--- a/internal/version/cell/queuedwork.go
+++ b/internal/version/cell/queuedwork.go
@@ -1,7 +1,9 @@
 package cell
 
 import (
+	"cmp"
 	"math/bits"
+	"slices"
 	"time"
 
 	"poplarvalve/internal/process/jobspec"
@@ -71,7 +73,8 @@
 
 // kindWork sums up the work of one kind in a pool.
 type kindWork struct {
-	byRank map[workRank]*rankedWork
+	// ranks holds the work by rank, in order.
+	ranks []*rankedWork
 	// queued is the queued work by queue, but for jobs that are too late; queues without any
 	// are left out.
 	queued map[string]int64
@@ -85,6 +88,7 @@
 
 // rankedWork sums up the work of one rank.
 type rankedWork struct {
+	rank   workRank
 	groups [workGroupCount]workAmount
 	// accepted is the rate at which jobs of the rank were accepted.
 	accepted overload.Rate
@@ -104,20 +108,24 @@
 	if p == nil {
 		p = &poolWork{}
 		for kind := range p {
-			p[kind].byRank, p[kind].queued = map[workRank]*rankedWork{}, map[string]int64{}
+			p[kind].queued = map[string]int64{}
 		}
 		s.pools[name] = p
 	}
 	return p
 }
 
+func (r workRank) compare(other workRank) int {
+	return cmp.Or(cmp.Compare(r.priority, other.priority), cmp.Compare(r.objective, other.objective))
+}
+
+// rank returns the sums of a rank.
 func (k *kindWork) rank(rank workRank) *rankedWork {
-	ranked := k.byRank[rank]
-	if ranked == nil {
-		ranked = &rankedWork{}
-		k.byRank[rank] = ranked
+	index, found := slices.BinarySearchFunc(k.ranks, rank, func(r *rankedWork, rank workRank) int { return r.rank.compare(rank) })
+	if !found {
+		k.ranks = slices.Insert(k.ranks, index, &rankedWork{rank: rank})
 	}
-	return ranked
+	return k.ranks[index]
 }
 
 // jobWork is what the sums contain of one job.
--- a/internal/version/overload/overload.go
+++ b/internal/version/overload/overload.go
@@ -98,6 +98,8 @@
 	// returnedShare is the part of the time that a job may wait within its objective that a job
 	// which was refused before may wait.
 	returnedShare = 0.3
+	// minDelayShare is the part of its objective that any job may wait.
+	minDelayShare = 0.1
 	// MaxExpected is the longest expected time to completion.
 	MaxExpected = 24 * time.Hour
 )
@@ -107,28 +109,31 @@
 	if load.Capacity <= 0 || job.Work <= 0 || job.Objective <= 0 {
 		return Decision{Reason: Unknown, Expected: job.Chain}
 	}
-	inTime := load.expectedInTime(job)
+	inTime, limit := load.expectedInTime(job), load.limit(job)
 	switch {
 	case load.Free >= freeShare*load.Capacity:
 		return Decision{Reason: Room, Expected: inTime}
-	case inTime <= job.limit():
+	case inTime <= limit:
 		return Decision{Reason: InTime, Expected: inTime}
-	case share.expected(load, job) <= job.limit():
+	case share.expected(load, job) <= limit:
 		return Decision{Reason: WithinShare, Expected: inTime}
 	}
 	expected := load.expectedLate(job)
-	if float64(expected) <= margin*job.LateFactor*float64(job.Objective) {
+	if float64(expected) <= margin*job.LateFactor*float64(max(job.Objective, limit)) {
 		return Decision{Reason: InPart, Expected: expected}
 	}
-	return Decision{Reason: Hopeless, Expected: expected, Excess: max(0, inTime-job.Objective)}
+	return Decision{Reason: Hopeless, Expected: expected, Excess: max(0, inTime-limit)}
 }
 
-// limit returns the expected time to completion up to which the job is accepted as in time.
-func (j Job) limit() time.Duration {
-	if !j.Returned || j.Chain >= j.Objective {
-		return j.Objective
+// limit returns the expected time to completion up to which the job is accepted as in time. A job
+// that would be late on an idle fleet is not refused for that: it may wait as long as others.
+func (l Load) limit(job Job) time.Duration {
+	unloaded := l.completion(0, l.Capacity, job)
+	limit := max(job.Objective, unloaded+time.Duration(minDelayShare*float64(job.Objective)))
+	if job.Returned {
+		return unloaded + time.Duration(returnedShare*float64(limit-unloaded))
 	}
-	return j.Chain + time.Duration(returnedShare*float64(j.Objective-j.Chain))
+	return limit
 }
 
 // expectedInTime returns the expected completion of the job behind those that are in time. Of
--- a/internal/version/overload/overload_test.go
+++ b/internal/version/overload/overload_test.go
@@ -39,6 +39,21 @@
 	}
 }
 
+// Guards against jobs that are refused for their own size while hardly anything waits: their
+// image takes longer than the caller's estimate, or they need the whole fleet for long.
+func TestJobThatIsLateOnIdleFleetIsAccepted(t *testing.T) {
+	load := Load{Capacity: capacity, Running: 1e8, Queued: 1e7, Rate: capacity}
+	slow, large := testJob(), testJob()
+	slow.Chain = 10 * slow.Objective
+	large.Work = 100 * capacity * float64(large.Objective.Milliseconds())
+	for _, job := range []Job{slow, large} {
+		assert.Assert(t, !Decide(load, alone(), job).Refused())
+		job.Returned = true
+		load.Queued, load.Running = 0, 0
+		assert.Assert(t, !Decide(load, alone(), job).Refused())
+	}
+}
+
 // Guards against waits that are longer than callers are told to expect, or shorter than the
 // unit of Retry-After, whatever is refused.
 func TestWaitsAreBounded(t *testing.T) {
