--- a/internal/version/cell/admission_test.go
+++ b/internal/version/cell/admission_test.go
@@ -622,12 +622,21 @@
 		}
 		for range 120 {
 			s.advance(time.Duration(50+s.random.IntN(500)) * time.Millisecond)
-			for _, id := range sortedKeys(s.cell.jobs)[:min(1, len(s.cell.jobs))] {
-				if s.random.IntN(20) == 0 {
-					s.cell.Cancel(s.now, 0, id)
-				}
+			if open := s.openShortJobs(); len(open) > 0 && s.random.IntN(10) == 0 {
+				s.cell.Cancel(s.now, 0, open[s.random.IntN(len(open))])
 			}
 			s.cell.checkWork(t)
 		}
 	}
 }
+
+// openShortJobs returns the jobs that have not ended and have no long-running tasks.
+func (s *simulation) openShortJobs() []jobspec.ID {
+	var open []jobspec.ID
+	for _, id := range sortedKeys(s.cell.jobs) {
+		if j := s.cell.jobs[id]; !j.state.IsFinal() && !j.spec.Steps[0].LongRunning {
+			open = append(open, id)
+		}
+	}
+	return open
+}
