--- a/internal/entry/effects.go
+++ b/internal/entry/effects.go
@@ -143,6 +143,7 @@
 	for _, wait := range effects.NearWaits {
 		options.Metrics.NearWaitEnded(wait.Outcome.Label(), wait.Duration)
 	}
+	l.countAdmissions(effects)
 	for _, order := range effects.Starts {
 		options.Journal.LogTask(logging.TaskLine{Event: "start ordered", Task: taskName(order.Task), Run: order.Run, Worker: string(order.Worker), KnownRun: order.KnownRun, Recovery: order.Recovery, Epoch: l.term.Epoch})
 	}
--- a/internal/version/cell/types.go
+++ b/internal/version/cell/types.go
@@ -416,6 +416,10 @@
 	Away []AwayTime
 	// NearWaits lists the waits for places near data or groups that have ended.
 	NearWaits []NearWait
+	// Refused is the number of refused submissions by queue, or nil. CompletionRatios lists the
+	// ratios of the actual to the expected time to completion of accepted jobs.
+	Refused          map[string]int
+	CompletionRatios []float64
 }
 
 // DecisionEvent is a log entry about one decision.
