test/overlimit: process tests of clients beyond the limits

Clients have made an instance run out of memory. Each test starts one instance on loopback with memory_mb = 64 and max_fds = 600 (which the program does not read yet) and a crowd of 300 clients of one kind (500 for silent connections). It checks that the process lives, that VmHWM and samples of RSS stay under 64 MB and open descriptors under 400, and that an ordinary submission is accepted while the crowd is open and afterwards.

make test runs this package after all others, because it measures memory.

--- a/Makefile
+++ b/Makefile
@@ -11,8 +11,11 @@
 
 # Passes over the tests that KNOWN-RED.txt lists, and prints the list. The simulations of
 # internal/version/cell take several minutes of processor time with the race detector.
+#
+# The tests of test/overlimit measure the memory of a process, so that they run after the others.
 test:
-	skip=$$(.ci/known-red) && $(GO) test -race -timeout 20m -skip "$$skip" ./...
+	skip=$$(.ci/known-red) && $(GO) test -race -timeout 20m -skip "$$skip" $$($(GO) list ./... | grep -v /test/overlimit$$)
+	skip=$$(.ci/known-red) && $(GO) test -count 1 -skip "$$skip" ./test/overlimit
 
 lint:
 	test -z "$$(gofmt -l cmd internal platform test)"
--- /dev/null
+++ b/test/overlimit/instance_test.go
@@ -0,0 +1,228 @@
+// Package overlimit tests that an entry instance survives clients that exceed its limits or
+// stall. Each test starts one instance as a process of its own on loopback, with a small memory
+// limit, and a crowd of clients of one kind. The tests assert nothing about time or about the
+// share of the crowd that is served.
+package overlimit
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"poplarvalve/test/fleet"
+)
+
+const (
+	// memoryMB is the memory limit in the settings of the instance. Its peak resident memory
+	// must stay below.
+	memoryMB = 64
+	// maxFDs is the limit of descriptors in the settings, of which filesReserve are for
+	// files. The others are the bound of the open descriptors.
+	maxFDs       = 600
+	filesReserve = 200
+	// maxTries is the number of tries of an ordinary submission, with tryPause after each
+	// refusal.
+	maxTries = 150
+	tryPause = 100 * time.Millisecond
+	// samplePause is the pause between two samples of memory and descriptors.
+	samplePause = 10 * time.Millisecond
+	// sampledTime is how long a crowd that has sent everything stays open.
+	sampledTime = 2 * time.Second
+)
+
+// instance is the process under test beside stand-ins for the log and a worker.
+type instance struct {
+	t       *testing.T
+	ip      string
+	command *exec.Cmd
+	// ended is closed when the process has ended.
+	ended chan struct{}
+	// submissions is the number of ordinary submissions, which gives them their ids.
+	submissions int
+	// portOf returns the port to which a client connects.
+	portOf     func(number int) int
+	maxRSS     atomic.Int64
+	maxOpenFDs atomic.Int64
+}
+
+// startInstance starts an instance and waits until it accepts a job.
+func startInstance(t *testing.T) *instance {
+	t.Helper()
+	dir := t.TempDir()
+	program := os.Getenv("OVERLIMIT_PROGRAM")
+	if program == "" {
+		program = filepath.Join(dir, "poplarvalved")
+		output, err := exec.Command("go", "build", "-o", program, "../../cmd/poplarvalved").CombinedOutput()
+		assert.NilError(t, err, "%s", output)
+	}
+	log := fleet.NewLog()
+	t.Cleanup(log.Close)
+	worker := fleet.NewWorker("i-0", "p", 100*time.Millisecond, fleet.NewOverlapDetector())
+	t.Cleanup(worker.Close)
+	log.AppendRecord("keyed.servers", worker.ID, worker.RegistryEntry())
+	log.AppendRecord("keyed.op", "config", []byte(`{"version":1,"routes":[{"name":"q","host":"h","path_prefix":"/j/","service":"p","target_latency_ms":600,"attempts":5,"stretch":2.0}],"services":[{"name":"p"}],"limits":{"max_body_bytes":262144}}`))
+	i := &instance{t: t, ip: fmt.Sprintf("127.%d.%d.1", 130+os.Getpid()/250%100, os.Getpid()%250+1), ended: make(chan struct{}),
+		portOf: bodyPort}
+	settings := filepath.Join(dir, "entry.ini")
+	assert.NilError(t, os.WriteFile(settings, fmt.Appendf(nil, `[instance]
+name = n0
+caller_address = %[1]s:8161
+ready_address = %[1]s:8162
+link_address = %[1]s:8163
+operator_address = %[1]s:8164
+[log]
+address = %[2]s
+[workers]
+max_lease_ms = 6000
+remote_factor = 2
+[jobs]
+keep_ended_s = 300
+[limits]
+memory_mb = %[3]d
+cpu_share = 1
+grace_s = 2
+max_fds = %[4]d
+`, i.ip, log.Address(), memoryMB, maxFDs), 0o600))
+	logFile, err := os.Create(filepath.Join(dir, "n0.log"))
+	assert.NilError(t, err)
+	defer logFile.Close() // The process has its own copy of the descriptor.
+	i.command = exec.Command(program, "-settings", settings, "entry")
+	i.command.Stdout, i.command.Stderr = logFile, logFile
+	i.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	assert.NilError(t, i.command.Start())
+	go func() {
+		defer close(i.ended)
+		_ = i.command.Wait() // The tests check whether it ended, not how.
+	}()
+	t.Cleanup(func() {
+		_ = i.command.Process.Kill() // Fails if the process has ended.
+		<-i.ended
+		if t.Failed() {
+			content, _ := os.ReadFile(logFile.Name())
+			t.Logf("end of the log of the instance:\n%s", content[max(0, len(content)-4000):])
+		}
+	})
+	i.submitOrdinary("before the crowd")
+	return i
+}
+
+// submitOrdinary submits a small job until it is accepted, for a bounded number of tries.
+func (i *instance) submitOrdinary(when string) {
+	i.t.Helper()
+	i.submissions++
+	client := &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	last := errors.New("no try")
+	for range maxTries {
+		body := strings.NewReader(`{"spec":"x","steps":[{"count":1,"cpu":1000,"mem_mb":100,"estimate_ms":100}]}`)
+		request, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:8161/j/%016x", i.ip, i.submissions), body)
+		assert.NilError(i.t, err)
+		request.Host = "h"
+		response, err := client.Do(request)
+		if err == nil {
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return
+			}
+			err = errors.New(response.Status)
+		}
+		last = err
+		select {
+		case <-i.ended:
+			i.t.Fatalf("%s: the process has ended", when)
+		case <-time.After(tryPause):
+		}
+	}
+	i.t.Errorf("%s: an ordinary submission was not accepted in %d tries, the last one: %v", when, maxTries, last)
+}
+
+// bodyPort returns one of the ports that take bodies: mostly the callers' one, and every third
+// time the operators'.
+func bodyPort(number int) int { return []int{8161, 8161, 8164}[number%3] }
+
+// sample records memory and descriptors until stop is closed.
+func (i *instance) sample(stop <-chan struct{}) {
+	for {
+		i.maxRSS.Store(max(i.maxRSS.Load(), i.statusKB("VmRSS")))
+		entries, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", i.command.Process.Pid)) // Empty if the process has ended.
+		i.maxOpenFDs.Store(max(i.maxOpenFDs.Load(), int64(len(entries))))
+		select {
+		case <-stop:
+			return
+		case <-time.After(samplePause):
+		}
+	}
+}
+
+// statusKB returns a field of the status of the process in kilobytes, or 0 if the process has
+// ended.
+func (i *instance) statusKB(field string) int64 {
+	content, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", i.command.Process.Pid))
+	for line := range strings.Lines(string(content)) {
+		if rest, found := strings.CutPrefix(line, field+":"); found {
+			kb, _ := strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
+			return kb
+		}
+	}
+	return 0
+}
+
+// checkCrowd runs count clients at once and checks what must hold whatever they do. A client
+// returns when it has sent all that it has to send; its connection stays open.
+func (i *instance) checkCrowd(count int, client func(number int, c net.Conn)) {
+	i.t.Helper()
+	stop, sampled := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(sampled)
+		i.sample(stop)
+	}()
+	conns, done := make(chan net.Conn, count), make(chan struct{}, count)
+	for number := range count {
+		go func() {
+			defer func() { done <- struct{}{} }()
+			c, err := net.DialTimeout("tcp", fmt.Sprintf("%s:%d", i.ip, i.portOf(number)), 5*time.Second)
+			if err != nil {
+				return // The instance refuses the connection.
+			}
+			conns <- c
+			_ = c.SetWriteDeadline(time.Now().Add(5 * time.Second)) // Ends a client whose data is not read.
+			client(number, c)
+		}()
+	}
+	for range count {
+		<-done
+	}
+	time.Sleep(sampledTime)
+	i.submitOrdinary("while the crowd is open")
+	close(conns)
+	for c := range conns {
+		_ = c.Close()
+	}
+	i.submitOrdinary("after the crowd")
+	close(stop)
+	<-sampled
+	peak := i.statusKB("VmHWM")
+	i.t.Logf("VmHWM %.1f MB, largest sample of RSS %.1f MB, of open descriptors %d", float64(peak)/1024, float64(i.maxRSS.Load())/1024, i.maxOpenFDs.Load())
+	select {
+	case <-i.ended:
+		i.t.Errorf("the process has ended")
+	default:
+	}
+	if peak > memoryMB<<10 || i.maxRSS.Load() > memoryMB<<10 {
+		i.t.Errorf("the peak of the memory is %d KB, a sample %d KB; the limit is %d MB", peak, i.maxRSS.Load(), memoryMB)
+	}
+	if open := i.maxOpenFDs.Load(); open > maxFDs-filesReserve {
+		i.t.Errorf("%d descriptors are open; the limit is %d", open, maxFDs-filesReserve)
+	}
+}
--- /dev/null
+++ b/test/overlimit/overlimit_test.go
@@ -0,0 +1,211 @@
+package overlimit
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+const (
+	// bodyCrowd is the number of clients that send bodies or headers, and idleCrowd that of
+	// the others.
+	bodyCrowd = 300
+	idleCrowd = 500
+	// legalBytes is the largest body that the platform allows.
+	legalBytes = 256 << 10
+	// missingBytes is by how much a body stops short.
+	missingBytes = 10
+)
+
+// head returns the head of a submission by one client, on the caller or the operator port.
+func head(number int, framing string) string {
+	line := fmt.Sprintf("POST /j/%016x HTTP/1.1\r\nHost: h\r\n", 0xf000+number)
+	if number%3 == 2 {
+		line = fmt.Sprintf("PUT /v1/queues/q/jobs/%016x HTTP/1.1\r\nHost: h\r\n", 0xf000+number)
+	}
+	return line + framing + "\r\n\r\n"
+}
+
+func withLength(number, length int) string {
+	return head(number, fmt.Sprint("Content-Length: ", length))
+}
+
+func chunked(number int) string { return head(number, "Transfer-Encoding: chunked") }
+
+// send writes parts to a connection until one fails. It fails once the instance has closed the
+// connection, which the instance may.
+func send(c net.Conn, parts ...string) bool {
+	for _, part := range parts {
+		if _, err := c.Write([]byte(part)); err != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// sendInPieces sends data in pieces with a pause after each.
+func sendInPieces(c net.Conn, data string, pieceBytes int, pause time.Duration) {
+	for len(data) > 0 {
+		n := min(pieceBytes, len(data))
+		if !send(c, data[:n]) {
+			return
+		}
+		data = data[n:]
+		time.Sleep(pause)
+	}
+}
+
+// exchange sends requests one after the other and reads something of the answer to each.
+func exchange(c net.Conn, request string, count int) {
+	answer := make([]byte, 1024)
+	for range count {
+		if !send(c, request) {
+			return
+		}
+		_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		if _, err := c.Read(answer); err != nil {
+			return
+		}
+	}
+}
+
+// job returns a job of legal size that is padded to n bytes.
+func job(n int) string {
+	const start, end = `{"spec":"x","pad":"`, `","steps":[{"count":1,"cpu":1000,"mem_mb":100,"estimate_ms":100}]}`
+	return start + strings.Repeat("a", n-len(start)-len(end)) + end
+}
+
+// Each body that stalled just before its end was held in memory for as long as its client wanted.
+func TestBodiesThatStopShort(t *testing.T) {
+	body := job(legalBytes)
+	startInstance(t).checkCrowd(bodyCrowd, func(number int, c net.Conn) {
+		send(c, withLength(number, len(body)), body[:len(body)-missingBytes])
+	})
+}
+
+// As above, but the size is not known beforehand and the bodies grow at the same time.
+func TestBodiesPieceByPieceThatStopShort(t *testing.T) {
+	body := job(legalBytes)
+	startInstance(t).checkCrowd(bodyCrowd, func(number int, c net.Conn) {
+		if send(c, withLength(number, len(body))) {
+			sendInPieces(c, body[:len(body)-missingBytes], 8<<10, 20*time.Millisecond)
+		}
+	})
+}
+
+// A chunk of almost the limit was held in memory.
+func TestHugeChunkThatStopsShort(t *testing.T) {
+	const chunk = 1 << 20
+	data := job(chunk)
+	startInstance(t).checkCrowd(bodyCrowd, func(number int, c net.Conn) {
+		send(c, chunked(number), fmt.Sprintf("%x\r\n", chunk), data[:chunk-missingBytes])
+	})
+}
+
+// Chunks of a few bytes cost processor time and buffers for their framing too.
+func TestTinyChunksThatStopShort(t *testing.T) {
+	body := job(240 << 10)
+	var framed strings.Builder
+	for i := 0; i+3 <= len(body); i += 3 {
+		framed.WriteString("3\r\n" + body[i:i+3] + "\r\n")
+	}
+	data := framed.String()
+	startInstance(t).checkCrowd(bodyCrowd, func(number int, c net.Conn) { send(c, chunked(number), data) })
+}
+
+// Up to the limit was read of a body whose announced length is far over it.
+func TestBodiesAnnouncedOverTheLimit(t *testing.T) {
+	data := job(900 << 10)
+	startInstance(t).checkCrowd(bodyCrowd, func(number int, c net.Conn) {
+		send(c, withLength(number, 1<<30), data)
+	})
+}
+
+// The same holds for a body that goes on and on without an announced length.
+func TestBodiesSentOverTheLimit(t *testing.T) {
+	piece := fmt.Sprintf("%x\r\n%s\r\n", 64<<10, strings.Repeat(" ", 64<<10))
+	startInstance(t).checkCrowd(bodyCrowd, func(number int, c net.Conn) {
+		if !send(c, chunked(number)) {
+			return
+		}
+		for range 32 {
+			if !send(c, piece) {
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	})
+}
+
+// Large bodies that end and are no job are read and decoded at the same time.
+func TestLargeBodiesThatAreNoJob(t *testing.T) {
+	body := strings.Repeat("x", legalBytes)
+	startInstance(t).checkCrowd(bodyCrowd, func(number int, c net.Conn) {
+		exchange(c, withLength(number, len(body))+body, 5)
+	})
+}
+
+// The decoded form of a body was many times as large as the body: 80,000 empty steps took more
+// than 20 MB.
+func TestLargeBodiesThatDecodeIntoMuchMore(t *testing.T) {
+	bodies := []string{
+		`{"spec":"x","steps":[` + strings.Repeat(`{},`, 80000) + `{}]}`,
+		`{"spec":"x","steps":[{"count":1,"after":[` + strings.Repeat(`0,`, 120000) + `0]}]}`,
+		`{"spec":"x","steps":` + strings.Repeat(`[`, 9000) + strings.Repeat(`]`, 9000) + `}`,
+		`{` + strings.Repeat(`"steps":[{},{},{},{},{},{}],`, 9000) + `"spec":"x"}`,
+	}
+	startInstance(t).checkCrowd(bodyCrowd, func(number int, c net.Conn) {
+		body := bodies[number/3%len(bodies)]
+		exchange(c, withLength(number, len(body))+body, 5)
+	})
+}
+
+// Clients that pipeline requests and never read the answers must not make the instance keep the
+// answers.
+func TestAnswersThatAreNeverRead(t *testing.T) {
+	startInstance(t).checkCrowd(bodyCrowd, func(number int, c net.Conn) {
+		request := "GET /j/0000000000000001 HTTP/1.1\r\nHost: h\r\n\r\n"
+		if number%3 == 2 {
+			request = "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n"
+		}
+		_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
+		requests := bytes.Repeat([]byte(request), 64)
+		for range 200 {
+			_ = c.SetWriteDeadline(time.Now().Add(time.Second))
+			if _, err := c.Write(requests); err != nil {
+				return
+			}
+		}
+	})
+}
+
+// Connections on any port that are silent or half closed took all descriptors.
+func TestConnectionsThatDoNothing(t *testing.T) {
+	i := startInstance(t)
+	i.portOf = func(number int) int { return 8161 + number%4 }
+	i.checkCrowd(idleCrowd, func(number int, c net.Conn) {
+		switch number / 4 % 6 {
+		case 0, 1: // A request that was answered before.
+			exchange(c, "GET /nothing HTTP/1.1\r\nHost: h\r\n\r\n", 1)
+		case 2:
+			if send(c, withLength(0, 100), "{") {
+				_ = c.(*net.TCPConn).CloseWrite() // Fails if the instance has closed the connection.
+			}
+		}
+	})
+}
+
+// Headers of almost 1 MB each were held in memory, on any port.
+func TestManyHeaderBytes(t *testing.T) {
+	var lines strings.Builder
+	for i := 0; lines.Len() < 900<<10; i++ {
+		fmt.Fprintf(&lines, "X-%d: %s\r\n", i, strings.Repeat("v", 50))
+	}
+	headers := "GET /j/0000000000000001 HTTP/1.1\r\nHost: h\r\n" + lines.String()
+	i := startInstance(t)
+	i.portOf = func(number int) int { return 8161 + number%4 }
+	i.checkCrowd(bodyCrowd, func(_ int, c net.Conn) { send(c, headers) })
+}
