entry: limits of clients for memory, connections, requests and time

Cause: platform/front.go and jobapi read up to 1 MB of any body, whatever else was open. Nothing limited the time for a body or for reading an answer, the number of connections or the size of headers (1 MB each), and the decoded form of a job could be 67 times as large as its body.

Change: internal/connection/clientlimit reads bodies within the budget of membudget (announced bodies over the limit are refused with 413 before a byte is read, 503 with Retry-After if memory is short, 408 below the minimum rate) and limits connections of all four ports: an idle, slow or unread connection makes room for a new one, links have room of their own. A connection that was told to end reaches no handler, so that each refusal says that the job was not accepted. The limits follow from memory_mb and max_fds and are settings of [limits]. Refusals are counted and logged (5 lines a second); the dump has the state.

The tests of internal/entry changed only for the types of NewCallerHandler and Entry.Dump.

--- a/cmd/poplarvalve/queue.go
+++ b/cmd/poplarvalve/queue.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 	"net/url"
@@ -46,7 +47,7 @@
 			if err != nil {
 				return err
 			}
-			if _, err := jobapi.Decode(content); err != nil {
+			if _, err := jobapi.Decode(bytes.Clone(content)); err != nil {
 				return newExitError(exitUsage, "%v", err)
 			}
 			return t.sendQueueRequest(ctx, request{method: http.MethodPut, path: queueJobPath(args), body: content})
--- a/cmd/poplarvalved/entry.go
+++ b/cmd/poplarvalved/entry.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -17,6 +18,7 @@
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 
 	"poplarvalve/internal/connection/advice"
+	"poplarvalve/internal/connection/clientlimit"
 	"poplarvalve/internal/connection/jobapi"
 	"poplarvalve/internal/connection/operator"
 	"poplarvalve/internal/connection/orderly"
@@ -26,6 +28,7 @@
 	"poplarvalve/internal/process/boottime"
 	"poplarvalve/internal/process/fault"
 	"poplarvalve/internal/process/logging"
+	"poplarvalve/internal/process/membudget"
 	"poplarvalve/internal/process/metrics"
 	"poplarvalve/internal/process/settings"
 	"poplarvalve/internal/version/cell"
@@ -57,6 +60,9 @@
 	// handOverReserve is how long before the end of the grace period the instance
 	// stops waiting for the log to record the hand-over of its cells.
 	handOverReserve = time.Second
+	// maxReports is the number of answers of each kind with metrics or a dump that are sent at
+	// once. Each takes up to some MB, and operators need one or two.
+	maxReports = 4
 	// exitReserve is how long before the end of the grace period the instance stops
 	// waiting for requests to be answered.
 	exitReserve = 200 * time.Millisecond
@@ -70,9 +76,31 @@
 	journal      *logging.Journal
 	entry        *entry.Entry
 	self         election.Holder
-	// callers accepts the connections of callers.
-	callers *orderly.Listener
-	app     *kratos.App
+	// clients bounds what the clients of all servers take, and budget the memory for their
+	// bodies.
+	clients *clientlimit.Connections
+	budget  *membudget.Budget
+	listeners
+	app *kratos.App
+}
+
+// listeners accept the connections of callers, of the readiness probe, of other instances and of
+// operators.
+type listeners struct{ callers, readiness, links, operators *orderly.Listener }
+
+// listen opens all listeners.
+func listen(s *settings.EntrySettings) (l listeners, err error) {
+	for _, of := range []struct {
+		listener **orderly.Listener
+		address  netip.AddrPort
+		purpose  string
+	}{{&l.callers, s.CallerAddress, "callers"}, {&l.readiness, s.ReadyAddress, "the readiness probe"},
+		{&l.links, s.LinkAddress, "other instances"}, {&l.operators, s.OperatorAddress, "operators"}} {
+		if *of.listener, err = orderly.Listen(of.address.String()); err != nil {
+			return l, fault.Startup(fault.Listen, err, "listening for %s", of.purpose)
+		}
+	}
+	return l, nil
 }
 
 // runEntry loads the settings and serves multi-step jobs until SIGTERM or SIGINT.
@@ -86,19 +114,20 @@
 		return fault.Startup(fault.Internal, err, "checking the clocks of the machine")
 	}
 	debug.SetMemoryLimit(int64(float64(loadedSettings.Memory) * memoryLimitShare * (1 << 20)))
-	callers, err := orderly.Listen(loadedSettings.CallerAddress.String())
+	opened, err := listen(loadedSettings)
 	if err != nil {
-		return fault.Startup(fault.Listen, err, "listening for callers")
+		return err
 	}
-	return newEntryDaemon(settingsPath, loadedSettings, callers).run(hangups)
+	return newEntryDaemon(settingsPath, loadedSettings, opened).run(hangups)
 }
 
-func newEntryDaemon(settingsPath string, s *settings.EntrySettings, callers *orderly.Listener) *entryDaemon {
+func newEntryDaemon(settingsPath string, s *settings.EntrySettings, opened listeners) *entryDaemon {
 	counters := metrics.NewEntryMetrics()
 	d := &entryDaemon{
 		settings:     s,
 		settingsPath: settingsPath,
-		callers:      callers,
+		listeners:    opened,
+		budget:       clientlimit.NewBudget(s.Clients),
 		journal:      logging.NewJournal(os.Stdout, s.LogLevel, s.Name, counters.LineDropped),
 		self:         election.Holder{Name: s.Name, Address: s.LinkAddress.String(), Nonce: newNonce()},
 	}
@@ -183,25 +212,54 @@
 }
 
 func (d *entryDaemon) servers(counters *metrics.EntryMetrics) []transport.Server {
-	s := d.settings
-	callerServer := newServer(s.CallerAddress, khttp.Listener(d.callers))
-	callerServer.ConnState = d.callers.ConnState
-	callerServer.HandlePrefix("/", d.callers.Handler(platform.NewCallerHandler(d.entry)))
-	readinessServer := newServer(s.ReadyAddress)
+	config := clientlimit.ConfigFrom(d.settings.Clients)
+	observer := clientObserver{d.journal, counters}
+	d.clients = clientlimit.NewConnections(config, observer)
+	counters.ObserveClients(clientlimit.ReasonNames(), func() float64 { return float64(d.budget.State().Used()) },
+		func() float64 { return float64(d.clients.State().Clients) })
+	bodies := clientlimit.NewBodies(config, d.budget, observer)
+	callerServer := d.newLimitedServer(d.callers, false)
+	callerServer.HandlePrefix("/", d.callers.Handler(platform.NewCallerHandler(d.entry, bodies)))
+	readinessServer := d.newLimitedServer(d.readiness, false)
 	readinessServer.HandlePrefix("/", platform.NewReadinessHandler(d.entry))
-	linkServer := newServer(s.LinkAddress)
+	linkServer := d.newLimitedServer(d.links, true)
 	linkServer.HandlePrefix(peer.Path, d.entry.LinkHandler())
-	operatorServer := newServer(s.OperatorAddress)
-	operatorServer.Handle("/metrics", counters.Handler())
-	operatorServer.HandleFunc(operator.PathDump, d.handleDump)
-	operatorServer.HandlePrefix(jobapi.PathQueues, jobapi.NewHandler(d.entry))
+	operatorServer := d.newLimitedServer(d.operators, false)
+	operatorServer.Handle("/metrics", d.clients.Concurrent(maxReports, counters.Handler()))
+	operatorServer.Handle(operator.PathDump, d.clients.Concurrent(maxReports, http.HandlerFunc(d.handleDump)))
+	operatorServer.HandlePrefix(jobapi.PathQueues, jobapi.NewHandler(d.entry, bodies))
 	return []transport.Server{callerServer, readinessServer, linkServer, operatorServer}
 }
 
+// newLimitedServer returns a server whose connections are limited.
+func (d *entryDaemon) newLimitedServer(opened *orderly.Listener, isLinks bool) *khttp.Server {
+	limited := d.clients.Listen(opened, isLinks, opened.ConnState)
+	server := newServer(opened.Addr().(*net.TCPAddr).AddrPort(), khttp.Listener(limited))
+	limited.Configure(server.Server)
+	if !isLinks {
+		server.Handler = d.clients.Handler(server.Handler)
+	}
+	return server
+}
+
+// clientObserver logs and counts clients that exceed a limit.
+type clientObserver struct {
+	journal *logging.Journal
+	metrics *metrics.EntryMetrics
+}
+
+// ClientRefused implements clientlimit.Observer.
+func (o clientObserver) ClientRefused(reason, address string) {
+	o.metrics.ClientRefused(reason)
+	o.journal.ClientRefused(reason, address)
+}
+
 // handleDump writes the state dump of the instance as JSON.
 func (d *entryDaemon) handleDump(w http.ResponseWriter, _ *http.Request) {
+	state := d.entry.Dump()
+	state["clients"] = map[string]any{"bodies": d.budget.State(), "connections": d.clients.State()}
 	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(d.entry.Dump()); err != nil {
+	if err := json.NewEncoder(w).Encode(state); err != nil {
 		d.journal.Retrying("state dump", err)
 	}
 }
--- a/internal/connection/jobapi/http.go
+++ b/internal/connection/jobapi/http.go
@@ -2,13 +2,14 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"poplarvalve/internal/connection/caller"
 	"poplarvalve/internal/connection/cellcodec"
+	"poplarvalve/internal/connection/clientlimit"
+	"poplarvalve/internal/connection/jobjson"
 	"poplarvalve/internal/process/fault"
 	"poplarvalve/internal/process/jobspec"
 )
@@ -16,9 +17,6 @@
 // PathQueues is the prefix of the paths that the handler serves.
 const PathQueues = "/v1/queues/"
 
-// maxBodyBytes limits the size of a submitted body.
-const maxBodyBytes = 1 << 20
-
 // Step is one step of a submitted job. CPUMillis, MemoryMB and Accelerators are
 // the resources of one task.
 type Step struct {
@@ -53,13 +51,16 @@
 }
 
 // Decode returns the job that a JSON body describes. Its errors are of kind
-// BadRequest. The values in the body are not checked.
+// BadRequest. The values in the body are not checked. Decode may change raw.
 func Decode(raw []byte) (*jobspec.Job, error) {
 	var body Job
-	if err := json.Unmarshal(raw, &body); err != nil {
+	if err := json.Unmarshal(jobjson.Trim(raw), &body); err != nil {
 		return nil, fault.Wrap(fault.BadRequest, err, "decoding the job in the request body")
 	}
 	job := &jobspec.Job{Spec: body.Spec, FirstRunMillis: body.FirstRunUnixMillis, IntervalMillis: body.IntervalMillis, Occurrences: body.Occurrences}
+	if len(body.Steps) > 0 {
+		job.Steps = make([]jobspec.Step, 0, len(body.Steps))
+	}
 	for _, s := range body.Steps {
 		job.Steps = append(job.Steps, jobspec.Step{
 			Count: s.Tasks, CPUMillis: s.CPUMillis, MemoryMB: s.MemoryMB, GPU: s.Accelerators, EstimateMillis: s.EstimateMillis,
@@ -71,13 +72,14 @@
 	return job, nil
 }
 
-// NewHandler returns an HTTP handler for requests about the jobs of a queue:
+// NewHandler returns an HTTP handler for requests about the jobs of a queue. bodies reads the
+// bodies of submissions.
 //
 //	PUT, GET and DELETE /v1/queues/{queue}/jobs/{id}
 //	GET /v1/queues/{queue}/pending
-func NewHandler(server Server) http.Handler {
+func NewHandler(server Server, bodies *clientlimit.Bodies) http.Handler {
 	mux := http.NewServeMux()
-	h := &handler{server}
+	h := &handler{server, bodies}
 	mux.HandleFunc("PUT /v1/queues/{queue}/jobs/{id}", h.handleSubmit)
 	mux.HandleFunc("GET /v1/queues/{queue}/jobs/{id}", h.operation(cellcodec.OpStatus))
 	mux.HandleFunc("DELETE /v1/queues/{queue}/jobs/{id}", h.operation(cellcodec.OpCancel))
@@ -85,16 +87,26 @@
 	return mux
 }
 
-type handler struct{ server Server }
+type handler struct {
+	server Server
+	bodies *clientlimit.Bodies
+}
 
 func (h *handler) handleSubmit(w http.ResponseWriter, r *http.Request) {
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	if err != nil {
-		writeAnswer(w, Answer{Verdict: BadRequest, FailureKind: fault.TooLarge})
+	body, refusal := h.bodies.Read(r)
+	if refusal != clientlimit.None {
+		writeRefusal(w, refusal)
 		return
 	}
+	defer body.Release()
 	request := newRequest(r, cellcodec.OpSubmit)
-	request.Job = func() (*jobspec.Job, error) { return Decode(raw) }
+	request.Job = func() (*jobspec.Job, error) {
+		job, err := Decode(body.Raw)
+		if err == nil {
+			body.Decoded(job.Size())
+		}
+		return job, err
+	}
 	writeAnswer(w, h.server.Serve(r.Context(), request))
 }
 
@@ -123,6 +135,23 @@
 	Detail  string     `json:"detail,omitempty"`
 }
 
+// writeRefusal answers a request that exceeds a limit of the process. It has not been passed on,
+// so that it has no effect.
+func writeRefusal(w http.ResponseWriter, refusal clientlimit.Reason) {
+	kind := fault.Overloaded
+	switch refusal {
+	case clientlimit.TooLarge:
+		kind = fault.TooLarge
+	case clientlimit.TooSlow, clientlimit.BadBody:
+		kind = fault.BadRequest
+	}
+	w.Header().Set(caller.HeaderOutcome, fault.NotRun.String())
+	w.Header().Set("Content-Type", "application/json")
+	refusal.WriteHeader(w)
+	// A write fails if the caller has disconnected; nobody is left to notify.
+	_ = json.NewEncoder(w).Encode(answerBody{Kind: kind})
+}
+
 // writeAnswer encodes an answer. Every answer, a refusal too, has a header that
 // tells the caller whether the request took effect.
 func writeAnswer(w http.ResponseWriter, answer Answer) {
--- a/internal/connection/jobapi/http_test.go
+++ b/internal/connection/jobapi/http_test.go
@@ -12,6 +12,7 @@
 
 	"poplarvalve/internal/connection/caller"
 	"poplarvalve/internal/connection/cellcodec"
+	"poplarvalve/internal/connection/clientlimit"
 	"poplarvalve/internal/process/fault"
 	"poplarvalve/internal/version/cell"
 )
@@ -33,7 +34,7 @@
 func serve(t *testing.T, server *stubServer, method, path, body string) *http.Response {
 	t.Helper()
 	recorder := httptest.NewRecorder()
-	NewHandler(server).ServeHTTP(recorder, httptest.NewRequest(method, path, strings.NewReader(body)))
+	NewHandler(server, clientlimit.NewUnlimitedBodies()).ServeHTTP(recorder, httptest.NewRequest(method, path, strings.NewReader(body)))
 	return recorder.Result()
 }
 
--- a/internal/connection/orderly/orderly.go
+++ b/internal/connection/orderly/orderly.go
@@ -133,6 +133,20 @@
 	}
 }
 
+// EndIfIdle makes the connection read no next request if none has begun, and reports whether
+// it does.
+func (c *conn) EndIfIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.idle {
+		return false
+	}
+	c.ending = true
+	// Ends a Read that waits. An error means that the connection is closed.
+	_ = c.SetReadDeadline(time.Unix(1, 0))
+	return true
+}
+
 // end makes the connection read no next request.
 func (c *conn) end() {
 	c.mu.Lock()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -226,7 +226,7 @@
 
 // Dump returns the instance's view of the cells and their leaders, and the state of
 // the cells that it leads, for operators.
-func (e *Entry) Dump() any { return e.leaders.dump() }
+func (e *Entry) Dump() map[string]any { return e.leaders.dump() }
 
 func operationName(operation cellcodec.Operation) string {
 	switch operation {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -17,6 +17,7 @@
 	"gotest.tools/v3/poll"
 
 	"poplarvalve/internal/connection/advice"
+	"poplarvalve/internal/connection/clientlimit"
 	"poplarvalve/internal/connection/peer"
 	"poplarvalve/internal/connection/workerlink"
 	"poplarvalve/internal/entry"
@@ -114,7 +115,7 @@
 	links := http.NewServeMux()
 	links.Handle(peer.Path, i.entry.LinkHandler())
 	handler.setHandler(links)
-	i.callerServer = httptest.NewServer(platform.NewCallerHandler(i.entry))
+	i.callerServer = httptest.NewServer(platform.NewCallerHandler(i.entry, clientlimit.NewUnlimitedBodies()))
 	i.entry.Start()
 	d.entries = append(d.entries, i)
 	d.t.Cleanup(i.stop)
@@ -251,8 +252,8 @@
 	var found *instance
 	poll.WaitOn(d.t, func(poll.LogT) poll.Result {
 		for _, i := range d.entries {
-			state, isMap := i.entry.Dump().(map[string]any)
-			if isMap && state["cell-0"] != nil {
+			state := i.entry.Dump()
+			if state["cell-0"] != nil {
 				found = i
 				return poll.Success()
 			}
--- a/internal/entry/leaders.go
+++ b/internal/entry/leaders.go
@@ -373,7 +373,7 @@
 
 // dump returns the known cells and leaders, and the state of the cells that this
 // instance leads.
-func (l *leaderDirectory) dump() any {
+func (l *leaderDirectory) dump() map[string]any {
 	table := l.table.Load()
 	state := map[string]any{"cells": table.cellCount, "leaders": table.byCell, "manifest_sources": table.sources.ByZone}
 	for number, led := range table.ledHere {
--- a/internal/entry/supply_test.go
+++ b/internal/entry/supply_test.go
@@ -40,7 +40,7 @@
 	poll.WaitOn(d.t, func(poll.LogT) poll.Result {
 		found = nil
 		for _, i := range d.entries {
-			state, _ := i.entry.Dump().(map[string]any)
+			state := i.entry.Dump()
 			sources, _ := state["manifest_sources"].(map[string]string)
 			known := d.instanceAt(sources[zone])
 			if known == nil || found != nil && found != known {
--- a/internal/process/logging/journal.go
+++ b/internal/process/logging/journal.go
@@ -19,6 +19,9 @@
 	// maxSkipLinesPerSecond limits the lines about records that can't be used. Their
 	// writer decides how often it writes them.
 	maxSkipLinesPerSecond = 5
+	// maxClientLinesPerSecond limits the lines about clients that exceed a limit. Their number
+	// is up to the clients; the metrics count all of them.
+	maxClientLinesPerSecond = 5
 	// maxErrorTextBytes limits the text of an error, which may quote what another
 	// process has sent. It has room for the first frames of a stack.
 	maxErrorTextBytes = 2 << 10
@@ -35,6 +38,7 @@
 	requests lineLimit
 	tasks    lineLimit
 	skips    lineLimit
+	clients  lineLimit
 	onDrop   func()
 }
 
@@ -55,6 +59,7 @@
 	j.requests.maxPerSecond = maxRequestLinesPerSecond
 	j.tasks.maxPerSecond = maxTaskLinesPerSecond
 	j.skips.maxPerSecond = maxSkipLinesPerSecond
+	j.clients.maxPerSecond = maxClientLinesPerSecond
 	j.log = log.Logger{
 		Level:      log.ParseLevel(level),
 		TimeFormat: timeFormat,
@@ -251,6 +256,12 @@
 	j.limitedInfo(&j.skips).Str("source", source).Str("key", key).Str("error", errorText(err)).Msg("record skipped")
 }
 
+// ClientRefused logs that a request was refused or a connection closed because a client exceeded a
+// limit of the process.
+func (j *Journal) ClientRefused(reason, address string) {
+	j.limitedInfo(&j.clients).Str("reason", reason).Str("client", address).Msg("client refused")
+}
+
 // RecordKeptBack logs that a record of the instance was not stored, because the log does
 // not take it.
 func (j *Journal) RecordKeptBack(key string, err error) {
--- a/internal/process/metrics/entry.go
+++ b/internal/process/metrics/entry.go
@@ -28,6 +28,7 @@
 	leasesBound   prometheus.Counter
 	handOvers     [2]prometheus.Counter // unprepared, prepared
 	evacuated     prometheus.Gauge
+	refusals      *prometheus.CounterVec
 	// skippedRecords is indexed by RecordSource.
 	skippedRecords [sourceCount]prometheus.Counter
 }
@@ -86,6 +87,7 @@
 			Help: "Availability zones in which nothing is started, as far as the instance knows."}),
 		droppedLines: newCounter("log_lines_dropped_total", "Log lines left out because there were too many."),
 	}
+	e.refusals = newCounterVec("client_refusals_total", "Requests refused and connections closed because a client exceeded a limit of the process.", "reason")
 	requests := newCounterVec("job_requests_total", "Requests about jobs, by how they were answered.", "operation", "verdict")
 	skipped := newCounterVec("records_skipped_total", "Records of other processes that can't be used, by their source.", "source")
 	for source := range RecordSource(sourceCount) {
@@ -105,7 +107,7 @@
 		}
 	}
 	e.registry.MustRegister(requests, latency, e.appendSeconds, e.starts, e.stops, e.throttles, e.crashes, e.jobsGivenUp, e.droppedLines, e.keptBack, skipped,
-		departures, moves, e.evacuated, e.away, e.leasesBound, handOvers,
+		departures, moves, e.evacuated, e.away, e.leasesBound, handOvers, e.refusals,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return e
 }
@@ -187,6 +189,22 @@
 	e.away.WithLabelValues(cause).Observe(took.Seconds())
 }
 
+// ObserveClients adds metrics that read the limits of clients: the refusals by the given reasons,
+// the memory that bodies hold in bytes, and the number of connections.
+func (e *EntryMetrics) ObserveClients(reasons []string, bodyBytes, connections func() float64) {
+	for _, reason := range reasons {
+		e.refusals.WithLabelValues(reason)
+	}
+	e.registry.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: "client_body_bytes",
+			Help: "Memory held by bodies on which the process has not decided."}, bodyBytes),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: "client_connections",
+			Help: "Open connections of clients."}, connections))
+}
+
+// ClientRefused counts a request that was refused or a connection that was closed.
+func (e *EntryMetrics) ClientRefused(reason string) { e.refusals.WithLabelValues(reason).Inc() }
+
 // LineDropped counts one log line that was dropped.
 func (e *EntryMetrics) LineDropped() { e.droppedLines.Inc() }
 
--- a/internal/process/metrics/metrics_test.go
+++ b/internal/process/metrics/metrics_test.go
@@ -37,6 +37,25 @@
 	}
 }
 
+// A reason for which no client was refused yet must have a series, and the memory that bodies hold
+// must be read when it is asked for.
+func TestHandlerServesMetricsOfClients(t *testing.T) {
+	e, held := NewEntryMetrics(), 0.0
+	e.ObserveClients([]string{"too_large", "too_slow"}, func() float64 { return held }, func() float64 { return 3 })
+	held = 4096
+	e.ClientRefused("too_slow")
+	recorder := httptest.NewRecorder()
+	e.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
+	for _, want := range []string{
+		`poplarvalve_client_refusals_total{reason="too_large"} 0`,
+		`poplarvalve_client_refusals_total{reason="too_slow"} 1`,
+		"poplarvalve_client_body_bytes 4096",
+		"poplarvalve_client_connections 3",
+	} {
+		assert.Assert(t, strings.Contains(recorder.Body.String(), want+"\n"), want)
+	}
+}
+
 // Every metric must appear in the output of the handler with the labels under
 // which it was counted. A metric with other labels, or one that is not
 // registered, would be missing. Two sets of metrics in one process must not
--- a/internal/process/settings/entry.go
+++ b/internal/process/settings/entry.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"syscall"
 	"time"
 
 	"gopkg.in/ini.v1"
@@ -35,6 +36,8 @@
 	AdviceAddress netip.AddrPort
 	// Memory is the memory limit of the process in megabytes.
 	Memory int
+	// Clients bounds what clients can take.
+	Clients ClientLimits
 	// CPUShare is the processor time that the process may use, in cores.
 	CPUShare float64
 	// Grace is the time from SIGTERM until the process is killed.
@@ -108,9 +111,21 @@
 		EvacuationApply:   r.optionalMillis("evacuation", "apply_ms", minEvacuationApplyMillis),
 		LogLevel:          parsed.Section("output").Key("level").MustString("info"),
 	}
+	if len(r.problems) == 0 { // A limit without its base would be reported for another reason.
+		s.Clients = r.clientLimits(float64(s.Memory), processFDs())
+	}
 	return s, r.problems
 }
 
+// processFDs returns the number of descriptors that the process may open.
+func processFDs() uint64 {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return 0 // The settings must state it then.
+	}
+	return limit.Cur
+}
+
 // entryReader reads the values of a settings file and collects the problems
 // with them.
 type entryReader struct {
--- a/internal/process/settings/entry_test.go
+++ b/internal/process/settings/entry_test.go
@@ -25,6 +25,7 @@
 	text = regexp.MustCompile(`(apply_ms) = \{\{[^}]*\}\}`).ReplaceAllString(text, "$1 = 5000")
 	text = regexp.MustCompile(`(name) = \{\{[^}]*\}\}`).ReplaceAllString(text, "$1 = x")
 	text = regexp.MustCompile(`(record_bytes|call_bytes) = \{\{[^}]*\}\}`).ReplaceAllString(text, "$1 = 3000")
+	text = strings.Replace(text, "max_fds = {{limits.max_fds}}", "max_fds = 4100", 1)
 	text = strings.Replace(text, "call_bytes = 3000", "call_bytes = 30000", 1)
 	return regexp.MustCompile(`\{\{[^}]*\}\}`).ReplaceAllString(text, "20")
 }
