clientlimit: bound the lines of a header

A header of 15 KB with 3,500 short lines takes several times its size, and a client may keep it open for 5 s.

OVERLIMIT_PROGRAM=... go test ./test/overlimit -count=1 -v -run ManyHeader

--- a/internal/connection/clientlimit/connections.go
+++ b/internal/connection/clientlimit/connections.go
@@ -1,7 +1,9 @@
 package clientlimit
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/netip"
@@ -13,7 +15,8 @@
 )
 
 const (
-	// maxHeaderLines bounds the memory of a header with many short lines.
+	// maxHeaderLines bounds the memory of a header with many short lines, which take
+	// several times the memory of their text. Clients and load balancers send a few dozen.
 	maxHeaderLines = 128
 	// lingerTime is how long the rest of a body is read and dropped after an answer. A
 	// connection that is closed before may lose the answer.
@@ -85,6 +88,43 @@
 	// writeSince is when a write began that has not ended, in Unix nanoseconds, or 0.
 	writeSince atomic.Int64
 	closed     sync.Once
+	// header counts the lines of the header that arrives. Only one goroutine reads.
+	header headerLines
+}
+
+// errTooManyHeaders ends a connection whose header has too many lines.
+var errTooManyHeaders = errors.New("the header of the request has too many lines")
+
+// headerLines counts the lines of a header in the bytes that arrive.
+type headerLines struct {
+	lines int
+	// inLine is set after a byte of a line other than its end. It is set at the start as well,
+	// because an empty line at the start does not end a header.
+	inLine bool
+	ended  bool
+}
+
+func newHeaderLines() headerLines { return headerLines{inLine: true} }
+
+// add counts the lines in bytes that have arrived, until the empty line that ends the header.
+func (h *headerLines) add(part []byte) {
+	for !h.ended {
+		end := bytes.IndexByte(part, '\n')
+		line := part
+		if end >= 0 {
+			line = part[:end]
+		}
+		if len(line) > 1 || len(line) == 1 && line[0] != '\r' {
+			h.inLine = true
+		}
+		if end < 0 {
+			return
+		}
+		h.ended = !h.inLine
+		h.inLine = false
+		h.lines++
+		part = part[end+1:]
+	}
 }
 
 // Listener limits the connections that another listener accepts.
@@ -152,7 +192,7 @@
 // admit returns the connection with its limits, or nil if there is no room for it.
 func (l *Connections) admit(accepted EndingConn, isLink bool) *Conn {
 	remote := remoteAddr(accepted)
-	c := &Conn{EndingConn: accepted, limits: l, remote: remote, pool: l.clients}
+	c := &Conn{EndingConn: accepted, limits: l, remote: remote, pool: l.clients, header: newHeaderLines()}
 	limit := l.config.Connections
 	if isLink {
 		c.pool, limit = l.links, l.config.LinkConnections
@@ -281,14 +321,26 @@
 	return err
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It fails if a header has too many lines.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.EndingConn.Read(p)
-	if n > 0 {
-		c.received.Add(int64(n))
-		if phase(c.phase.Load()) == phaseIdle {
-			c.enter(phaseIdle, phaseHeader)
-		}
+	if n == 0 {
+		return n, err
+	}
+	c.received.Add(int64(n))
+	switch phase(c.phase.Load()) {
+	case phaseIdle:
+		c.enter(phaseIdle, phaseHeader)
+		c.header = newHeaderLines()
+		c.header.add(p[:n])
+	case phaseHeader:
+		c.header.add(p[:n])
+	default:
+		return n, err
+	}
+	if c.header.lines > maxHeaderLines {
+		c.limits.observer.ClientRefused(TooManyHeaders.String(), c.remote.String())
+		return 0, errTooManyHeaders
 	}
 	return n, err
 }
--- a/internal/connection/clientlimit/connections_test.go
+++ b/internal/connection/clientlimit/connections_test.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -139,3 +141,19 @@
 	assert.Equal(t, served, 1)
 	assert.Equal(t, l.State().Requests, int64(limits.Requests))
 }
+
+// 4,000 short header lines take many times their size. Lines of a body must not count, however the
+// bytes are split.
+func TestHeaderLinesAreCounted(t *testing.T) {
+	request := "POST / HTTP/1.1\r\nHost: h\r\nA: b\r\n\r\n" + strings.Repeat("\n", 1000)
+	for size := 1; size <= len(request); size++ {
+		h := newHeaderLines()
+		for part := range slices.Chunk([]byte(request), size) {
+			h.add(part)
+		}
+		assert.Equal(t, h.lines, 4, "parts of %d bytes", size)
+	}
+	h := newHeaderLines()
+	h.add([]byte("GET / HTTP/1.1\n" + strings.Repeat("a:\n", 4000)))
+	assert.Assert(t, h.lines > maxHeaderLines)
+}
--- a/internal/connection/jobjson/jobjson_test.go
+++ b/internal/connection/jobjson/jobjson_test.go
@@ -46,7 +46,7 @@
 	})
 }
 
-// 80,000 empty steps took 20 MB when they were decoded. A job whose lists are longer than allowed
+// 80,000 empty steps, 240 KB, took 16 MB when they were decoded. A job whose lists are longer than allowed
 // must be cut, and to a length at which it is still refused.
 func TestTrimCutsLongLists(t *testing.T) {
 	var j job
--- a/test/overlimit/overlimit_test.go
+++ b/test/overlimit/overlimit_test.go
@@ -148,8 +148,8 @@
 	})
 }
 
-// The decoded form of a body was many times as large as the body: 80,000 empty steps took more
-// than 20 MB.
+// The decoded form of a body was many times as large as the body: 80,000 empty steps, 240 KB, were
+// held as 16 MB after 77 MB had been allocated.
 func TestLargeBodiesThatDecodeIntoMuchMore(t *testing.T) {
 	bodies := []string{
 		`{"spec":"x","steps":[` + strings.Repeat(`{},`, 80000) + `{}]}`,
@@ -209,3 +209,15 @@
 	i.portOf = func(number int) int { return 8161 + number%4 }
 	i.checkCrowd(bodyCrowd, func(_ int, c net.Conn) { send(c, headers) })
 }
+
+// Many short lines take several times their size, within the limit of the size too.
+func TestManyHeaderLines(t *testing.T) {
+	var lines strings.Builder
+	for i := 0; lines.Len() < 15<<10; i++ {
+		fmt.Fprintf(&lines, "%x:\r\n", i)
+	}
+	headers := "GET /j/0000000000000001 HTTP/1.1\r\nHost: h\r\n" + lines.String()
+	i := startInstance(t)
+	i.portOf = func(number int) int { return 8161 + number%4 }
+	i.checkCrowd(bodyCrowd, func(_ int, c net.Conn) { send(c, headers) })
+}
