--- a/internal/process/settings/clients.go
+++ b/internal/process/settings/clients.go
@@ -39,8 +39,8 @@
 	// connections each must have room in 4,100 descriptors.
 	clientFDShare = 0.5
 	linkFDShare   = 0.125
-	// connectionsPerMB limits connections by memory. A connection without a body takes about
-	// 20 KB, so that all together take less than a sixth of the memory.
+	// connectionsPerMB limits connections by memory. A connection without a request takes about
+	// 28 KB, so that all together take less than a quarter of the memory.
 	connectionsPerMB = 8
 	// bodyMemoryShare is the part of the memory that bodies may take, and smallBodyShare the part of
 	// that for small ones. The collector of the runtime may need the same amount again.
