peer: memory budget for messages on accepted links

Whoever reaches the link port can open a link, and a link read a message of up to 1 MB into memory however slowly it arrived. Messages on accepted links now acquire memory as they arrive, from a budget apart from that of bodies; a message that stalls is displaced and its link closed.

The tests of celllink and entry changed only for the new argument of Handler and LinkHandler.

--- a/cmd/poplarvalved/entry.go
+++ b/cmd/poplarvalved/entry.go
@@ -76,10 +76,10 @@
 	journal      *logging.Journal
 	entry        *entry.Entry
 	self         election.Holder
-	// clients bounds what the clients of all servers take, and budget the memory for their
-	// bodies.
-	clients *clientlimit.Connections
-	budget  *membudget.Budget
+	// clients bounds what the clients of all servers take, budget the memory for their bodies,
+	// and linkBudget that for messages on links that other instances have opened.
+	clients            *clientlimit.Connections
+	budget, linkBudget *membudget.Budget
 	listeners
 	app *kratos.App
 }
@@ -128,6 +128,7 @@
 		settingsPath: settingsPath,
 		listeners:    opened,
 		budget:       clientlimit.NewBudget(s.Clients),
+		linkBudget:   clientlimit.NewLinkBudget(s.Clients),
 		journal:      logging.NewJournal(os.Stdout, s.LogLevel, s.Name, counters.LineDropped),
 		self:         election.Holder{Name: s.Name, Address: s.LinkAddress.String(), Nonce: newNonce()},
 	}
@@ -223,7 +224,7 @@
 	readinessServer := d.newLimitedServer(d.readiness, false)
 	readinessServer.HandlePrefix("/", platform.NewReadinessHandler(d.entry))
 	linkServer := d.newLimitedServer(d.links, true)
-	linkServer.HandlePrefix(peer.Path, d.entry.LinkHandler())
+	linkServer.HandlePrefix(peer.Path, d.entry.LinkHandler(d.linkBudget))
 	operatorServer := d.newLimitedServer(d.operators, false)
 	operatorServer.Handle("/metrics", d.clients.Concurrent(maxReports, counters.Handler()))
 	operatorServer.Handle(operator.PathDump, d.clients.Concurrent(maxReports, http.HandlerFunc(d.handleDump)))
@@ -257,7 +258,7 @@
 // handleDump writes the state dump of the instance as JSON.
 func (d *entryDaemon) handleDump(w http.ResponseWriter, _ *http.Request) {
 	state := d.entry.Dump()
-	state["clients"] = map[string]any{"bodies": d.budget.State(), "connections": d.clients.State()}
+	state["clients"] = map[string]any{"bodies": d.budget.State(), "link_messages": d.linkBudget.State(), "connections": d.clients.State()}
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(state); err != nil {
 		d.journal.Retrying("state dump", err)
--- a/internal/connection/celllink/link.go
+++ b/internal/connection/celllink/link.go
@@ -17,6 +17,7 @@
 	"poplarvalve/internal/connection/cellcodec"
 	"poplarvalve/internal/connection/peer"
 	"poplarvalve/internal/process/fault"
+	"poplarvalve/internal/process/membudget"
 )
 
 const (
@@ -130,10 +131,11 @@
 }
 
 // Handler returns the HTTP handler that accepts links of other instances. It
-// serves a request until its link is closed.
-func Handler(server Server) http.Handler {
+// serves a request until its link is closed. memory is the budget for the messages that
+// arrive on the links, or nil.
+func Handler(server Server, memory *membudget.Budget) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		conn, err := peer.Accept(w, r)
+		conn, err := peer.Accept(w, r, memory)
 		if err != nil {
 			return // Accept has written the error response.
 		}
--- a/internal/connection/celllink/link_test.go
+++ b/internal/connection/celllink/link_test.go
@@ -47,7 +47,7 @@
 func TestHeartbeatEchoesTimeOfThisEnd(t *testing.T) {
 	remote, local := newEchoRecorder(), newEchoRecorder()
 	mux := http.NewServeMux()
-	mux.Handle(peer.Path, Handler(remote))
+	mux.Handle(peer.Path, Handler(remote, nil))
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
 	dialed := time.Now()
@@ -153,7 +153,7 @@
 	remote := &holdingServer{echoRecorder: newEchoRecorder()}
 	local := &holdingServer{echoRecorder: newEchoRecorder(), asks: true, manifest: make(chan struct{})}
 	mux := http.NewServeMux()
-	mux.Handle(peer.Path, Handler(remote))
+	mux.Handle(peer.Path, Handler(remote, nil))
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
 	link, err := Dial(t.Context(), peer.WebSocket{}, server.Listener.Addr().String(), local)
--- a/internal/connection/clientlimit/clientlimit.go
+++ b/internal/connection/clientlimit/clientlimit.go
@@ -103,6 +103,18 @@
 		AccountMax: int64(float64(s.BodyMemory) * s.AddressShare), Wait: s.BodyWait, EvictAfter: evictAfter})
 }
 
+// minLinkMemory has room for one message of the largest size, which is held up to three times while
+// its buffer grows.
+const minLinkMemory = 4 << 20
+
+// NewLinkBudget returns the budget for messages on accepted links. It is apart from that for bodies,
+// so that clients can't hold up the links; one link may use all of it.
+func NewLinkBudget(s settings.ClientLimits) *membudget.Budget {
+	total := max(s.BodyMemory, minLinkMemory)
+	return membudget.New(membudget.Config{Total: total, SmallReserve: s.SmallBodyMemory, SmallBody: SmallBody,
+		AccountMax: total, Wait: s.BodyWait, EvictAfter: evictAfter})
+}
+
 // Config holds the limits.
 type Config struct {
 	// Connections is the number of connections of clients, and LinkConnections that of
--- a/internal/connection/peer/websocket.go
+++ b/internal/connection/peer/websocket.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 
 	"github.com/coder/websocket"
 
 	"poplarvalve/internal/connection/codec"
 	"poplarvalve/internal/process/fault"
+	"poplarvalve/internal/process/membudget"
 )
 
 // Path is the HTTP path at which instances accept peer links.
@@ -35,7 +37,7 @@
 // Handler returns an HTTP handler that accepts peer links for a node.
 func Handler(node *Node) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		conn, err := Accept(w, r)
+		conn, err := Accept(w, r, nil)
 		if err != nil {
 			return // Accept has already written the error response.
 		}
@@ -46,6 +48,9 @@
 // webSocketConn implements Conn over one WebSocket.
 type webSocketConn struct {
 	conn *websocket.Conn
+	// memory is the budget for messages that arrive, or nil.
+	memory  *membudget.Budget
+	account membudget.Account
 }
 
 func newWebSocketConn(conn *websocket.Conn) *webSocketConn {
@@ -58,14 +63,53 @@
 }
 
 func (s *webSocketConn) Receive(ctx context.Context) ([]byte, error) {
-	kind, data, err := s.conn.Read(ctx)
+	kind, reader, err := s.conn.Reader(ctx)
 	if err != nil {
 		return nil, err
 	}
 	if kind != websocket.MessageBinary {
 		return nil, fault.New(fault.Malformed, "received a text message on a peer link, which carries binary messages only")
 	}
-	return data, nil
+	if s.memory == nil {
+		return io.ReadAll(reader)
+	}
+	grant := s.memory.Open(&s.account)
+	defer grant.Close()
+	return receiveMessage(ctx, &grant, reader, s.Close)
+}
+
+// firstReceiveBytes is the first size of the buffer for a message. Heartbeats fit.
+const firstReceiveBytes = 2 << 10
+
+// receiveMessage reads a message into a buffer for which it acquires memory before it grows. abort ends
+// the read.
+func receiveMessage(ctx context.Context, grant *membudget.Grant, reader io.Reader, abort func()) ([]byte, error) {
+	if err := grant.Acquire(ctx, firstReceiveBytes); err != nil {
+		return nil, err
+	}
+	data := make([]byte, 0, firstReceiveBytes)
+	for isFirst := true; ; isFirst = false {
+		n, err := reader.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		grant.Received(n)
+		switch {
+		case err == io.EOF:
+			return data, nil
+		case err != nil:
+			return nil, err
+		case isFirst:
+			grant.Register(func() { go abort() }) // It waits for the end of the read.
+		}
+		if len(data) == cap(data) {
+			// Both buffers are held until the content is copied.
+			size := 2 * cap(data)
+			if err := grant.Acquire(ctx, int64(size)); err != nil {
+				return nil, err
+			}
+			data = append(make([]byte, 0, size), data...)
+			grant.Shrink(int64(size))
+		}
+	}
 }
 
 func (s *webSocketConn) Close() {
@@ -74,11 +118,14 @@
 }
 
 // Accept upgrades an HTTP request to a peer link. If it returns an error, it
-// has already written the error response.
-func Accept(w http.ResponseWriter, r *http.Request) (Conn, error) {
+// has already written the error response. The messages that arrive take their memory from a budget,
+// which is nil if nothing limits it.
+func Accept(w http.ResponseWriter, r *http.Request, memory *membudget.Budget) (Conn, error) {
 	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{Subprotocols: []string{subprotocol}})
 	if err != nil {
 		return nil, fault.Wrap(fault.Malformed, err, "upgrading a request to a peer link")
 	}
-	return newWebSocketConn(conn), nil
+	accepted := newWebSocketConn(conn)
+	accepted.memory = memory
+	return accepted, nil
 }
--- a/internal/entry/dial_test.go
+++ b/internal/entry/dial_test.go
@@ -20,7 +20,7 @@
 func TestConcurrentDialsLeaveOneLink(t *testing.T) {
 	remote := testEntry(t).leaders
 	mux := http.NewServeMux()
-	mux.Handle(peer.Path, celllink.Handler(remote))
+	mux.Handle(peer.Path, celllink.Handler(remote, nil))
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
 	local := testEntry(t).leaders
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,6 +19,7 @@
 	"poplarvalve/internal/connection/workerlink"
 	"poplarvalve/internal/process/fault"
 	"poplarvalve/internal/process/logging"
+	"poplarvalve/internal/process/membudget"
 	"poplarvalve/internal/process/metrics"
 	"poplarvalve/internal/process/publish"
 	"poplarvalve/internal/process/store"
@@ -221,8 +222,11 @@
 	return answer
 }
 
-// LinkHandler returns the handler that accepts links from other instances.
-func (e *Entry) LinkHandler() http.Handler { return celllink.Handler(e.leaders) }
+// LinkHandler returns the handler that accepts links from other instances. memory is the budget for
+// the messages that arrive on them, or nil.
+func (e *Entry) LinkHandler(memory *membudget.Budget) http.Handler {
+	return celllink.Handler(e.leaders, memory)
+}
 
 // Dump returns the instance's view of the cells and their leaders, and the state of
 // the cells that it leads, for operators.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -113,7 +113,7 @@
 		Metrics: counters,
 	})
 	links := http.NewServeMux()
-	links.Handle(peer.Path, i.entry.LinkHandler())
+	links.Handle(peer.Path, i.entry.LinkHandler(nil))
 	handler.setHandler(links)
 	i.callerServer = httptest.NewServer(platform.NewCallerHandler(i.entry, clientlimit.NewUnlimitedBodies()))
 	i.entry.Start()
--- a/internal/entry/restart_test.go
+++ b/internal/entry/restart_test.go
@@ -28,7 +28,7 @@
 func TestInstanceThatHearsOfTheLeaderFirstReadsTheTerm(t *testing.T) {
 	remote := testEntry(t)
 	mux := http.NewServeMux()
-	mux.Handle(peer.Path, celllink.Handler(remote.leaders))
+	mux.Handle(peer.Path, celllink.Handler(remote.leaders, nil))
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
 	e := testEntry(t)
--- a/test/overlimit/overlimit_test.go
+++ b/test/overlimit/overlimit_test.go
@@ -221,3 +221,16 @@
 	i.portOf = func(number int) int { return 8161 + number%4 }
 	i.checkCrowd(bodyCrowd, func(_ int, c net.Conn) { send(c, headers) })
 }
+
+// A link reads a message into memory before it decodes it, whoever has opened the link.
+func TestLinkMessagesThatStopShort(t *testing.T) {
+	const length = 1 << 20
+	frame := append([]byte{0x82, 0xff, 0, 0, 0, 0, 0, length >> 16, 0, 0}, make([]byte, 4+length-missingBytes)...)
+	i := startInstance(t)
+	i.portOf = func(int) int { return 8163 }
+	i.checkCrowd(bodyCrowd, func(_ int, c net.Conn) {
+		exchange(c, "GET /peer HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\nUpgrade: websocket\r\nSec-WebSocket-Version: 13\r\n"+
+			"Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\nSec-WebSocket-Protocol: poplarvalve.peer.v1\r\n\r\n", 1)
+		send(c, string(frame))
+	})
+}
