clientlimit: fewer deadlines and clock readings for an ordinary request

The handler set a deadline for the rest of a body that was read whole, and each change of phase read the clock.

--- a/internal/connection/clientlimit/body.go
+++ b/internal/connection/clientlimit/body.go
@@ -127,10 +127,11 @@
 		if b.conn != nil && !b.conn.enter(phaseBody, phaseServing) && complete {
 			complete, reason = false, Evicted
 		}
-		if complete {
-			b.setDeadline(time.Time{})
-		} else {
+		if !complete {
 			b.Release()
+		} else if b.conn != nil {
+			b.conn.bodyRead = true
+			b.setDeadline(time.Time{})
 		}
 	}()
 	reason = b.readAll()
--- a/internal/connection/clientlimit/connections.go
+++ b/internal/connection/clientlimit/connections.go
@@ -88,6 +88,9 @@
 	// writeSince is when a write began that has not ended, in Unix nanoseconds, or 0.
 	writeSince atomic.Int64
 	closed     sync.Once
+	// bodyRead is set when the whole body of the request has been read. Only the handler of the
+	// request uses it.
+	bodyRead bool
 	// header counts the lines of the header that arrives. Only one goroutine reads.
 	header headerLines
 }
@@ -359,12 +362,15 @@
 	return c.EndingConn.Write(p)
 }
 
-// enter changes the phase and reports false if it is another one than from.
+// enter changes the phase and reports false if it is another one than from. The start of
+// phaseServing is not recorded, because no decision depends on it.
 func (c *Conn) enter(from, to phase) bool {
 	if !c.phase.CompareAndSwap(int32(from), int32(to)) {
 		return false
 	}
-	c.since.Store(time.Now().UnixNano())
+	if to != phaseServing {
+		c.since.Store(time.Now().UnixNano())
+	}
 	return true
 }
 
@@ -397,7 +403,7 @@
 		} else {
 			next.ServeHTTP(w, r)
 		}
-		if r.Body != http.NoBody {
+		if r.Body != http.NoBody && !c.bodyRead {
 			// The server reads the rest of the body after the answer. An error means that
 			// the connection is closed.
 			_ = c.SetReadDeadline(time.Now().Add(lingerTime))
@@ -407,6 +413,7 @@
 
 // begin counts a request and returns why it must be refused.
 func (l *Connections) begin(c *Conn, r *http.Request) Reason {
+	c.bodyRead = false
 	total, ofAddress := l.requests.Add(1), c.address.requests.Add(1)
 	switch {
 	case !c.enter(phaseHeader, phaseServing):
