--- a/cmd/poplarvalved/entry_test.go
+++ b/cmd/poplarvalved/entry_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -61,10 +62,14 @@
 
 // Guards against a handler that the daemon doesn't register at its operator address.
 func TestOperatorAddressServesConfiguration(t *testing.T) {
-	callers, err := orderly.Listen("127.0.0.1:0")
+	anyPort := netip.MustParseAddrPort("127.0.0.1:0")
+	s := &settings.EntrySettings{Name: "e", LogLevel: "info", Memory: 200, CallerAddress: anyPort, ReadyAddress: anyPort, LinkAddress: anyPort, OperatorAddress: anyPort}
+	opened, err := listen(s)
 	assert.NilError(t, err)
-	defer callers.Close()
-	d := newEntryDaemon("", &settings.EntrySettings{Name: "e", LogLevel: "info"}, callers)
+	for _, listener := range []*orderly.Listener{opened.callers, opened.readiness, opened.links, opened.operators} {
+		defer listener.Close()
+	}
+	d := newEntryDaemon("", s, opened)
 	defer d.journal.Close()
 	servers := d.servers(metrics.NewEntryMetrics())
 	recorder := httptest.NewRecorder()
