cell: place tasks by the speed of workers and move runs off slow ones

Cause: one task on a cold or degraded worker makes its whole job late, and nothing but a fixed penalty for announced cold workers kept tasks off. Change: with [placement] learn_worker_speed the leader learns the speed of each worker (internal/version/workerspeed). The score weighs the time that a task loses against what its job has left; a tight task waits up to 1 s for a faster worker; runs on a worker that turned slow are moved if that clearly gains time. New: `worker slow`, `worker speed recovered`, cause `slow worker` of `run moved`, poplarvalve_task_moves_total{cause="speed"}, poplarvalve_slow_workers, SpeedFactor and Slow in the dump.

simulation_test.go gains an optional slowness; without it nothing changes.

--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -171,6 +171,7 @@
 		session.Wait()
 	}
 	l.goroutines.Wait()
+	l.entry.options.Metrics.SlowWorkers(l.term.Cell, 0)
 }
 
 // endTerm ends the leadership. The first error passed is kept as the reason.
--- a/internal/process/metrics/entry.go
+++ b/internal/process/metrics/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -28,6 +29,7 @@
 	leasesBound   prometheus.Counter
 	handOvers     [2]prometheus.Counter // unprepared, prepared
 	evacuated     prometheus.Gauge
+	speeds        speedMetrics
 	// skippedRecords is indexed by RecordSource.
 	skippedRecords [sourceCount]prometheus.Counter
 }
@@ -38,6 +40,12 @@
 	moved, movedByInterference prometheus.Counter
 }
 
+// speedMetrics shows what the leaders learn about the speeds of workers.
+type speedMetrics struct {
+	moved prometheus.Counter
+	slow  *prometheus.GaugeVec
+}
+
 // RecordSource says who wrote a record that was skipped.
 type RecordSource uint8
 
@@ -97,6 +105,8 @@
 	moves := newCounterVec("task_moves_total", "Runs stopped so that their tasks start elsewhere.", "cause")
 	e.departures = departureCounters{departures.WithLabelValues("known"), departures.WithLabelValues("missed"),
 		moves.WithLabelValues("departure"), moves.WithLabelValues("interference")}
+	e.speeds = speedMetrics{moves.WithLabelValues("speed"), prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "slow_workers",
+		Help: "Backend servers known as slow, by the cell that the instance leads."}, []string{"cell"})}
 	latency := newHistogramVec("job_request_seconds", "Time from arrival to the answer.", "operation")
 	for operation, name := range operationNames {
 		e.latency[operation] = latency.WithLabelValues(name)
@@ -105,7 +115,7 @@
 		}
 	}
 	e.registry.MustRegister(requests, latency, e.appendSeconds, e.starts, e.stops, e.throttles, e.crashes, e.jobsGivenUp, e.droppedLines, e.keptBack, skipped,
-		departures, moves, e.evacuated, e.away, e.leasesBound, handOvers,
+		departures, moves, e.evacuated, e.speeds.slow, e.away, e.leasesBound, handOvers,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return e
 }
@@ -182,6 +192,14 @@
 	e.departures.movedByInterference.Add(float64(forInterference))
 }
 
+// TasksMovedForSpeed adds the number of runs that were stopped for a move off a slow worker.
+func (e *EntryMetrics) TasksMovedForSpeed(moved int) { e.speeds.moved.Add(float64(moved)) }
+
+// SlowWorkers records the number of workers of a cell that are known as slow.
+func (e *EntryMetrics) SlowWorkers(cell, workers int) {
+	e.speeds.slow.WithLabelValues(strconv.Itoa(cell)).Set(float64(workers))
+}
+
 // TaskAway records how long a long-running task had no run, by the cause.
 func (e *EntryMetrics) TaskAway(cause string, took time.Duration) {
 	e.away.WithLabelValues(cause).Observe(took.Seconds())
--- a/internal/process/metrics/metrics_test.go
+++ b/internal/process/metrics/metrics_test.go
@@ -21,6 +21,8 @@
 	e.LeasesBound(2)
 	e.HandedOver(true)
 	e.TaskAway("departure", 300*time.Millisecond)
+	e.TasksMovedForSpeed(4)
+	e.SlowWorkers(2, 7)
 	recorder := httptest.NewRecorder()
 	e.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
 	for _, want := range []string{
@@ -31,6 +33,8 @@
 		`poplarvalve_hand_overs_total{record="stored"} 1`,
 		`poplarvalve_hand_overs_total{record="missing"} 0`,
 		`poplarvalve_task_moves_total{cause="interference"} 0`,
+		`poplarvalve_task_moves_total{cause="speed"} 4`,
+		`poplarvalve_slow_workers{cell="2"} 7`,
 		`poplarvalve_task_away_seconds_bucket{cause="departure",le="0.5"} 1`,
 	} {
 		assert.Assert(t, strings.Contains(recorder.Body.String(), want+"\n"), want)
--- a/internal/version/cell/cell.go
+++ b/internal/version/cell/cell.go
@@ -77,6 +77,7 @@
 	keptBack map[RecordOwner]keptBackRecord
 
 	durations durationModel
+	speeds    workerSpeeds
 	pressures pressureModel
 	// learnedSavedAt is the time at which the learned estimates were last
 	// stored.
--- a/internal/version/cell/dump.go
+++ b/internal/version/cell/dump.go
@@ -17,6 +17,8 @@
 		FailureWeight        int
 		ImplicatedRuns       int
 		SuspectRuns          int
+		SpeedFactor          float64
+		Slow                 bool
 	}
 	var workers []workerState
 	for _, w := range c.workers {
@@ -24,7 +26,7 @@
 			Worker: w.info.ID, Listed: w.registered, Held: w.renewed, Silent: w.unresponsive, Draining: w.info.Draining, LeasesBound: w.binding != unbound, Evacuated: w.evacuated,
 			Used: w.reserved, Capacity: w.info.Capacity, Runs: len(w.runs), HeardMillis: now.Sub(w.lastResponse).Milliseconds(),
 			FillBudget: w.bestEffort.budgetShare(), FailureWeight: w.health.weight(), ImplicatedRuns: w.implicatedRuns,
-			SuspectRuns: len(w.crashSuspects()),
+			SuspectRuns: len(w.crashSuspects()), SpeedFactor: w.speed.Factor(), Slow: w.speed.IsSlow(),
 		})
 	}
 	states := map[string]int{}
@@ -34,5 +36,5 @@
 	return map[string]any{"epoch": c.config.Epoch, "jobs": states, "ready_tasks": len(c.readyTasks),
 		"open_tasks": c.open.total(), "unopened_jobs": len(c.unopenedJobs), "workers": workers,
 		"recovering": len(c.recovering), "confined_workers": len(c.confinements), "handing_over": c.HandingOver(), "starts_paused": c.startsPaused,
-		"evacuations": c.dumpEvacuations()}
+		"evacuations": c.dumpEvacuations(), "speeds": c.dumpSpeeds()}
 }
--- a/internal/version/cell/evacuate.go
+++ b/internal/version/cell/evacuate.go
@@ -81,7 +81,7 @@
 // coldScore rates a worker for a task by the time for which it stays cold.
 func (c *Cell) coldScore(now time.Time, w *worker) float64 {
 	left := w.info.ColdUntil.Sub(now)
-	if !c.config.Evacuations || left <= 0 {
+	if !c.config.Evacuations || c.config.LearnSpeed || left <= 0 {
 		return 0
 	}
 	return -coldPenalty * min(1, left.Seconds()/coldPenaltyAfter.Seconds())
--- a/internal/version/cell/job.go
+++ b/internal/version/cell/job.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"poplarvalve/internal/process/jobspec"
+	"poplarvalve/internal/version/workerspeed"
 )
 
 // job is one accepted job.
@@ -102,6 +103,8 @@
 	// retreats is the number of runs of the task that were stopped or moved because of
 	// interference.
 	retreats int
+	// speedMoves is the number of runs of the task that were moved off slow workers.
+	speedMoves int
 	// heldOffRetryAt is the end of the pause after an attempt to start the task although
 	// interference holds it off.
 	heldOffRetryAt time.Time
@@ -182,6 +185,8 @@
 	measurement int
 	// progressAt is when percent last changed.
 	progressAt time.Time
+	// pace measures how fast the run advances.
+	pace workerspeed.Progress
 	// throttle is the percentage of full speed that was last ordered.
 	// throttledSince is when it fell below relocateBelowPercent, or zero.
 	throttle       int
--- a/internal/version/cell/move.go
+++ b/internal/version/cell/move.go
@@ -34,6 +34,8 @@
 // move is the move of one run, or of all runs of a gang.
 type move struct {
 	legs []moveLeg
+	// forSpeed is set if the run is moved off a slow worker.
+	forSpeed bool
 }
 
 // moveLeg is the move of one run. to has the phase reserved.
--- a/internal/version/cell/place.go
+++ b/internal/version/cell/place.go
@@ -156,6 +156,11 @@
 		return 0, reason
 	}
 	score += isolation + w.departureScore() + c.coldScore(now, w)
+	speed, reason := c.speedScore(now, t, w)
+	if reason != suitable {
+		return 0, reason
+	}
+	score += speed
 	spec := t.spec()
 	if spec.DataRack != "" && w.info.Rack != spec.DataRack {
 		score -= offDataRackPenalty * (c.config.RemoteFactor - 1)
--- a/internal/version/cell/report.go
+++ b/internal/version/cell/report.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"poplarvalve/internal/version/workerspeed"
 )
 
 // ApplyReport applies a worker's answer to a lease renewal. It ignores an answer to a
@@ -57,6 +59,7 @@
 		c.acknowledge(now, w, report.Ended)
 	}
 	c.throttleBestEffort(now, w)
+	c.observeSpeed(now, w)
 }
 
 // ExtendLease records that the leases on a worker may last until a time, by orders that were
@@ -189,6 +192,7 @@
 	w.lastEndNumber, w.partial = 0, nil
 	w.renewed = false
 	w.health = health{}
+	w.speed = workerspeed.Estimate{}
 }
 
 // recordLostRun removes a run that is known to have ended without a reported
@@ -276,7 +280,7 @@
 		duration = now.Sub(r.runningSince)
 		r.recordRunEnd(end.Reason, now)
 		if r.phase != over { // Otherwise it ended some time ago.
-			c.durations.recordEnd(now, r, end.Reason, duration)
+			c.durations.recordEnd(now, r, end.Reason, c.usualDuration(now, r, end.Reason, duration))
 		}
 		c.removeRun(r)
 	}
--- a/internal/version/cell/simulation_test.go
+++ b/internal/version/cell/simulation_test.go
@@ -91,6 +91,10 @@
 	away      []time.Duration
 	// trace records all decisions; it is printed when a check fails.
 	trace []string
+	// slowness is nil or returns how many times as long as usual tasks take on a worker now; the
+	// cells then learn speeds. movedForSpeed is the number of runs that they moved.
+	slowness      func(w *simWorker) float64
+	movedForSpeed int
 }
 
 func (s *simulation) addTrace(id TaskID, format string, args ...any) {
@@ -392,6 +396,7 @@
 	number int64
 	size   Size
 	spec   *jobspec.Step
+	begin  time.Time
 }
 
 type simEvent struct {
@@ -559,7 +564,7 @@
 	previous := s.epoch
 	s.epoch += 3
 	c := New(Config{Epoch: s.epoch, RecoveryWait: testRecoveryWait, EarlierAuthority: testRecoveryWait - testLease - testLeaseMargin, EndedJobRetention: time.Minute,
-		UnconfirmedRecoveryWait: s.network.recoveryWait(), MaxEarlierLease: testLease + testLeaseMargin, LeaseExcess: s.leaseExcess(), RemoteFactor: 2, BlockTasks: s.blockTasks})
+		UnconfirmedRecoveryWait: s.network.recoveryWait(), MaxEarlierLease: testLease + testLeaseMargin, LeaseExcess: s.leaseExcess(), RemoteFactor: 2, BlockTasks: s.blockTasks, LearnSpeed: s.slowness != nil})
 	var jobs []JobRecord
 	for _, id := range slices.Sorted(maps.Keys(s.stored.jobs)) {
 		jobs = append(jobs, s.stored.jobs[id])
@@ -896,7 +901,7 @@
 		if run.spec.LatencyTargetMillis > 0 {
 			measurement = 7
 		}
-		report.Running = append(report.Running, RunReport{Task: id, Run: run.number, Percent: 50 + s.random.IntN(49), Measurement: measurement})
+		report.Running = append(report.Running, RunReport{Task: id, Run: run.number, Percent: s.percentOf(w, run), Measurement: measurement})
 	}
 	for _, end := range w.ended {
 		if end.Number > w.acknowledgedEnd {
@@ -931,6 +936,7 @@
 	if effects.HandOverReady {
 		s.afterHandOver()
 	}
+	s.movedForSpeed += effects.MovedForSpeed
 	for _, event := range effects.Events {
 		s.addTrace(event.Task, "%s run %d %s %s", event.Event, event.Run, event.Worker, event.Outcome)
 	}
@@ -1136,7 +1142,7 @@
 	if record.Terms.Advice != nil && order.Ticket != fmt.Sprint("ticket ", w.incarnation) {
 		return RefusedTicket
 	}
-	w.runs[order.Task] = &simRun{number: order.Run, size: size, spec: spec}
+	w.runs[order.Task] = &simRun{number: order.Run, size: size, spec: spec, begin: s.now}
 	s.starts++
 	if since, before := s.awaySince[order.Task]; before && spec.LongRunning {
 		s.away = append(s.away, s.now.Sub(since))
@@ -1154,6 +1160,9 @@
 // scheduleEnd lets a run end by itself.
 func (s *simulation) scheduleEnd(w *simWorker, order StartOrder, spec *jobspec.Step, behavior string) {
 	duration := time.Duration(float64(spec.EstimateMillis)*(0.5+s.random.Float64())) * time.Millisecond
+	if s.slowness != nil {
+		duration = time.Duration(float64(duration) * s.slowness(w))
+	}
 	if spec.Gang {
 		s.scheduleGangEnd(order, spec, duration)
 		return
@@ -1428,7 +1437,10 @@
 }
 
 func testRandomFaults(t *testing.T, seed uint64) {
-	s := newSimulation(t, seed, 12)
+	newSimulation(t, seed, 12).playRandomFaults()
+}
+
+func (s *simulation) playRandomFaults() {
 	s.lossRate = 0.03
 	s.startTerm()
 	s.advance(time.Second)
--- a/internal/version/cell/tick.go
+++ b/internal/version/cell/tick.go
@@ -4,7 +4,7 @@
 
 // Tick does the work that depends on time alone: it opens due occurrences, expires and
 // bounds leases, repeats stop orders that had no effect, relieves service tasks over their target,
-// moves tasks off workers that are going to leave, forgets lost workers and ended jobs, stores
+// moves tasks off workers that are going to leave or are slow, forgets lost workers and ended jobs, stores
 // the learned estimates and what the log did
 // not take, handles slow runs and reports tasks that wait.
 func (c *Cell) Tick(now time.Time) {
@@ -21,6 +21,7 @@
 	c.repeatStops(now)
 	c.relieveServices(now)
 	c.planMoves(now)
+	c.followSpeeds(now)
 	c.forgetLosses(now)
 	c.forgetEndedJobs(now)
 	c.handleSlowRuns(now)
--- a/internal/version/cell/types.go
+++ b/internal/version/cell/types.go
@@ -412,6 +412,8 @@
 	// MovedForInterference are the numbers of runs that were stopped for a move, by its cause.
 	DeparturesKnown, DeparturesMissed       int
 	MovedForDeparture, MovedForInterference int
+	// MovedForSpeed is the number of runs that were stopped for a move off a slow worker.
+	MovedForSpeed int
 	// Away lists how long long-running tasks were away that have been started again.
 	Away []AwayTime
 }
--- a/internal/version/cell/unsuitable.go
+++ b/internal/version/cell/unsuitable.go
@@ -14,6 +14,7 @@
 	failedThere
 	notTrusted
 	besideImplicated
+	slowWorker
 	tailOverTarget
 	noSpareCPU
 	recentTrial
@@ -21,7 +22,7 @@
 	unsuitabilityCount
 )
 
-var unsuitabilityNames = [unsuitabilityCount]string{"suitable", "failed there", "not trusted", "beside implicated task",
+var unsuitabilityNames = [unsuitabilityCount]string{"suitable", "failed there", "not trusted", "beside implicated task", "slow worker",
 	"service over target", "no spare cpu", "pair just tried", "pressure of pair"}
 
 func (u unsuitability) String() string { return unsuitabilityNames[u] }
--- a/internal/version/cell/worker.go
+++ b/internal/version/cell/worker.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"poplarvalve/internal/version/workerspeed"
 )
 
 // worker holds the state of one worker and the resources reserved on it.
@@ -42,6 +44,8 @@
 	// lastEndNumber is the number of the newest end that was applied.
 	lastEndNumber int64
 	health        health
+	// speed is what is known of the worker's speed.
+	speed workerspeed.Estimate
 	// bestEffort is the state of the limits on best-effort tasks on this
 	// worker.
 	bestEffort bestEffortState
