workerspeed: compare the fleet by the last assessments

Cause: the comparison computed the age of all evidence again, and assessed workers whose reports had just been assessed.

--- a/internal/version/cell/speed.go
+++ b/internal/version/cell/speed.go
@@ -170,10 +170,12 @@
 			estimates = append(estimates, &w.speed)
 		}
 	}
-	c.speeds.fleet = workerspeed.NewFleet(now, estimates)
+	c.speeds.fleet = workerspeed.NewFleet(estimates)
 	slow := 0
 	for _, w := range c.sortedWorkers() {
-		c.assessSpeed(now, w)
+		if now.Sub(w.speed.AssessedAt()) >= fleetPeriod {
+			c.assessSpeed(now, w)
+		}
 		if w.speed.IsSlow() {
 			slow++
 		}
--- a/internal/version/workerspeed/workerspeed.go
+++ b/internal/version/workerspeed/workerspeed.go
@@ -69,7 +69,10 @@
 	live, past     sample
 	liveAt, pastAt time.Time
 	observedAt     time.Time
-	coldUntil      time.Time
+	// log is that of all evidence at assessedAt.
+	log        float64
+	assessedAt time.Time
+	coldUntil  time.Time
 	// probability is that of being slow. factor is the expected one; 0 stands for 1.
 	probability, factor float64
 	slow                bool
@@ -84,15 +87,16 @@
 	slowShare float64
 }
 
-// NewFleet compares the workers with each other. A worker without evidence counts as usual.
-func NewFleet(now time.Time, estimates []*Estimate) Fleet {
+// NewFleet compares the workers with each other, as of their last assessments. A worker without
+// evidence counts as usual.
+func NewFleet(estimates []*Estimate) Fleet {
 	if len(estimates) == 0 {
 		return Fleet{}
 	}
 	logs := make([]float64, len(estimates))
 	slow := 0
 	for i, e := range estimates {
-		logs[i] = e.evidence(now).log
+		logs[i] = e.log
 		if e.slow {
 			slow++
 		}
@@ -141,6 +145,9 @@
 // ObservedAt returns when the progress of the worker's runs was last observed.
 func (e *Estimate) ObservedAt() time.Time { return e.observedAt }
 
+// AssessedAt returns when the estimate was last brought up to date.
+func (e *Estimate) AssessedAt() time.Time { return e.assessedAt }
+
 func (s sample) aged(age time.Duration) sample {
 	if s.precision == 0 || age <= 0 {
 		return s
@@ -186,6 +193,7 @@
 	if evidence.precision < negligiblePrecision {
 		evidence = sample{}
 	}
+	e.log, e.assessedAt = evidence.log, now
 	if evidence.precision == 0 && !cold && !e.slow && share == minSlowShare {
 		e.probability, e.factor = share, 1
 		return Unchanged
--- a/internal/version/workerspeed/workerspeed_test.go
+++ b/internal/version/workerspeed/workerspeed_test.go
@@ -89,14 +89,14 @@
 		e, at := assess(factor, factor, factor)
 		fleet, now = append(fleet, e), at
 	}
-	common := NewFleet(now, fleet)
+	common := NewFleet(fleet)
 	for _, e := range fleet {
 		e.Assess(now, common, time.Time{})
 	}
 	assert.Assert(t, !fleet[0].IsSlow() && fleet[0].Factor() == 1)
 	assert.Assert(t, fleet[9].Factor() < 0.5, "those of usual speed are the faster ones")
 	idle := []*Estimate{fleet[0], {}, {}}
-	assert.Equal(t, NewFleet(now, idle), Fleet{}, "one busy worker is not the fleet")
+	assert.Equal(t, NewFleet(idle), Fleet{}, "one busy worker is not the fleet")
 }
 
 // A cold worker counts as slow until its tasks show its speed, and what was learned while it was
