workerspeed: placement follows only workers known as slow

Cause: the factor of each worker moved a little with the noise of its tasks, and placement gave up good pairs of images for it. Change: the factor is 1 unless the worker is known as slow, is cold, or most others are slow.

--- a/internal/version/workerspeed/workerspeed.go
+++ b/internal/version/workerspeed/workerspeed.go
@@ -75,8 +75,10 @@
 	coldUntil  time.Time
 	// probability is that of being slow. factor is the expected one; 0 stands for 1.
 	probability, factor float64
-	slow                bool
-	slowSince           time.Time
+	// fleetLog is the correction for the whole fleet that factor takes into account.
+	fleetLog  float64
+	slow      bool
+	slowSince time.Time
 }
 
 // Fleet is what the estimates of single workers are relative to.
@@ -200,6 +202,7 @@
 	}
 	usual, slow := hypothesis{0, usualVariance}, hypothesis{slowLog, slowVariance}
 	evidence.log -= fleet.log
+	e.fleetLog = fleet.log
 	usualWeight, slowWeight := (1-share)*usual.likelihood(evidence), share*slow.likelihood(evidence)
 	e.probability = slowWeight / (usualWeight + slowWeight)
 	// The mean of the logarithms: a task on a worker that turns out to be slow can be moved, so
@@ -252,9 +255,10 @@
 func (e *Estimate) SlowSince() time.Time { return e.slowSince }
 
 // Factor returns how many times as long as usual a task is expected to take, as long as the
-// worker keeps its present speed.
+// worker keeps its present speed. It is 1 unless the worker is known as slow, is cold, or most
+// others are slow: placement that follows weaker evidence gives up good pairs of images for noise.
 func (e *Estimate) Factor() float64 {
-	if e.factor == 0 {
+	if e.factor == 0 || !e.slow && e.coldUntil.IsZero() && e.fleetLog < changeLog {
 		return 1
 	}
 	return e.factor
