--- a/internal/process/metrics/metrics_test.go
+++ b/internal/process/metrics/metrics_test.go
@@ -22,6 +22,8 @@
 	e.HandedOver(true)
 	e.TaskAway("departure", 300*time.Millisecond)
 	e.NearWaitEnded("gave_up", 300*time.Millisecond)
+	e.TasksMovedForSpeed(4)
+	e.SlowWorkers(2, 7)
 	recorder := httptest.NewRecorder()
 	e.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
 	for _, want := range []string{
@@ -32,6 +34,8 @@
 		`poplarvalve_hand_overs_total{record="stored"} 1`,
 		`poplarvalve_hand_overs_total{record="missing"} 0`,
 		`poplarvalve_task_moves_total{cause="interference"} 0`,
+		`poplarvalve_task_moves_total{cause="speed"} 4`,
+		`poplarvalve_slow_workers{cell="2"} 7`,
 		`poplarvalve_task_away_seconds_bucket{cause="departure",le="0.5"} 1`,
 		`poplarvalve_near_wait_seconds_bucket{outcome="gave_up",le="0.5"} 1`,
 	} {
--- a/internal/version/cell/cell.go
+++ b/internal/version/cell/cell.go
@@ -78,6 +78,7 @@
 
 	durations durationModel
 	near      nearPlacement
+	speeds    workerSpeeds
 	pressures pressureModel
 	// learnedSavedAt is the time at which the learned estimates were last
 	// stored.
--- a/internal/version/cell/nearplace.go
+++ b/internal/version/cell/nearplace.go
@@ -447,7 +447,7 @@
 // offersNearRoom reports whether room on a worker is worth a wait: it may get starts, and isn't
 // known to leave, to fail or to be slow.
 func (c *Cell) offersNearRoom(now time.Time, w *worker) bool {
-	return w.usable(now) && !w.departure.expected && w.trust(now) == trusted && c.coldScore(now, w) == 0
+	return w.usable(now) && !w.departure.expected && w.trust(now) == trusted && !w.speed.IsSlow() && c.coldScore(now, w) == 0
 }
 
 // forecast returns the expected room of a rack.
