--- a/review/standin/system.go
+++ b/review/standin/system.go
@@ -102,7 +102,7 @@
 		"platform.address": storeAddress, "advice": "",
 		"platform.record_bytes": strconv.Itoa(recordBytes), "platform.call_bytes": strconv.Itoa(callBytes),
 		"bounds.hold_max_ms": "6000", "bounds.remote_factor": "2", "bounds.status_s": "120",
-		"limits.memory_mb": "284", "limits.cpu_share": "0.16", "bounds.grace_s": "6",
+		"limits.memory_mb": "284", "limits.cpu_share": "0.16", "limits.max_fds": "4100", "bounds.grace_s": "6", "bounds.evacuate_ms": "",
 	}
 	text = regexp.MustCompile(`\{\{([^}]*)\}\}`).ReplaceAllStringFunc(string(template), func(hole string) string {
 		value, known := values[strings.Trim(hole, "{}")]
