--- a/internal/version/cell/nearplace_test.go
+++ b/internal/version/cell/nearplace_test.go
@@ -33,7 +33,6 @@
 	// fixed is how long each task waits for its rack in any case, or 0.
 	fixed      time.Duration
 	submitted  map[jobspec.ID]time.Time
-	fixedSteps []*jobspec.Step
 	completed  []time.Duration
 	remote     int
 	waits      []NearWait
