--- a/internal/version/cell/nearplace_test.go
+++ b/internal/version/cell/nearplace_test.go
@@ -31,12 +31,12 @@
 	// actual is the ratio of actual to estimated durations.
 	actual float64
 	// fixed is how long each task waits for its rack in any case, or 0.
-	fixed      time.Duration
-	submitted  map[jobspec.ID]time.Time
-	completed  []time.Duration
-	remote     int
-	waits      []NearWait
-	decisions  []string
+	fixed     time.Duration
+	submitted map[jobspec.ID]time.Time
+	completed []time.Duration
+	remote    int
+	waits     []NearWait
+	decisions []string
 }
 
 type nearRun struct {
