--- a/test/soak/evacuations_test.go
+++ b/test/soak/evacuations_test.go
@@ -41,6 +41,13 @@
 	}
 }
 
+// showZone records the zone of a worker.
+func (h *history) showZone(worker, zone string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.zones[worker] = zone
+}
+
 // evacuate records that a zone is evacuated, or will be back.
 func (h *history) evacuate(zone string, evacuated bool) {
 	h.mu.Lock()
--- a/test/soak/workers_test.go
+++ b/test/soak/workers_test.go
@@ -36,7 +36,7 @@
 	w := &soakWorker{Worker: fleet.NewWorker(fmt.Sprint("i-", index), "p", taskDuration, d.overlaps)}
 	w.DurationOf = durationOf
 	w.Zone = fmt.Sprint("z", index%soakZones)
-	d.history.zones[w.ID] = w.Zone
+	d.history.showZone(w.ID, w.Zone)
 	d.t.Cleanup(w.Close)
 	w.Observe(d.history)
 	w.EnforceLeases(maxLease)
