--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -55,6 +55,8 @@
 	network *network
 	// zone is the availability zone of the instances that are started next.
 	zone string
+	// evacuationApply is the setting of the instances that are started next.
+	evacuationApply time.Duration
 }
 
 // instance is an entry instance with the servers for its callers and its peers.
@@ -109,7 +111,7 @@
 			return platform.NewWorkerClient(info.Address, client)
 		},
 		Advice:  adviser,
-		Limits:  entry.Limits{MaxLease: 6 * time.Second, EndedJobRetention: time.Minute, RemoteFactor: 2},
+		Limits:  entry.Limits{MaxLease: 6 * time.Second, EndedJobRetention: time.Minute, RemoteFactor: 2, EvacuationApply: d.evacuationApply},
 		Journal: logging.NewJournal(io.Discard, "info", "test", counters.LineDropped),
 		Metrics: counters,
 	})
--- a/internal/process/settings/entry.go
+++ b/internal/process/settings/entry.go
@@ -54,7 +54,7 @@
 	NearWait time.Duration
 	// LearnSpeed is set if the speeds of workers are learned and placement weighs them.
 	LearnSpeed bool
-	// RefuseHopeless is set if submissions are refused that can't be of any worth.
+	// RefuseHopeless is set if submissions are refused that can't have any value.
 	RefuseHopeless bool
 	// EvacuationApply is the time within which a request to evacuate an availability zone
 	// must be in force, or 0 if operators evacuate none.
--- a/internal/version/cell/nearplace.go
+++ b/internal/version/cell/nearplace.go
@@ -444,7 +444,7 @@
 	return work * time.Duration(100-min(saved, 100)) / 100
 }
 
-// offersNearRoom reports whether room on a worker is worth a wait: it may get starts, and isn't
+// offersNearRoom reports whether a task may wait for room on a worker: it may get starts, and isn't
 // known to leave, to fail or to be slow.
 func (c *Cell) offersNearRoom(now time.Time, w *worker) bool {
 	return w.usable(now) && !w.departure.expected && w.trust(now) == trusted && !w.speed.IsSlow() && c.coldScore(now, w) == 0
--- a/internal/version/cell/types.go
+++ b/internal/version/cell/types.go
@@ -585,7 +585,7 @@
 	NearWait time.Duration
 	// LearnSpeed is set if the speeds of workers are learned and placement weighs them.
 	LearnSpeed bool
-	// RefuseHopeless is set if submissions are refused that can't be of any worth.
+	// RefuseHopeless is set if submissions are refused that can't have any value.
 	RefuseHopeless bool
 	// Evacuations is set if operators may evacuate availability zones. Nothing is started
 	// before SetEvacuations has told which.
--- a/internal/version/nearplace/nearplace.go
+++ b/internal/version/nearplace/nearplace.go
@@ -204,7 +204,7 @@
 	return patience
 }
 
-// Pays reports whether an expected wait is worth what it saves. Capacity that stays free during
+// Pays reports whether an expected wait costs less than it saves. Capacity that stays free during
 // the wait needs no term of its own: others take it, or nobody needs it.
 func (a Ask) Pays(expected time.Duration) bool {
 	if expected <= 0 {
