fleet: end pages of the newest records at 1 MB

With 50 jobs of 85 KB on one page, the stand-in for the log sent more than 4 MB, which the client refuses: an instance that was started again beside such a log never served. The platform ends a page at 500 items or 1 MB, so that tests saw another fault than the platform has.

A page now ends at 1 MB of values too. The new test fails without the change ("the response of /-/log-newest has more than 4194304 bytes").

--- a/test/fleet/log.go
+++ b/test/fleet/log.go
@@ -308,13 +308,17 @@
 	}
 }
 
-// maxPageItems bounds the items in one response of serveNewest. It is small, so
-// that tests need several pages.
-const maxPageItems = 50
+const (
+	// maxPageItems bounds the items in one response of serveNewest. It is small, so
+	// that tests need several pages.
+	maxPageItems = 50
+	// maxPageBytes bounds the values of a page, in base64, unless its only item is larger.
+	maxPageBytes = 1 << 20
+)
 
 // serveNewest sends the newest record of each key, a page at a time, starting
-// after the key in the parameter after. It skips keys whose newest value is
-// empty.
+// after the key in the parameter after. A page ends at maxPageItems or maxPageBytes. It skips
+// keys whose newest value is empty.
 func (l *Log) serveNewest(w http.ResponseWriter, r *http.Request) {
 	if l.refuseIfDown(w) {
 		return
@@ -327,6 +331,7 @@
 	skipping := after != ""
 	items := []map[string]any{}
 	hasMore := false
+	pageBytes := 0
 	for _, key := range p.keys {
 		if skipping {
 			skipping = key != after
@@ -335,14 +340,15 @@
 		if len(p.newest[key].value) == 0 {
 			continue
 		}
-		if len(items) == maxPageItems {
-			hasMore = true
-			break
-		}
 		value := base64.StdEncoding.EncodeToString(p.newest[key].value)
 		if p.newest[key].damaged {
 			value = "%"
 		}
+		pageBytes += len(value)
+		if len(items) == maxPageItems || len(items) > 0 && pageBytes > maxPageBytes {
+			hasMore = true
+			break
+		}
 		items = append(items, map[string]any{"key": key, "offset": p.newest[key].offset, "value": value})
 	}
 	writeJSON(w, http.StatusOK, map[string]any{"items": items, "has_more": hasMore, "end": p.endOffset()})
