statebudget: bound accepted jobs by what the smallest instance can restore

Clients with valid jobs took a leader over its memory, and each successor after it: what is accepted stays in memory until its removal, and its number and bytes were not bounded. 300 clients with 40 jobs of 64 steps each took a process of 184 MB to 683 MB; started again beside the same log, it took 1,074 MB.

A cell now has a budget for its jobs that follows from the smallest memory among the instances the leader has heard of (heartbeats carry it). Room is reserved before a call enters the queue of the cell, and a job is charged until it is removed, also by the next leader. Sources share the room by dynamic thresholds; the source is stored with the job. Beyond it: 503 with Retry-After, never for a job that is known, and remembered until the wait is over. The tasks that may be open shrink below 160 MB; a job with more gets 400. A new leader decodes the records page by page.

--- a/cmd/poplarvalved/entry.go
+++ b/cmd/poplarvalved/entry.go
@@ -156,6 +156,7 @@
 		Self:          d.self,
 		Zone:          s.Zone,
 		CPUShare:      s.CPUShare,
+		MemoryMB:      s.Memory,
 		Log:           platform.NewLogClient(s.LogAddress.String(), client).WithLimits(s.LogLimits),
 		Configuration: platform.ConfigurationPartition,
 		Registry:      platform.RegistryPartition,
--- a/internal/connection/cellcodec/cellcodec.go
+++ b/internal/connection/cellcodec/cellcodec.go
@@ -186,18 +186,27 @@
 // a job.
 func DecodeCell(records []store.Record) (CellState, error) {
 	var state CellState
+	if err := state.AddRecords(records); err != nil {
+		return CellState{}, err
+	}
+	return state, nil
+}
+
+// AddRecords adds a part of the newest records of a cell to the state, with the errors of
+// DecodeCell. The state refers to none of the records.
+func (s *CellState) AddRecords(records []store.Record) error {
 	for _, record := range records {
 		if record.Err != nil {
-			return CellState{}, fault.Wrap(fault.Malformed, record.Err, "decoding the stored record %s", record.Key)
+			return fault.Wrap(fault.Malformed, record.Err, "decoding the stored record %s", record.Key)
 		}
 		if len(record.Value) == 0 {
 			continue
 		}
-		if err := state.addRecord(record); err != nil {
-			return CellState{}, err
+		if err := s.addRecord(record); err != nil {
+			return err
 		}
 	}
-	return state, nil
+	return nil
 }
 
 func (s *CellState) addRecord(record store.Record) error {
@@ -269,6 +278,15 @@
 	// InDoubt is set if an earlier attempt at the same call may have had its effect. Such a
 	// submission is not refused for lack of capacity.
 	InDoubt bool `cbor:"7,keyasint,omitempty"`
+	// Source identifies the client address that sent a submission, or is empty if it is not
+	// known.
+	Source []byte `cbor:"8,keyasint,omitempty"`
+}
+
+// Cost returns the bytes that the job of a submission is charged.
+func (c *Call) Cost() int64 {
+	record := cell.JobRecord{ID: c.ID, Job: *c.Job, Terms: *c.Terms, Source: c.Source}
+	return record.Cost()
 }
 
 // Result is the outcome of a call.
@@ -286,6 +304,8 @@
 	NotLeader
 	// Refused means that the receiver rejected the call and it had no effect.
 	Refused
+	// TooLarge means that the job has more tasks than the leader can open. It was not accepted.
+	TooLarge
 )
 
 // Reply is the leader's answer to a call. State is set for OpStatus, Pending for
@@ -297,6 +317,8 @@
 	// RetryAfterMillis is set with Refused if the job was refused for lack of capacity. It is
 	// when its caller should return.
 	RetryAfterMillis int64 `cbor:"4,keyasint,omitempty"`
+	// Limit is the largest number of tasks of a job, set with TooLarge.
+	Limit int `cbor:"5,keyasint,omitempty"`
 }
 
 // LinkHeartbeat is the message that instances send periodically on a link. It also
@@ -339,6 +361,8 @@
 	KnownTerms []KnownTerm `cbor:"11,keyasint,omitempty"`
 	// Sender describes the sending instance. It is set in the first heartbeat of a link.
 	Sender *election.Voter `cbor:"12,keyasint,omitempty"`
+	// MemoryMB is the memory of the sending process in megabytes, or 0 if it doesn't say.
+	MemoryMB int `cbor:"18,keyasint,omitempty"`
 }
 
 // ManifestCheck says that AgeMillis before the heartbeat was sent no manifest was newer than
--- a/internal/connection/jobapi/http.go
+++ b/internal/connection/jobapi/http.go
@@ -100,6 +100,7 @@
 	}
 	defer body.Release()
 	request := newRequest(r, cellcodec.OpSubmit)
+	request.Source = clientlimit.SourceOf(r)
 	request.Job = func() (*jobspec.Job, error) {
 		job, err := Decode(body.Raw)
 		if err == nil {
--- a/internal/connection/jobapi/jobapi.go
+++ b/internal/connection/jobapi/jobapi.go
@@ -23,6 +23,8 @@
 	Path  string
 	// Job decodes the body of a submission. Its errors are of kind BadRequest.
 	Job func() (*jobspec.Job, error)
+	// Source identifies the client address of a submission, or is empty if it is not known.
+	Source []byte
 	// Deadline is when the caller stops waiting; zero if the caller set none.
 	Deadline time.Time
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -52,6 +52,8 @@
 	Zone string
 	// CPUShare is the part of a core that the instance may use.
 	CPUShare float64
+	// MemoryMB is the memory that the process may use, in megabytes, or 0 if that is not limited.
+	MemoryMB int
 	Log      store.Log
 	// Configuration is the partition of the log to which operators write the
 	// configuration, and Registry the one that holds the workers' registrations.
--- a/internal/entry/lead.go
+++ b/internal/entry/lead.go
@@ -16,6 +16,7 @@
 	"poplarvalve/internal/process/store"
 	"poplarvalve/internal/version/cell"
 	"poplarvalve/internal/version/election"
+	"poplarvalve/internal/version/statebudget"
 )
 
 const (
@@ -172,6 +173,7 @@
 	}
 	l.goroutines.Wait()
 	l.entry.options.Metrics.SlowWorkers(l.term.Cell, 0)
+	l.entry.options.Metrics.CellGivenUp(l.term.Cell)
 }
 
 // endTerm ends the leadership. The first error passed is kept as the reason.
@@ -198,11 +200,7 @@
 	if err := l.writer.fence(ctx); err != nil {
 		return err
 	}
-	records, err := l.readRecords(ctx)
-	if err != nil {
-		return err
-	}
-	state, err := cellcodec.DecodeCell(records)
+	state, err := l.readState(ctx)
 	if err != nil {
 		return err
 	}
@@ -214,6 +212,7 @@
 	config.LearnSpeed = options.Limits.LearnSpeed
 	config.RefuseHopeless = options.Limits.RefuseHopeless
 	config.Evacuations = l.entry.followsEvacuations()
+	config.Budget = statebudget.New(l.entry.leaders.stateLimits())
 	l.cell = cell.New(config)
 	now := time.Now()
 	l.confirmation.recoveredAt = now
@@ -250,17 +249,26 @@
 	}
 }
 
-// readRecords reads the records that earlier terms stored. It retries as long as
-// the term lasts, since giving up the term would cause another election. The time that it takes
-// grows with the records, so that only each of its calls is bounded.
-func (l *leadership) readRecords(ctx context.Context) ([]store.Record, error) {
+// readState reads and decodes the records that earlier terms stored, page by page, so that they are
+// not held beside their decoded form. It retries as long as the term lasts, since giving up the
+// term would cause another election. The time that it takes grows with the records, so that only
+// each of its calls is bounded.
+func (l *leadership) readState(ctx context.Context) (cellcodec.CellState, error) {
 	for {
-		records, _, err := l.entry.options.Log.Newest(ctx, l.writer.partition)
+		var state cellcodec.CellState
+		var malformed error
+		_, err := store.VisitNewest(ctx, l.entry.options.Log, l.writer.partition, func(page []store.Record) error {
+			malformed = state.AddRecords(page)
+			return malformed
+		})
+		if malformed != nil {
+			return cellcodec.CellState{}, malformed
+		}
 		if err == nil {
-			return records, nil
+			return state, nil
 		}
 		if ctx.Err() != nil {
-			return nil, fmt.Errorf("reading the records of the cell: %w", err)
+			return cellcodec.CellState{}, fmt.Errorf("reading the records of the cell: %w", err)
 		}
 		l.writer.onRetry(err)
 		sleep(ctx, appendRetryPause)
@@ -320,6 +328,7 @@
 		l.requestRenewal()
 	}
 	l.updateConfirmation(now)
+	l.updateRoom()
 	l.reportLeaseAuthority(now)
 	l.cell.Tick(now)
 	if l.cell.AwaitsRenewal() {
--- a/internal/entry/leaders.go
+++ b/internal/entry/leaders.go
@@ -1,9 +1,11 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -66,13 +68,16 @@
 	// and maxInboundLinks the highest number while this instance led, since the last
 	// resetIsolation.
 	// lastInboundClosed is the time at which such a link was last closed.
-	inboundLinks      int
-	maxInboundLinks   int
+	inboundLinks    int
+	maxInboundLinks int
+	// smallestMemoryMB is the smallest memory of this instance and those that it has heard of, in
+	// megabytes. It never grows: an instance that is away for a while may lead when it is back.
+	smallestMemoryMB  atomic.Int64
 	lastInboundClosed time.Time
 }
 
 func newLeaderDirectory(e *Entry) *leaderDirectory {
-	return &leaderDirectory{
+	l := &leaderDirectory{
 		entry:             e,
 		table:             publish.New(&leaderTable{byCell: map[int]cellcodec.Leader{}, ledHere: map[int]*leadership{}, readEpochs: map[int]int64{}}),
 		voters:            newVoterDirectory(),
@@ -83,8 +88,13 @@
 		renewals:          map[int]election.Renewal{},
 		cpuShares:         map[uint64]reportedCPUShare{},
 	}
+	l.smallestMemoryMB.Store(int64(cmp.Or(e.options.MemoryMB, unlimitedMemoryMB)))
+	return l
 }
 
+// unlimitedMemoryMB stands for the memory of an instance whose options don't state it.
+const unlimitedMemoryMB = 1 << 20
+
 // updateTable publishes a modified copy of the table and sends a heartbeat on all
 // links, unless modify returns false.
 func (l *leaderDirectory) updateTable(modify func(next *leaderTable) bool) {
@@ -313,7 +323,7 @@
 // on request only, for the same reason.
 func (l *leaderDirectory) NextHeartbeat(remote celllink.RemoteManifest, lastVersion uint64) (heartbeat cellcodec.LinkHeartbeat, version uint64) {
 	table := l.table.Load()
-	heartbeat = cellcodec.LinkHeartbeat{Cells: table.cellCount, Nonce: l.entry.options.Self.Nonce, CPUShare: l.entry.options.CPUShare, KnownTerms: table.knownTerms()}
+	heartbeat = cellcodec.LinkHeartbeat{Cells: table.cellCount, Nonce: l.entry.options.Self.Nonce, CPUShare: l.entry.options.CPUShare, MemoryMB: l.entry.options.MemoryMB, KnownTerms: table.knownTerms()}
 	if lastVersion == 0 {
 		heartbeat.Sender = &election.Voter{Address: l.entry.options.Self.Address, Zone: l.entry.options.Zone}
 	}
@@ -360,6 +370,7 @@
 	}
 	l.voters.record(time.Now(), heartbeat, echoed)
 	l.mu.Lock()
+	l.noteMemory(heartbeat.MemoryMB)
 	l.cpuShares[heartbeat.Nonce] = reportedCPUShare{heartbeat.CPUShare, time.Now()}
 	for _, ledTerm := range heartbeat.LedTerms {
 		if l.renewals[ledTerm.Cell].Epoch <= ledTerm.Epoch {
--- a/internal/entry/linked.go
+++ b/internal/entry/linked.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"poplarvalve/internal/version/election"
+	"poplarvalve/internal/version/statebudget"
 )
 
 // reportedCPUShare is the CPU share that a linked process last reported, and when.
@@ -31,6 +32,22 @@
 	return largest
 }
 
+// noteMemory records the memory of an instance that may lead next, in megabytes.
+func (l *leaderDirectory) noteMemory(memoryMB int) {
+	for memoryMB > 0 {
+		smallest := l.smallestMemoryMB.Load()
+		if int64(memoryMB) >= smallest || l.smallestMemoryMB.CompareAndSwap(smallest, int64(memoryMB)) {
+			return
+		}
+	}
+}
+
+// stateLimits returns the limits of a cell that each instance which this process has heard of can
+// restore.
+func (l *leaderDirectory) stateLimits() statebudget.Limits {
+	return statebudget.LimitsFor(int(l.smallestMemoryMB.Load()))
+}
+
 // countLinksOfLeader starts to count the links of an instance that leads. Those of an instance
 // that doesn't lead say nothing: it may have been linked only by a leader that announced its
 // term.
--- a/internal/entry/renew_test.go
+++ b/internal/entry/renew_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"poplarvalve/internal/connection/cellcodec"
 	"poplarvalve/internal/connection/workerlink"
 	"poplarvalve/internal/process/jobspec"
 	"poplarvalve/internal/process/store"
@@ -82,15 +83,16 @@
 // slowLog takes a time to return the newest records.
 type slowLog struct {
 	store.Log
-	took  time.Duration
-	calls int
+	took    time.Duration
+	calls   int
+	records []store.Record
 }
 
 func (s *slowLog) Newest(ctx context.Context, _ store.Partition) ([]store.Record, int64, error) {
 	s.calls++
 	select {
 	case <-time.After(s.took):
-		return []store.Record{{Key: "a"}}, 1, nil
+		return s.records, int64(len(s.records)), nil
 	case <-ctx.Done():
 		return nil, 0, ctx.Err()
 	}
@@ -102,14 +104,16 @@
 	virtualtime.Test(t, func(t *testing.T) {
 		l := testTermLeadership(t)
 		defer l.entry.options.Journal.Close()
-		slow := &slowLog{took: 10 * time.Second}
+		records, _, err := cellcodec.EncodeWriteBatch(cell.WriteBatch{Workers: []cell.WorkerInfo{{ID: "w"}}}, store.DefaultLimits)
+		assert.NilError(t, err)
+		slow := &slowLog{took: 10 * time.Second, records: records}
 		l.entry.options.Log = slow
 		l.writer.onRetry = func(error) {}
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
-		records, err := l.readRecords(ctx)
+		state, err := l.readState(ctx)
 		assert.NilError(t, err)
-		assert.Equal(t, len(records), 1)
+		assert.Equal(t, len(state.Workers), 1)
 		assert.Equal(t, slow.calls, 1)
 	})
 }
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -7,6 +7,7 @@
 	"poplarvalve/internal/connection/cellcodec"
 	"poplarvalve/internal/version/cell"
 	"poplarvalve/internal/version/election"
+	"poplarvalve/internal/version/statebudget"
 )
 
 // serve answers a call to the leader of the cell. Status queries are answered from
@@ -33,23 +34,36 @@
 	return cellcodec.Reply{Result: cellcodec.Refused}
 }
 
-// submit passes a valid job to the cell. A refusal is answered with NotLeader while a later
-// term may have begun: an earlier attempt may be stored there.
+// submit reserves room for a valid job and passes it to the cell. A refusal is answered with
+// NotLeader while a later term may have begun: an earlier attempt may be stored there. The cell
+// decides on a refusal for lack of room as well, because only it knows whether the job is a repeat
+// of one that is being stored.
 func (l *leadership) submit(ctx context.Context, call cellcodec.Call) cellcodec.Reply {
-	refusal := make(chan time.Duration, 1)
+	reservation, noRoom := l.cell.Budget().Reserve(call.Source, call.Cost())
+	defer reservation.Release()
+	submission := cell.Submission{ID: call.ID, Job: call.Job, Terms: *call.Terms, Source: call.Source, InDoubt: call.InDoubt}
+	if noRoom != statebudget.None {
+		l.entry.options.Metrics.RoomRefused(noRoom.String())
+		submission.Job = nil
+	}
+	refusal := make(chan cellcodec.Reply, 1)
 	reply := l.applyAndWait(ctx, func(now time.Time, c *cell.Cell, request uint64) (alreadyStored, found bool) {
-		submit := c.Submit
-		if call.InDoubt {
-			submit = c.SubmitInDoubt
+		var result cell.SubmitResult
+		if noRoom != statebudget.None {
+			result = c.RefuseForRoom(now, request, submission.ID, submission.Terms.Queue, noRoom)
+		} else {
+			result = c.SubmitJob(now, request, submission)
 		}
-		result := submit(now, request, call.ID, call.Job, *call.Terms)
-		if result == cell.SubmitRefused {
-			refusal <- c.RefusalWait(now, call.ID)
+		switch result {
+		case cell.SubmitRefused:
+			refusal <- cellcodec.Reply{Result: cellcodec.Refused, RetryAfterMillis: c.RefusalWait(now, submission.ID).Milliseconds()}
+		case cell.SubmitTooLarge:
+			refusal <- cellcodec.Reply{Result: cellcodec.TooLarge, Limit: c.MaxJobTasks()}
 		}
-		return result == cell.SubmitStored, result != cell.SubmitRefused
+		return result == cell.SubmitStored, result == cell.SubmitStored || result == cell.SubmitPending
 	})
 	if reply.Result == cellcodec.NotFound {
-		return cellcodec.Reply{Result: cellcodec.Refused, RetryAfterMillis: (<-refusal).Milliseconds()}
+		return <-refusal
 	}
 	return reply
 }
@@ -129,6 +143,7 @@
 	result := make(chan any, 1)
 	l.post(func(now time.Time, c *cell.Cell) {
 		state := c.Dump(now)
+		state["job_room"] = c.Budget().State()
 		state["lease_authority"] = l.leaseAuthority()
 		state["voters"] = l.confirmation.quorum.Load().Stored
 		result <- state
--- a/internal/layering_test.go
+++ b/internal/layering_test.go
@@ -37,7 +37,7 @@
 func TestDecisionPackagesImportNoIO(t *testing.T) {
 	decisionPackages := []string{"request/placement", "request/admission", "request/fairness", "request/eviction", "request/retry",
 		"request/answer", "request/job", "version/cell", "version/election", "version/evacuation", "version/manifest", "version/manifestcheck",
-		"version/nearplace", "version/overload"}
+		"version/nearplace", "version/overload", "version/statebudget"}
 	for _, name := range decisionPackages {
 		output, err := exec.Command("go", "list", "-f", "{{join .Imports \" \"}}", internalPrefix+name).Output()
 		assert.NilError(t, err, "listing the imports of %s", name)
--- a/internal/process/jobspec/jobspec.go
+++ b/internal/process/jobspec/jobspec.go
@@ -135,6 +135,24 @@
 	return size
 }
 
+const (
+	// jobMemoryBytes, stepMemoryBytes and dependencyMemoryBytes are what a job, a step and a
+	// dependency take in memory beside their texts.
+	jobMemoryBytes        = 128
+	stepMemoryBytes       = 192
+	dependencyMemoryBytes = 8
+)
+
+// MemoryBytes returns the bytes that the job takes in memory.
+func (j *Job) MemoryBytes() int {
+	size := jobMemoryBytes + len(j.Spec)
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		size += stepMemoryBytes + len(s.Image) + len(s.Label) + len(s.DataRack) + dependencyMemoryBytes*len(s.DependsOn)
+	}
+	return size
+}
+
 // Tasks returns the number of tasks of one occurrence.
 func (j *Job) Tasks() int {
 	count := 0
--- a/internal/process/metrics/entry.go
+++ b/internal/process/metrics/entry.go
@@ -33,6 +33,9 @@
 	refused       *prometheus.CounterVec
 	completion    prometheus.Histogram
 	refusals      *prometheus.CounterVec
+	roomRefused   *prometheus.CounterVec
+	jobBytes      *prometheus.GaugeVec
+	jobLimit      *prometheus.GaugeVec
 	speeds        speedMetrics
 	// skippedRecords is indexed by RecordSource.
 	skippedRecords [sourceCount]prometheus.Counter
@@ -106,6 +109,9 @@
 		droppedLines: newCounter("log_lines_dropped_total", "Log lines left out because there were too many."),
 	}
 	e.refusals = newCounterVec("client_refusals_total", "Requests refused and connections closed because a client exceeded a limit of the process.", "reason")
+	e.roomRefused = newCounterVec("jobs_without_room_total", "Submissions refused because the cell has no room for the job, by reason.", "reason")
+	e.jobBytes = newGaugeVec("cell_job_bytes", "Memory that the jobs of a cell are charged, by the cell that the instance leads.", "cell")
+	e.jobLimit = newGaugeVec("cell_job_limit_bytes", "Memory that the jobs of a cell may be charged, by the cell that the instance leads.", "cell")
 	requests := newCounterVec("job_requests_total", "Requests about jobs, by how they were answered.", "operation", "verdict")
 	skipped := newCounterVec("records_skipped_total", "Records of other processes that can't be used, by their source.", "source")
 	for source := range RecordSource(sourceCount) {
@@ -127,7 +133,7 @@
 		}
 	}
 	e.registry.MustRegister(requests, latency, e.appendSeconds, e.starts, e.stops, e.throttles, e.crashes, e.jobsGivenUp, e.droppedLines, e.keptBack, skipped,
-		departures, moves, e.evacuated, e.speeds.slow, e.refused, e.completion, e.away, e.nearWaits, e.leasesBound, handOvers, e.refusals,
+		departures, moves, e.evacuated, e.speeds.slow, e.refused, e.completion, e.away, e.nearWaits, e.leasesBound, handOvers, e.refusals, e.roomRefused, e.jobBytes, e.jobLimit,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return e
 }
@@ -190,6 +196,21 @@
 	e.refused.WithLabelValues(queue).Add(float64(jobs))
 }
 
+// RoomRefused counts a submission that was refused because the cell has no room for the job.
+func (e *EntryMetrics) RoomRefused(reason string) { e.roomRefused.WithLabelValues(reason).Inc() }
+
+// CellJobs records what the jobs of a cell are charged and may be charged, in bytes.
+func (e *EntryMetrics) CellJobs(cell int, held, limit int64) {
+	e.jobBytes.WithLabelValues(strconv.Itoa(cell)).Set(float64(held))
+	e.jobLimit.WithLabelValues(strconv.Itoa(cell)).Set(float64(limit))
+}
+
+// CellGivenUp removes what CellJobs has recorded of a cell that the instance doesn't lead any more.
+func (e *EntryMetrics) CellGivenUp(cell int) {
+	e.jobBytes.DeleteLabelValues(strconv.Itoa(cell))
+	e.jobLimit.DeleteLabelValues(strconv.Itoa(cell))
+}
+
 // CompletionRatio records the ratio of the actual to the expected time to completion of a job.
 func (e *EntryMetrics) CompletionRatio(ratio float64) { e.completion.Observe(ratio) }
 
--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -77,6 +77,26 @@
 	Newest(ctx context.Context, from Partition) (records []Record, end int64, err error)
 }
 
+// PageReader is a Log that passes on the newest records as they arrive.
+type PageReader interface {
+	// VisitNewest is like Log.Newest and passes the records to visit, a page at a time. It stops
+	// at an error of visit and returns it.
+	VisitNewest(ctx context.Context, from Partition, visit func(page []Record) error) (end int64, err error)
+}
+
+// VisitNewest passes the newest record of each key to visit, a page at a time if the log reads
+// pages. If it fails, visit may have been called for a part of the records.
+func VisitNewest(ctx context.Context, log Log, from Partition, visit func(page []Record) error) (end int64, err error) {
+	if reader, ok := log.(PageReader); ok {
+		return reader.VisitNewest(ctx, from, visit)
+	}
+	records, end, err := log.Newest(ctx, from)
+	if err != nil {
+		return 0, err
+	}
+	return end, visit(records)
+}
+
 // Reason is the class of a failed call to the log.
 type Reason string
 
--- a/internal/request/intake/intake.go
+++ b/internal/request/intake/intake.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"poplarvalve/internal/connection/cellcodec"
@@ -132,6 +133,7 @@
 		return refusal(fault.NoWorker), true
 	}
 	call.Job = job
+	call.Source = request.Source
 	call.Terms = &cell.QueueTerms{
 		Queue:           queue.Name,
 		Pool:            queue.Pool,
@@ -166,7 +168,7 @@
 		changed := leaders.Changed()
 		call.InDoubt = inDoubt
 		reply, sent := leaders.Call(ctx, call)
-		if answer, final := answerFromReply(reply); final && !(inDoubt && answer.Verdict == jobapi.NotRun) {
+		if answer, final := answerFromReply(reply); final && !(inDoubt && answer.Verdict != jobapi.OK && answer.Verdict != jobapi.NotFound) {
 			return answer
 		}
 		inDoubt = inDoubt || sent && reply.Result == cellcodec.InDoubt && call.Operation.ChangesState()
@@ -196,6 +198,9 @@
 		return jobapi.Answer{Verdict: jobapi.OK, State: reply.State, Pending: reply.Pending}, true
 	case cellcodec.NotFound:
 		return jobapi.Answer{Verdict: jobapi.NotFound}, true
+	case cellcodec.TooLarge:
+		return jobapi.Answer{Verdict: jobapi.BadRequest, FailureKind: fault.TooLarge,
+			Detail: fmt.Sprintf("the job has too many tasks for the memory of this deployment; the limit is %d tasks in all steps", reply.Limit)}, true
 	case cellcodec.Refused:
 		if reply.RetryAfterMillis > 0 {
 			return overloaded(reply.RetryAfterMillis), true
--- a/internal/request/intake/overload_test.go
+++ b/internal/request/intake/overload_test.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -38,3 +39,18 @@
 		assert.Assert(t, leaders.last.InDoubt, "the leader is not told of the earlier attempt")
 	})
 }
+
+// Guards against a job that is refused as if it could be accepted later, though it has more tasks
+// than the deployment has memory for, and against that answer while the job may be stored.
+func TestJobWithTooManyTasksIsRefusedForGood(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		tooLarge := cellcodec.Reply{Result: cellcodec.TooLarge, Limit: 12345}
+		answer, took := serveWithReplies(t, cellcodec.OpSubmit, &leaderStub{sent: true, replies: []cellcodec.Reply{tooLarge}})
+		assert.Equal(t, answer.Verdict, jobapi.BadRequest)
+		assert.Equal(t, answer.FailureKind, fault.TooLarge)
+		assert.Assert(t, strings.Contains(answer.Detail, "12345 tasks"), answer.Detail)
+		assert.Equal(t, took, time.Duration(0))
+		answer, _ = serveWithReplies(t, cellcodec.OpSubmit, &leaderStub{sent: true, replies: []cellcodec.Reply{{Result: cellcodec.InDoubt}, tooLarge}})
+		assert.Equal(t, answer.Verdict, jobapi.Unknown)
+	})
+}
--- a/internal/version/cell/admission.go
+++ b/internal/version/cell/admission.go
@@ -8,6 +8,7 @@
 
 	"poplarvalve/internal/process/jobspec"
 	"poplarvalve/internal/version/overload"
+	"poplarvalve/internal/version/statebudget"
 )
 
 // refusals holds the submissions that were refused recently. Another attempt to submit a refused
@@ -17,6 +18,8 @@
 	until map[jobspec.ID]time.Time
 	// order lists the IDs in the order in which they were refused.
 	order []jobspec.ID
+	// limit bounds the remembered refusals.
+	limit int
 	// loggedAt is when a refusal was last logged, and unlogged the number of those since.
 	loggedAt time.Time
 	unlogged int
@@ -24,8 +27,11 @@
 
 const (
 	// maxRefusals bounds the remembered refusals. It is what is refused within
-	// overload.MaxWait at ten times the target of job arrivals.
-	maxRefusals = 1 << 16
+	// overload.MaxWait at ten times the target of job arrivals. On small machines they take at
+	// most a part of the budget, refusalShare, with refusalBytes each.
+	maxRefusals  = 1 << 16
+	refusalShare = 1.0 / 16
+	refusalBytes = 128
 	// returnPeriod is for how long after its wait a refused job is remembered.
 	returnPeriod = overload.MaxWait
 	// refusalLogPeriod is the shortest time between two log lines about refusals.
@@ -37,7 +43,7 @@
 	if r.until == nil {
 		r.until = map[jobspec.ID]time.Time{}
 	}
-	for len(r.order) > 0 && (len(r.order) >= maxRefusals || now.Sub(r.until[r.order[0]]) > returnPeriod) {
+	for len(r.order) > 0 && (len(r.order) >= r.limit || now.Sub(r.until[r.order[0]]) > returnPeriod) {
 		delete(r.until, r.order[0])
 		r.order = r.order[1:]
 	}
@@ -57,10 +63,29 @@
 	return max(overload.MinWait, c.refused.until[id].Sub(now))
 }
 
-// SubmitInDoubt is like Submit for a job that an earlier leader may have stored: it is never
-// refused, because a refusal would say that the job never runs.
-func (c *Cell) SubmitInDoubt(now time.Time, request uint64, id jobspec.ID, spec *jobspec.Job, terms QueueTerms) SubmitResult {
-	return c.submit(now, request, id, spec, terms, false)
+// newRefusals returns refusals of which as many are remembered as a budget allows.
+func newRefusals(limits statebudget.Limits) refusals {
+	return refusals{limit: int(min(maxRefusals, float64(limits.Bytes)*refusalShare/refusalBytes))}
+}
+
+// RefuseForRoom answers the submission of a job for which the budget has no room. A repeat of a
+// job that is known is not refused.
+func (c *Cell) RefuseForRoom(now time.Time, request uint64, id jobspec.ID, queue string, refusal statebudget.Refusal) SubmitResult {
+	if result, known := c.submitKnown(request, id); known {
+		return result
+	}
+	if now.Before(c.refused.until[id]) {
+		return SubmitRefused
+	}
+	wait := c.config.Budget.Wait(now, refusal, xxhash.Sum64String(string(id)))
+	c.refused.add(now, id, wait)
+	if outcome, due := c.refused.logLine(now); due {
+		state := c.config.Budget.State()
+		c.addEvent(DecisionEvent{Event: "job refused", Task: TaskID{Job: id}, Outcome: fmt.Sprintf(
+			"queue %s: no room (%s), %d KB held and %d KB in flight of %d KB, wait %d ms; %s",
+			queue, refusal, state.HeldBytes>>10, state.InFlightBytes>>10, state.LimitBytes>>10, wait.Milliseconds(), outcome)})
+	}
+	return SubmitRefused
 }
 
 // refuses decides whether to refuse a new job, from the sums of the work that is accepted.
@@ -68,9 +93,6 @@
 	if c.work == nil || !isJudged(&record.Job) {
 		return false
 	}
-	if now.Before(c.refused.until[record.ID]) {
-		return true
-	}
 	j := newJob(record, now)
 	j.work = c.newJobWork(j)
 	kind, work := j.work.mainKind(j)
@@ -173,16 +195,27 @@
 }
 
 func (c *Cell) reportRefusal(now time.Time, j *job, expected, wait, objective time.Duration, load overload.Load) {
-	c.refused.unlogged++
-	if now.Sub(c.refused.loggedAt) < refusalLogPeriod {
+	outcome, due := c.refused.logLine(now)
+	if !due {
 		return
 	}
 	const coreSecond = 1e6
 	c.addEvent(DecisionEvent{Event: "job refused", Task: TaskID{Job: j.id}, Outcome: fmt.Sprintf(
-		"queue %s: expected after %d ms, objective %d ms, %.0f core seconds queued before it and %.0f late, capacity %.0f cores, wait %d ms; %d refused since the last line",
+		"queue %s: expected after %d ms, objective %d ms, %.0f core seconds queued before it and %.0f late, capacity %.0f cores, wait %d ms; %s",
 		j.terms.Queue, expected.Milliseconds(), objective.Milliseconds(), load.Queued/coreSecond, load.Late/coreSecond, load.Capacity/1000,
-		wait.Milliseconds(), c.refused.unlogged)})
-	c.refused.loggedAt, c.refused.unlogged = now, 0
+		wait.Milliseconds(), outcome)})
+}
+
+// logLine counts a refusal and reports whether a line about it is due, with the number of refusals
+// since the last one.
+func (r *refusals) logLine(now time.Time) (outcome string, due bool) {
+	r.unlogged++
+	if now.Sub(r.loggedAt) < refusalLogPeriod {
+		return "", false
+	}
+	outcome = fmt.Sprintf("%d refused since the last line", r.unlogged)
+	r.loggedAt, r.unlogged = now, 0
+	return outcome, true
 }
 
 // expectedChain returns the time that the job takes if nothing waits, by what its images took
--- a/internal/version/cell/cell.go
+++ b/internal/version/cell/cell.go
@@ -11,6 +11,7 @@
 
 	"poplarvalve/internal/process/jobspec"
 	"poplarvalve/internal/version/evacuation"
+	"poplarvalve/internal/version/statebudget"
 )
 
 // Cell is the state of one cell in one term.
@@ -145,6 +146,11 @@
 		partlyRecovered: map[WorkerID]bool{},
 		confinements:    map[WorkerID]*confinement{},
 	}
+	if c.config.Budget == nil {
+		c.config.Budget = statebudget.New(statebudget.Unlimited)
+	}
+	c.open.budget = c.config.Budget
+	c.refused = newRefusals(c.config.Budget.Limits())
 	c.storedJobs.Store(iradix.New[*job]())
 	if config.RefuseHopeless {
 		c.work = newWorkSums()
@@ -152,6 +158,9 @@
 	return c
 }
 
+// Budget returns what counts the jobs of the cell. It may be called by any goroutine.
+func (c *Cell) Budget() *statebudget.Budget { return c.config.Budget }
+
 // Restore loads the state that earlier terms stored. It must be called at most
 // once, before any other event. The given workers may still have runs of those
 // terms.
@@ -415,34 +424,63 @@
 	// SubmitPending means that the request is listed in
 	// Effects.AnswerableRequests once the job is stored.
 	SubmitPending
-	// SubmitRefused means that the job was not accepted, since it can't have any value.
-	// RefusalWait returns when its caller should return.
+	// SubmitRefused means that the job was not accepted, since it can't have any value or there
+	// is no room for it. RefusalWait returns when its caller should return.
 	SubmitRefused
+	// SubmitTooLarge means that the job was not accepted, since it has more tasks than
+	// MaxJobTasks.
+	SubmitTooLarge
 )
 
-// Submit accepts a validated job. If a job with the same ID is known, the
-// content of spec is ignored. If Submit returns SubmitPending, request is
-// listed in Effects.AnswerableRequests once the job is stored.
+// Submission is a validated job that a caller submits.
+type Submission struct {
+	ID    jobspec.ID
+	Job   *jobspec.Job
+	Terms QueueTerms
+	// Source has the same meaning as in JobRecord.
+	Source []byte
+	// InDoubt is set if an earlier leader may have stored the job. It is never refused then,
+	// because a refusal would say that the job never runs.
+	InDoubt bool
+}
+
+// Submit is SubmitJob for a job from no known source.
 func (c *Cell) Submit(now time.Time, request uint64, id jobspec.ID, spec *jobspec.Job, terms QueueTerms) SubmitResult {
-	return c.submit(now, request, id, spec, terms, true)
+	return c.SubmitJob(now, request, Submission{ID: id, Job: spec, Terms: terms})
 }
 
-func (c *Cell) submit(now time.Time, request uint64, id jobspec.ID, spec *jobspec.Job, terms QueueTerms, mayRefuse bool) SubmitResult {
-	known := c.jobs[id]
-	if known != nil && State(known.visibleState.Load()) != Hidden {
-		return SubmitStored
+// SubmitJob accepts a job, for which the caller has reserved room in the budget. If a job with
+// the same ID is known, the content is ignored. If SubmitJob returns SubmitPending, request is
+// listed in Effects.AnswerableRequests once the job is stored.
+func (c *Cell) SubmitJob(now time.Time, request uint64, s Submission) SubmitResult {
+	if result, known := c.submitKnown(request, s.ID); known {
+		return result
 	}
-	if known == nil {
-		record := JobRecord{ID: id, Job: *spec, Terms: terms, AcceptedMillis: now.UnixMilli()}
-		if mayRefuse && c.refuses(now, record) {
-			return SubmitRefused
-		}
-		c.acceptJob(now, record)
+	record := JobRecord{ID: s.ID, Job: *s.Job, Terms: s.Terms, AcceptedMillis: now.UnixMilli(), Source: s.Source}
+	if !s.InDoubt && s.Job.Tasks() > c.MaxJobTasks() {
+		return SubmitTooLarge
 	}
-	c.answerAfterWrite(request, id)
+	if !s.InDoubt && (now.Before(c.refused.until[s.ID]) || c.refuses(now, record)) {
+		return SubmitRefused
+	}
+	c.acceptJob(now, record)
+	c.answerAfterWrite(request, s.ID)
 	return SubmitPending
 }
 
+// submitKnown answers the repeated submission of a job, or reports that the job is not known.
+func (c *Cell) submitKnown(request uint64, id jobspec.ID) (result SubmitResult, known bool) {
+	j := c.jobs[id]
+	if j == nil {
+		return SubmitRefused, false
+	}
+	if State(j.visibleState.Load()) != Hidden {
+		return SubmitStored, true
+	}
+	c.answerAfterWrite(request, id)
+	return SubmitPending, true
+}
+
 func (c *Cell) acceptJob(now time.Time, record JobRecord) {
 	c.lastSubmitAt = now
 	j := c.addJob(record, now)
--- a/internal/version/cell/job.go
+++ b/internal/version/cell/job.go
@@ -14,6 +14,9 @@
 	spec       *jobspec.Job
 	terms      QueueTerms
 	acceptedAt time.Time
+	// source is JobRecord.Source, and cost what the job is charged in the budget of the cell.
+	source []byte
+	cost   int64
 	// blockTasks is Config.BlockTasks.
 	blockTasks int
 	// visibleState is the State that callers see. Lookup reads it from other
@@ -28,8 +31,9 @@
 	// nextOccurrence is the lowest occurrence that is not complete.
 	nextOccurrence int
 	occurrences    map[int]*occurrence
-	// tasksPerOccurrence is the number of tasks of all steps of the job.
-	tasksPerOccurrence int
+	// tasksPerOccurrence is the number of tasks of all steps of the job, and openingCost how an
+	// open occurrence counts.
+	tasksPerOccurrence, openingCost int
 	// open counts the open tasks of all jobs of the cell.
 	open *openTasks
 	// opened is an occurrence below which all are open or complete.
@@ -250,6 +254,8 @@
 		spec:        &spec,
 		terms:       record.Terms,
 		acceptedAt:  acceptedAt,
+		source:      record.Source,
+		cost:        record.Cost(),
 		blockTasks:  BlockTasks,
 		health:      &jobHealth{},
 		state:       Queued,
@@ -257,6 +263,7 @@
 		open:        &openTasks{},
 
 		tasksPerOccurrence: spec.Tasks(),
+		openingCost:        spec.Tasks() + len(spec.Steps),
 	}
 }
 
@@ -266,6 +273,7 @@
 	j.blockTasks = c.config.BlockTasks
 	j.open = &c.open
 	c.jobs[j.id] = j
+	c.config.Budget.Charge(j.source, j.cost)
 	return j
 }
 
--- a/internal/version/cell/keptback.go
+++ b/internal/version/cell/keptback.go
@@ -60,7 +60,7 @@
 // storeWhole writes all records of a job.
 func (c *Cell) storeWhole(j *job) {
 	if State(j.visibleState.Load()) == Hidden {
-		c.write.Jobs = append(c.write.Jobs, JobRecord{ID: j.id, Job: *j.spec, Terms: j.terms, AcceptedMillis: j.acceptedAt.UnixMilli()})
+		c.write.Jobs = append(c.write.Jobs, JobRecord{ID: j.id, Job: *j.spec, Terms: j.terms, AcceptedMillis: j.acceptedAt.UnixMilli(), Source: j.source})
 	}
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
--- a/internal/version/cell/open.go
+++ b/internal/version/cell/open.go
@@ -4,6 +4,9 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"poplarvalve/internal/process/jobspec"
+	"poplarvalve/internal/version/statebudget"
 )
 
 // The tasks of an occurrence are kept in memory from when it is opened until all of them are
@@ -29,9 +32,10 @@
 
 const (
 	// maxCurrentTasks, maxWideTasks and maxLaterTasks are the numbers of tasks that may be
-	// open in each share. maxWideTasks is jobspec.MaxJobTasks, so that any accepted job fits.
+	// open in each share on instances of sufficient memory; statebudget.Limits.TaskShare reduces
+	// them on smaller ones. A step counts like a task. Any job fits into maxWideTasks.
 	maxCurrentTasks = 65536
-	maxWideTasks    = 65536
+	maxWideTasks    = jobspec.MaxJobTasks + jobspec.MaxSteps
 	maxLaterTasks   = 16384
 	// wideTasks is the largest number of tasks of an occurrence that is not wide.
 	wideTasks = 4096
@@ -41,6 +45,8 @@
 
 // openTasks counts the tasks that are open in each share. The jobs of a cell share it.
 type openTasks struct {
+	// budget has the limits.
+	budget *statebudget.Budget
 	counts [openShareCount]int
 	// changed is set if there may be room for a waiting occurrence that had none before.
 	changed bool
@@ -48,8 +54,19 @@
 	created []*occurrence
 }
 
+// limit returns how many tasks may be open in a share.
+func (o *openTasks) limit(share openShare) int {
+	return int(float64(maxOpenTasks[share]) * o.budget.Limits().TaskShare)
+}
+
 // free returns how many more tasks may be opened in a share.
-func (o *openTasks) free(share openShare) int { return maxOpenTasks[share] - o.counts[share] }
+func (o *openTasks) free(share openShare) int { return o.limit(share) - o.counts[share] }
+
+// MaxJobTasks returns the largest number of tasks of a job that a leader can open. It may be
+// called by any goroutine.
+func (c *Cell) MaxJobTasks() int {
+	return max(1, c.open.limit(wideShare)-jobspec.MaxSteps)
+}
 
 func (o *openTasks) add(share openShare, tasks int) {
 	o.counts[share] += tasks
@@ -78,9 +95,12 @@
 // occurrences, a job may take as much as it leaves free.
 func (j *job) fits(number int) bool {
 	share := j.shareOf(number)
-	needed := j.tasksPerOccurrence
+	needed := j.openingCost
 	if share == laterShare {
 		needed += j.laterTasks()
+	} else if j.open.counts[share] == 0 {
+		// A job that was accepted under higher limits is opened alone.
+		return true
 	}
 	return needed <= j.open.free(share)
 }
@@ -91,7 +111,7 @@
 	if j.occurrences[j.nextOccurrence] != nil {
 		later--
 	}
-	return later * j.tasksPerOccurrence
+	return later * j.openingCost
 }
 
 // ensureOccurrence returns an occurrence and creates it with its tasks on first use.
@@ -104,7 +124,7 @@
 		o.steps = append(o.steps, newStep(o, i))
 	}
 	j.occurrences[number] = o
-	j.open.add(o.share, j.tasksPerOccurrence)
+	j.open.add(o.share, j.openingCost)
 	j.open.created = append(j.open.created, o)
 	o.countWork()
 	return o
@@ -116,7 +136,7 @@
 		return
 	}
 	delete(j.occurrences, o.number)
-	j.open.add(o.share, -j.tasksPerOccurrence)
+	j.open.add(o.share, -j.openingCost)
 	o.countWork()
 }
 
@@ -126,9 +146,9 @@
 	j.nextOccurrence++
 	j.dropOccurrence(completed)
 	if next := j.occurrences[j.nextOccurrence]; next != nil {
-		j.open.add(next.share, -j.tasksPerOccurrence)
+		j.open.add(next.share, -j.openingCost)
 		next.share = j.shareOf(next.number)
-		j.open.add(next.share, j.tasksPerOccurrence)
+		j.open.add(next.share, j.openingCost)
 	}
 }
 
@@ -241,7 +261,7 @@
 // holdsPlace reports whether jobs behind this one wait until it finds room in a share. Those of
 // laterShare don't wait for a job that has a part of it, or that never fits into it.
 func (j *job) holdsPlace(share openShare) bool {
-	return share != laterShare || j.laterTasks() == 0 && j.tasksPerOccurrence <= maxLaterTasks
+	return share != laterShare || j.laterTasks() == 0 && j.openingCost <= j.open.limit(laterShare)
 }
 
 // compareUnopened orders jobs by priority, then by the number of their open occurrences, then
--- a/internal/version/cell/tick.go
+++ b/internal/version/cell/tick.go
@@ -92,16 +92,27 @@
 	}
 }
 
+// forgetEndedJobs removes the jobs whose retention is over, and records when the next one is
+// removed.
 func (c *Cell) forgetEndedJobs(now time.Time) {
+	var next time.Time
 	for id, j := range c.jobs {
-		if !j.state.IsFinal() || now.Sub(j.endedAt) < c.config.EndedJobRetention || c.hasRuns(j) {
+		if !j.state.IsFinal() {
+			continue
+		}
+		if end := j.endedAt.Add(c.config.EndedJobRetention); now.Before(end) || c.hasRuns(j) {
+			if next.IsZero() || end.Before(next) {
+				next = end
+			}
 			continue
 		}
 		delete(c.jobs, id)
+		c.config.Budget.Refund(j.source, j.cost)
 		c.write.RemovedJobs = append(c.write.RemovedJobs, id)
 		tree, _, _ := c.storedJobs.Load().Delete([]byte(id))
 		c.storedJobs.Store(tree)
 	}
+	c.config.Budget.SetRoomAt(next)
 }
 
 func (c *Cell) hasRuns(j *job) bool {
--- a/internal/version/cell/types.go
+++ b/internal/version/cell/types.go
@@ -27,6 +27,7 @@
 
 	"poplarvalve/internal/process/fault"
 	"poplarvalve/internal/process/jobspec"
+	"poplarvalve/internal/version/statebudget"
 )
 
 // WorkerID is the name under which a worker is registered.
@@ -486,6 +487,18 @@
 	// AcceptedMillis is the Unix time in milliseconds, by the clock of the
 	// instance that accepted the job.
 	AcceptedMillis int64 `cbor:"4,keyasint"`
+	// Source identifies the client address that submitted the job, or is empty if it is not
+	// known. It is stored so that the next leader knows what each source holds.
+	Source []byte `cbor:"5,keyasint,omitempty"`
+}
+
+// jobStateBytes is what a job without tasks takes in the memory of a leader beside its
+// specification: its state, its entries in the indexes, and its progress.
+const jobStateBytes = 1200
+
+// Cost returns the bytes that the job is charged in the budget of the cell.
+func (r *JobRecord) Cost() int64 {
+	return int64(jobStateBytes + r.Job.MemoryBytes() + len(r.Terms.Queue) + len(r.Terms.Pool) + len(r.Source))
 }
 
 // ProgressRecord is the stored progress of a job, or a part of it. A newer record replaces
@@ -590,6 +603,9 @@
 	// Evacuations is set if operators may evacuate availability zones. Nothing is started
 	// before SetEvacuations has told which.
 	Evacuations bool
+	// Budget counts what the jobs take and limits the open tasks. nil stands for a budget without
+	// limits.
+	Budget *statebudget.Budget
 	// BlockTasks is the number of tasks in a part of a job's progress. 0 stands for the
 	// constant BlockTasks.
 	BlockTasks int
--- a/test/overlimit/instance_test.go
+++ b/test/overlimit/instance_test.go
@@ -25,9 +25,11 @@
 )
 
 const (
-	// memoryMB is the memory limit in the settings of the instance. Its peak resident memory
-	// must stay below.
-	memoryMB = 64
+	// memoryMB is the memory limit in the settings of the instance, unless a test needs that of
+	// the smallest machine of a deployment, smallestMachineMB. The peak resident memory must stay
+	// below.
+	memoryMB          = 64
+	smallestMachineMB = 184
 	// maxFDs is the limit of descriptors in the settings, of which filesReserve are for
 	// files. The others are the bound of the open descriptors.
 	maxFDs       = 600
@@ -44,21 +46,32 @@
 
 // instance is the process under test beside stand-ins for the log and a worker.
 type instance struct {
-	t       *testing.T
-	ip      string
-	command *exec.Cmd
+	t  *testing.T
+	ip string
+	// memoryMB is the memory limit of the process.
+	memoryMB                   int
+	program, settings, logPath string
+	command                    *exec.Cmd
 	// ended is closed when the process has ended.
 	ended chan struct{}
+	// ordinaryAddress is the address of the caller of ordinary submissions, or nil for that of
+	// the crowd.
+	ordinaryAddress net.Addr
 	// submissions is the number of ordinary submissions, which gives them their ids.
 	submissions int
 	// portOf returns the port to which a client connects.
-	portOf     func(number int) int
+	portOf func(number int) int
+	// source returns the address from which a client connects, or is nil for that of the system.
+	source     func(number int) net.Addr
 	maxRSS     atomic.Int64
 	maxOpenFDs atomic.Int64
 }
 
 // startInstance starts an instance and waits until it accepts a job.
-func startInstance(t *testing.T) *instance {
+func startInstance(t *testing.T) *instance { return startInstanceWith(t, memoryMB) }
+
+// startInstanceWith is startInstance with another memory limit.
+func startInstanceWith(t *testing.T, memoryMB int) *instance {
 	t.Helper()
 	dir := t.TempDir()
 	program := os.Getenv("OVERLIMIT_PROGRAM")
@@ -73,10 +86,9 @@
 	t.Cleanup(worker.Close)
 	log.AppendRecord("keyed.servers", worker.ID, worker.RegistryEntry())
 	log.AppendRecord("keyed.op", "config", []byte(`{"version":1,"routes":[{"name":"q","host":"h","path_prefix":"/j/","service":"p","target_latency_ms":600,"attempts":5,"stretch":2.0}],"services":[{"name":"p"}],"limits":{"max_body_bytes":262144}}`))
-	i := &instance{t: t, ip: fmt.Sprintf("127.%d.%d.1", 130+os.Getpid()/250%100, os.Getpid()%250+1), ended: make(chan struct{}),
-		portOf: bodyPort}
-	settings := filepath.Join(dir, "entry.ini")
-	assert.NilError(t, os.WriteFile(settings, fmt.Appendf(nil, `[instance]
+	i := &instance{t: t, ip: fmt.Sprintf("127.%d.%d.1", 130+os.Getpid()/250%100, os.Getpid()%250+1), memoryMB: memoryMB,
+		program: program, settings: filepath.Join(dir, "entry.ini"), logPath: filepath.Join(dir, "n0.log"), portOf: bodyPort}
+	assert.NilError(t, os.WriteFile(i.settings, fmt.Appendf(nil, `[instance]
 name = n0
 caller_address = %[1]s:8161
 ready_address = %[1]s:8162
@@ -95,22 +107,11 @@
 grace_s = 2
 max_fds = %[4]d
 `, i.ip, log.Address(), memoryMB, maxFDs), 0o600))
-	logFile, err := os.Create(filepath.Join(dir, "n0.log"))
-	assert.NilError(t, err)
-	defer logFile.Close() // The process has its own copy of the descriptor.
-	i.command = exec.Command(program, "-settings", settings, "entry")
-	i.command.Stdout, i.command.Stderr = logFile, logFile
-	i.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	assert.NilError(t, i.command.Start())
-	go func() {
-		defer close(i.ended)
-		_ = i.command.Wait() // The tests check whether it ended, not how.
-	}()
+	i.start()
 	t.Cleanup(func() {
-		_ = i.command.Process.Kill() // Fails if the process has ended.
-		<-i.ended
+		i.kill()
 		if t.Failed() {
-			content, _ := os.ReadFile(logFile.Name())
+			content, _ := os.ReadFile(i.logPath)
 			t.Logf("end of the log of the instance:\n%s", content[max(0, len(content)-4000):])
 		}
 	})
@@ -118,11 +119,36 @@
 	return i
 }
 
+// start starts the process.
+func (i *instance) start() {
+	i.t.Helper()
+	logFile, err := os.OpenFile(i.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	assert.NilError(i.t, err)
+	defer logFile.Close() // The process has its own copy of the descriptor.
+	command := exec.Command(i.program, "-settings", i.settings, "entry")
+	command.Stdout, command.Stderr = logFile, logFile
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	assert.NilError(i.t, command.Start())
+	ended := make(chan struct{})
+	i.command, i.ended = command, ended
+	go func() {
+		defer close(ended)
+		_ = command.Wait() // The tests check whether it ended, not how.
+	}()
+}
+
+// kill ends the process without notice and waits for its end.
+func (i *instance) kill() {
+	_ = i.command.Process.Kill() // Fails if the process has ended.
+	<-i.ended
+}
+
 // submitOrdinary submits a small job until it is accepted, for a bounded number of tries.
 func (i *instance) submitOrdinary(when string) {
 	i.t.Helper()
 	i.submissions++
-	client := &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	dialer := &net.Dialer{LocalAddr: i.ordinaryAddress}
+	client := &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true, DialContext: dialer.DialContext}}
 	last := errors.New("no try")
 	for range maxTries {
 		body := strings.NewReader(`{"spec":"x","steps":[{"count":1,"cpu":1000,"mem_mb":100,"estimate_ms":100}]}`)
@@ -191,7 +217,11 @@
 	for number := range count {
 		go func() {
 			defer func() { done <- struct{}{} }()
-			c, err := net.DialTimeout("tcp", fmt.Sprintf("%s:%d", i.ip, i.portOf(number)), 5*time.Second)
+			dialer := net.Dialer{Timeout: 5 * time.Second}
+			if i.source != nil {
+				dialer.LocalAddr = i.source(number)
+			}
+			c, err := dialer.Dial("tcp", net.JoinHostPort(i.ip, strconv.Itoa(i.portOf(number))))
 			if err != nil {
 				return // The instance refuses the connection.
 			}
@@ -212,6 +242,12 @@
 	i.submitOrdinary("after the crowd")
 	close(stop)
 	<-sampled
+	i.checkLimits()
+}
+
+// checkLimits checks that the process lives and has kept within its memory and descriptors.
+func (i *instance) checkLimits() {
+	i.t.Helper()
 	peak := i.statusKB("VmHWM")
 	i.t.Logf("VmHWM %.1f MB, largest sample of RSS %.1f MB, of open descriptors %d", float64(peak)/1024, float64(i.maxRSS.Load())/1024, i.maxOpenFDs.Load())
 	select {
@@ -219,8 +255,8 @@
 		i.t.Errorf("the process has ended")
 	default:
 	}
-	if peak > memoryMB<<10 || i.maxRSS.Load() > memoryMB<<10 {
-		i.t.Errorf("the peak of the memory is %d KB, a sample %d KB; the limit is %d MB", peak, i.maxRSS.Load(), memoryMB)
+	if limit := int64(i.memoryMB) << 10; peak > limit || i.maxRSS.Load() > limit {
+		i.t.Errorf("the peak of the memory is %d KB, a sample %d KB; the limit is %d MB", peak, i.maxRSS.Load(), i.memoryMB)
 	}
 	if open := i.maxOpenFDs.Load(); open > maxFDs-filesReserve {
 		i.t.Errorf("%d descriptors are open; the limit is %d", open, maxFDs-filesReserve)
