--- a/cmd/poplarvalve/docs_test.go
+++ b/cmd/poplarvalve/docs_test.go
@@ -77,6 +77,8 @@
 // of them are served.
 func metricsWithValues() *metrics.Metrics {
 	all := metrics.New()
+	all.ClientRefused("too_large")
+	all.ObserveClients(nil, func() float64 { return 1 }, func() float64 { return 1 })
 	all.CountAnswer(work.Urgent, 1)
 	all.CountStart(work.Urgent, 1)
 	all.CountRefusal(fault.Overloaded)
--- a/cmd/poplarvalved/daemon.go
+++ b/cmd/poplarvalved/daemon.go
@@ -48,6 +48,7 @@
 	settings *settings.Settings
 	logger   *logging.Logger
 	instance *instance.Instance
+	clients  *clientLimits
 	app      *kratos.App
 }
 
@@ -59,12 +60,18 @@
 		settings: loadedSettings,
 		logger:   logging.New(os.Stderr, loadedSettings.Log.Level, loadedSettings.Instance.Name),
 	}
+	setMemoryLimit(float64(loadedSettings.Limits.MemoryBytes))
 	counters := metrics.New()
+	d.clients = newClientLimits(loadedSettings.Limits.Clients(), d.logger, counters)
 	d.instance = instance.New(d.options(counters))
+	servers, err := d.servers(counters)
+	if err != nil {
+		return nil, err
+	}
 	d.app = kratos.New(
 		kratos.Name("poplarvalved"),
 		kratos.Version(version),
-		kratos.Server(d.servers(counters)...),
+		kratos.Server(servers...),
 		kratos.BeforeStop(d.drain),
 		kratos.StopTimeout(loadedSettings.Limits.DrainTimeout+leaveAllowance+serverStopAllowance),
 	)
@@ -121,13 +128,27 @@
 	return binary.LittleEndian.Uint64(bytes[:])
 }
 
-func (d *daemon) servers(counters *metrics.Metrics) []transport.Server {
+// servers opens the listeners and returns their servers. It fails with Listen.
+func (d *daemon) servers(counters *metrics.Metrics) ([]transport.Server, error) {
 	instanceSettings := d.settings.Instance
+	callers, err := listenFor(instanceSettings.CallerAddress, "callers")
+	if err != nil {
+		return nil, err
+	}
+	peers, err := listenFor(instanceSettings.PeerAddress, "other instances")
+	if err != nil {
+		return nil, err
+	}
+	operators, err := listenFor(instanceSettings.OperatorAddress, "operators")
+	if err != nil {
+		return nil, err
+	}
 	frontEnd := d.instance.FrontEnd()
-	callerServer := caller.NewServer(instanceSettings.CallerAddress.String(), caller.NewHandler(frontEnd, frontEnd))
-	peerServer := newServer(instanceSettings.PeerAddress)
-	peerServer.HandlePrefix(peer.Path, d.instance.PeerHandler())
-	operatorServer := newServer(instanceSettings.OperatorAddress)
+	callerServer := d.clients.newServer(callers, false)
+	callerServer.HandlePrefix("/", caller.NewHandler(frontEnd, frontEnd, d.clients.bodies))
+	peerServer := d.clients.newServer(peers, true)
+	peerServer.HandlePrefix(peer.Path, d.instance.PeerHandler(d.clients.linkBudget))
+	operatorServer := d.clients.newServer(operators, false)
 	operatorServer.HandlePrefix("/", operator.NewHandler(operator.Dependencies{
 		Proposer:  d.instance,
 		Reader:    d.instance,
@@ -137,7 +158,7 @@
 		Metrics:   counters.Handler(),
 		Token:     d.settings.Security.OperatorToken,
 	}))
-	return []transport.Server{callerServer, peerServer, operatorServer}
+	return []transport.Server{callerServer, peerServer, operatorServer}, nil
 }
 
 // newServer returns a server for an address. The request timeout of kratos is
--- a/cmd/poplarvalved/entry.go
+++ b/cmd/poplarvalved/entry.go
@@ -8,17 +8,14 @@
 	"net/netip"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 	"time"
 
 	"github.com/go-kratos/kratos/v2"
 	klog "github.com/go-kratos/kratos/v2/log"
 	"github.com/go-kratos/kratos/v2/transport"
-	khttp "github.com/go-kratos/kratos/v2/transport/http"
 
 	"poplarvalve/internal/connection/advice"
-	"poplarvalve/internal/connection/clientlimit"
 	"poplarvalve/internal/connection/jobapi"
 	"poplarvalve/internal/connection/operator"
 	"poplarvalve/internal/connection/orderly"
@@ -28,7 +25,6 @@
 	"poplarvalve/internal/process/boottime"
 	"poplarvalve/internal/process/fault"
 	"poplarvalve/internal/process/logging"
-	"poplarvalve/internal/process/membudget"
 	"poplarvalve/internal/process/metrics"
 	"poplarvalve/internal/process/settings"
 	"poplarvalve/internal/version/cell"
@@ -37,9 +33,6 @@
 )
 
 const (
-	// memoryLimitShare is the fraction of the process's memory that is set as the
-	// memory limit of the Go runtime. The rest is for stacks and buffers.
-	memoryLimitShare = 0.6
 	// dialTimeout bounds the time to connect to the log or to a worker. It allows for
 	// two round trips between regions and a slow processor.
 	dialTimeout = 400 * time.Millisecond
@@ -76,10 +69,7 @@
 	journal      *logging.Journal
 	entry        *entry.Entry
 	self         election.Holder
-	// clients bounds what the clients of all servers take, budget the memory for their bodies,
-	// and linkBudget that for messages on links that other instances have opened.
-	clients            *clientlimit.Connections
-	budget, linkBudget *membudget.Budget
+	clients      *clientLimits
 	listeners
 	app *kratos.App
 }
@@ -96,8 +86,8 @@
 		purpose  string
 	}{{&l.callers, s.CallerAddress, "callers"}, {&l.readiness, s.ReadyAddress, "the readiness probe"},
 		{&l.links, s.LinkAddress, "other instances"}, {&l.operators, s.OperatorAddress, "operators"}} {
-		if *of.listener, err = orderly.Listen(of.address.String()); err != nil {
-			return l, fault.Startup(fault.Listen, err, "listening for %s", of.purpose)
+		if *of.listener, err = listenFor(of.address, of.purpose); err != nil {
+			return l, err
 		}
 	}
 	return l, nil
@@ -113,7 +103,7 @@
 	if err := boottime.Check(); err != nil {
 		return fault.Startup(fault.Internal, err, "checking the clocks of the machine")
 	}
-	debug.SetMemoryLimit(int64(float64(loadedSettings.Memory) * memoryLimitShare * (1 << 20)))
+	setMemoryLimit(float64(loadedSettings.Memory) * (1 << 20))
 	opened, err := listen(loadedSettings)
 	if err != nil {
 		return err
@@ -127,11 +117,10 @@
 		settings:     s,
 		settingsPath: settingsPath,
 		listeners:    opened,
-		budget:       clientlimit.NewBudget(s.Clients),
-		linkBudget:   clientlimit.NewLinkBudget(s.Clients),
 		journal:      logging.NewJournal(os.Stdout, s.LogLevel, s.Name, counters.LineDropped),
 		self:         election.Holder{Name: s.Name, Address: s.LinkAddress.String(), Nonce: newNonce()},
 	}
+	d.clients = newClientLimits(s.Clients, d.journal, counters)
 	d.entry = entry.New(d.options(counters))
 	d.app = kratos.New(
 		kratos.Name("poplarvalved"),
@@ -214,53 +203,24 @@
 }
 
 func (d *entryDaemon) servers(counters *metrics.EntryMetrics) []transport.Server {
-	config := clientlimit.ConfigFrom(d.settings.Clients)
-	observer := clientObserver{d.journal, counters}
-	d.clients = clientlimit.NewConnections(config, observer)
-	counters.ObserveClients(clientlimit.ReasonNames(), func() float64 { return float64(d.budget.State().Used()) },
-		func() float64 { return float64(d.clients.State().Clients) })
-	bodies := clientlimit.NewBodies(config, d.budget, observer)
-	callerServer := d.newLimitedServer(d.callers, false)
-	callerServer.HandlePrefix("/", d.callers.Handler(platform.NewCallerHandler(d.entry, bodies)))
-	readinessServer := d.newLimitedServer(d.readiness, false)
+	callerServer := d.clients.newServer(d.callers, false)
+	callerServer.HandlePrefix("/", d.callers.Handler(platform.NewCallerHandler(d.entry, d.clients.bodies)))
+	readinessServer := d.clients.newServer(d.readiness, false)
 	readinessServer.HandlePrefix("/", platform.NewReadinessHandler(d.entry))
-	linkServer := d.newLimitedServer(d.links, true)
-	linkServer.HandlePrefix(peer.Path, d.entry.LinkHandler(d.linkBudget))
-	operatorServer := d.newLimitedServer(d.operators, false)
-	operatorServer.Handle("/metrics", d.clients.Concurrent(maxReports, counters.Handler()))
-	operatorServer.Handle(operator.PathDump, d.clients.Concurrent(maxReports, http.HandlerFunc(d.handleDump)))
-	operatorServer.Handle(operator.PathConfiguration, d.clients.Concurrent(maxReports, operator.NewConfigurationHandler(d.entry)))
-	operatorServer.HandlePrefix(jobapi.PathQueues, jobapi.NewHandler(d.entry, bodies))
+	linkServer := d.clients.newServer(d.links, true)
+	linkServer.HandlePrefix(peer.Path, d.entry.LinkHandler(d.clients.linkBudget))
+	operatorServer := d.clients.newServer(d.operators, false)
+	operatorServer.Handle("/metrics", d.clients.connections.Concurrent(maxReports, counters.Handler()))
+	operatorServer.Handle(operator.PathDump, d.clients.connections.Concurrent(maxReports, http.HandlerFunc(d.handleDump)))
+	operatorServer.Handle(operator.PathConfiguration, d.clients.connections.Concurrent(maxReports, operator.NewConfigurationHandler(d.entry)))
+	operatorServer.HandlePrefix(jobapi.PathQueues, jobapi.NewHandler(d.entry, d.clients.bodies))
 	return []transport.Server{callerServer, readinessServer, linkServer, operatorServer}
 }
 
-// newLimitedServer returns a server whose connections are limited.
-func (d *entryDaemon) newLimitedServer(opened *orderly.Listener, isLinks bool) *khttp.Server {
-	limited := d.clients.Listen(opened, isLinks, opened.ConnState)
-	server := newServer(opened.Addr().(*net.TCPAddr).AddrPort(), khttp.Listener(limited))
-	limited.Configure(server.Server)
-	if !isLinks {
-		server.Handler = d.clients.Handler(server.Handler)
-	}
-	return server
-}
-
-// clientObserver logs and counts clients that exceed a limit.
-type clientObserver struct {
-	journal *logging.Journal
-	metrics *metrics.EntryMetrics
-}
-
-// ClientRefused implements clientlimit.Observer.
-func (o clientObserver) ClientRefused(reason, address string) {
-	o.metrics.ClientRefused(reason)
-	o.journal.ClientRefused(reason, address)
-}
-
 // handleDump writes the state dump of the instance as JSON.
 func (d *entryDaemon) handleDump(w http.ResponseWriter, _ *http.Request) {
 	state := d.entry.Dump()
-	state["clients"] = map[string]any{"bodies": d.budget.State(), "link_messages": d.linkBudget.State(), "connections": d.clients.State()}
+	state["clients"] = d.clients.state()
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(state); err != nil {
 		d.journal.Retrying("state dump", err)
--- a/internal/connection/caller/caller.go
+++ b/internal/connection/caller/caller.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -13,6 +12,7 @@
 
 	"github.com/google/uuid"
 
+	"poplarvalve/internal/connection/clientlimit"
 	"poplarvalve/internal/process/fault"
 	"poplarvalve/internal/process/ident"
 	"poplarvalve/internal/process/work"
@@ -29,13 +29,12 @@
 )
 
 const (
-	// maxBodyBytes bounds the body of one request.
-	maxBodyBytes = 1 << 20
 	// maxNameBytes bounds the caller's name, the idempotency key, the request
 	// token and the names in a job.
 	maxNameBytes = 256
-	// bodyTimeout bounds the time to receive one request body.
-	bodyTimeout = 10 * time.Second
+	// callBodyCopies is how often the body of a call may be held until it is answered: a call that
+	// is forwarded has an encoded form.
+	callBodyCopies = 2
 	// writeTimeout bounds the time to send one answer or one event of a feed. A
 	// caller that takes longer to receive it is disconnected.
 	writeTimeout = 10 * time.Second
@@ -60,14 +59,16 @@
 type Handler struct {
 	engine    Engine
 	jobs      Jobs
+	bodies    *clientlimit.Bodies
 	mux       *http.ServeMux
 	openFeeds openFeeds
 }
 
 // NewHandler returns a handler that passes calls to engine and jobs. If jobs is
-// nil, calls on jobs are refused with LogUnavailable and all others work.
-func NewHandler(engine Engine, jobs Jobs) *Handler {
-	h := &Handler{engine: engine, jobs: jobs, mux: http.NewServeMux()}
+// nil, calls on jobs are refused with LogUnavailable and all others work. bodies reads the bodies of
+// requests.
+func NewHandler(engine Engine, jobs Jobs, bodies *clientlimit.Bodies) *Handler {
+	h := &Handler{engine: engine, jobs: jobs, bodies: bodies, mux: http.NewServeMux()}
 	h.registerRoutes()
 	return h
 }
@@ -93,7 +94,8 @@
 }
 
 func (h *Handler) handleCall(w http.ResponseWriter, r *http.Request) {
-	request, err := decodeCall(w, r)
+	request, body, err := h.decodeCall(w, r)
+	defer body.Release()
 	if err != nil {
 		writeAnswer(w, work.Refuse(request.ID, malformedCallError(request, err)))
 		return
@@ -111,7 +113,8 @@
 	return fault.From(err).WithOutcome(fault.Unknown)
 }
 
-func decodeCall(w http.ResponseWriter, r *http.Request) (work.Request, error) {
+// decodeCall reads a call. The body must be released once the call is answered.
+func (h *Handler) decodeCall(w http.ResponseWriter, r *http.Request) (work.Request, *clientlimit.Body, error) {
 	request := work.Request{
 		ID:      ident.RequestID(uuid.NewString()),
 		Service: ident.ServiceName(r.PathValue("service")),
@@ -119,20 +122,25 @@
 		Token:   r.Header.Get(HeaderToken),
 	}
 	if len(request.Key) > maxNameBytes || len(request.Token) > maxNameBytes {
-		return request, fault.New(fault.TooLarge, "the idempotency key or the request token exceeds %d bytes", maxNameBytes)
+		return request, nil, fault.New(fault.TooLarge, "the idempotency key or the request token exceeds %d bytes", maxNameBytes)
 	}
 	caller, err := callerName(r)
 	if err != nil {
-		return request, err
+		return request, nil, err
 	}
 	request.Caller = caller
 	remaining, err := parseDeadline(r.Header.Get(HeaderDeadline))
 	if err != nil {
-		return request, err
+		return request, nil, err
 	}
 	request.Remaining = remaining
-	request.Body, err = readBody(w, r)
-	return request, err
+	body, err := h.readBody(w, r)
+	if err != nil {
+		return request, nil, err
+	}
+	body.Retain(callBodyCopies)
+	request.Body = body.Raw
+	return request, body, nil
 }
 
 // callerName returns the name that the caller states in its header.
@@ -158,18 +166,26 @@
 	return time.Duration(millis) * time.Millisecond, nil
 }
 
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	// The error is ignored: a writer without support for deadlines, as in some
-	// tests, has none.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
-	defer func() { _ = http.NewResponseController(w).SetReadDeadline(time.Time{}) }()
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, fault.New(fault.TooLarge, "the request body exceeds %d bytes", tooLarge.Limit)
+// readBody reads the body of a request. The caller must release it.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) (*clientlimit.Body, error) {
+	body, reason := h.bodies.Read(r)
+	if reason == clientlimit.None {
+		return body, nil
 	}
-	if err != nil {
-		return nil, fault.Wrap(fault.BadRequest, err, "reading the request body")
+	// Bytes of the body may follow.
+	w.Header().Set("Connection", "close")
+	return nil, h.refusalError(reason)
+}
+
+// refusalError returns the error for a body that exceeds a limit of the process.
+func (h *Handler) refusalError(reason clientlimit.Reason) error {
+	switch reason {
+	case clientlimit.TooLarge:
+		return fault.New(fault.TooLarge, "the request body exceeds %d bytes", h.bodies.MaxBody())
+	case clientlimit.TooSlow:
+		return fault.New(fault.BadRequest, "the request body arrives too slowly")
+	case clientlimit.BadBody:
+		return fault.New(fault.BadRequest, "the request body ended early or its framing is invalid")
 	}
-	return body, nil
+	return fault.New(fault.Overloaded, "there is no memory for the request body").WithRetryAfter(clientlimit.RetryAfter)
 }
--- a/internal/connection/caller/caller_test.go
+++ b/internal/connection/caller/caller_test.go
@@ -12,9 +12,11 @@
 	"testing"
 	"time"
 
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"gotest.tools/v3/assert"
 
 	"poplarvalve/internal/connection/caller"
+	"poplarvalve/internal/connection/clientlimit"
 	"poplarvalve/internal/process/fault"
 	"poplarvalve/internal/process/ident"
 	"poplarvalve/internal/process/work"
@@ -66,7 +68,8 @@
 
 func startServerWithJobs(t *testing.T, engine caller.Engine, jobs caller.Jobs) string {
 	t.Helper()
-	server := caller.NewServer("127.0.0.1:0", caller.NewHandler(engine, jobs))
+	server := khttp.NewServer(khttp.Address("127.0.0.1:0"), khttp.Timeout(0), khttp.StrictSlash(false))
+	server.HandlePrefix("/", caller.NewHandler(engine, jobs, clientlimit.NewUnlimitedBodies()))
 	endpoint, err := server.Endpoint()
 	assert.NilError(t, err)
 	done := make(chan error, 1)
--- a/internal/connection/caller/jobs.go
+++ b/internal/connection/caller/jobs.go
@@ -12,6 +12,7 @@
 
 	"github.com/google/uuid"
 
+	"poplarvalve/internal/connection/clientlimit"
 	"poplarvalve/internal/process/fault"
 	"poplarvalve/internal/process/ident"
 	"poplarvalve/internal/process/resource"
@@ -65,7 +66,8 @@
 
 // handleSubmit accepts a job and sends its status.
 func (h *Handler) handleSubmit(w http.ResponseWriter, r *http.Request) {
-	job, err := decodeJob(w, r)
+	job, body, err := h.decodeJob(w, r)
+	defer body.Release()
 	if err != nil {
 		writeAnswer(w, work.Refuse("", err))
 		return
@@ -141,27 +143,29 @@
 }
 
 // decodeJob reads a submission. An error has outcome NotRun only if the
-// identifier was read and can't be one of a job.
-func decodeJob(w http.ResponseWriter, r *http.Request) (work.Job, error) {
-	content, err := readBody(w, r)
+// identifier was read and can't be one of a job. The body must be released once the submission is
+// answered, also after an error.
+func (h *Handler) decodeJob(w http.ResponseWriter, r *http.Request) (work.Job, *clientlimit.Body, error) {
+	body, err := h.readBody(w, r)
 	if err != nil {
-		return work.Job{}, withUnknownOutcome(err)
+		return work.Job{}, nil, withUnknownOutcome(err)
 	}
-	body, err := parseJob(content)
+	submission, err := parseJob(body.Raw)
 	if err != nil {
-		return work.Job{}, withUnknownOutcome(err)
+		return work.Job{}, body, withUnknownOutcome(err)
 	}
-	if err := checkJobUUID(body.ID); err != nil {
-		return work.Job{}, err
+	body.Decoded(callBodyCopies * len(submission.Body))
+	if err := checkJobUUID(submission.ID); err != nil {
+		return work.Job{}, body, err
 	}
 	caller, err := callerName(r)
 	if err == nil {
-		err = checkJob(body)
+		err = checkJob(submission)
 	}
 	if err != nil {
-		return work.Job{}, withUnknownOutcome(err)
+		return work.Job{}, body, withUnknownOutcome(err)
 	}
-	return work.Job{ID: body.ID, Caller: caller, Service: body.Service, Body: body.Body, Demand: body.Demand}, nil
+	return work.Job{ID: submission.ID, Caller: caller, Service: submission.Service, Body: submission.Body, Demand: submission.Demand}, body, nil
 }
 
 // parseJob decodes a submission. It refuses unknown fields, so that a misspelt
--- a/internal/connection/caller/slow_test.go
+++ b/internal/connection/caller/slow_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"poplarvalve/internal/connection/caller"
+	"poplarvalve/internal/connection/clientlimit"
 	"poplarvalve/test/virtualtime"
 )
 
@@ -59,7 +60,7 @@
 func TestSlowClientIsDisconnected(t *testing.T) {
 	virtualtime.Test(t, func(t *testing.T) {
 		engine := endlessEngine{closed: make(chan time.Time, 1)}
-		server := &http.Server{Handler: caller.NewHandler(engine, nil)}
+		server := &http.Server{Handler: caller.NewHandler(engine, nil, clientlimit.NewUnlimitedBodies())}
 		listener := singleConnListener{conns: make(chan net.Conn, 1)}
 		client, remote := net.Pipe()
 		listener.conns <- remote
--- a/internal/connection/clientlimit/body.go
+++ b/internal/connection/clientlimit/body.go
@@ -53,6 +53,9 @@
 		membudget.New(membudget.Config{Total: size, SmallReserve: size / 2, SmallBody: SmallBody, AccountMax: size}), unobserved{})
 }
 
+// MaxBody returns the largest size of a body in bytes.
+func (l *Bodies) MaxBody() int64 { return l.config.MaxBody }
+
 // unobserved is told about refusals and ignores them.
 type unobserved struct{}
 
@@ -84,8 +87,15 @@
 	b.grant.Shrink(int64(size))
 }
 
-// Release returns the memory to the budget. It may be called more than once.
-func (b *Body) Release() { b.grant.Close() }
+// Retain says that the content is held a number of times until Release.
+func (b *Body) Retain(copies int) { b.grant.Shrink(int64(copies * len(b.Raw))) }
+
+// Release returns the memory to the budget. It may be called more than once, and on nil.
+func (b *Body) Release() {
+	if b != nil {
+		b.grant.Close()
+	}
+}
 
 // slabs holds buffers of slabBytes.
 var slabs = sync.Pool{New: func() any { return new([slabBytes]byte) }}
--- a/internal/connection/clientlimit/clientlimit.go
+++ b/internal/connection/clientlimit/clientlimit.go
@@ -59,16 +59,16 @@
 // Status returns the HTTP status of a refusal.
 func (r Reason) Status() int { return statuses[r] }
 
-// retryAfter is the wait in the refusals that another try may avoid. By then the slow readers that
+// RetryAfter is the wait in the refusals that another try may avoid. By then the slow readers that
 // hold memory or connections have been evicted.
-const retryAfter = time.Second
+const RetryAfter = time.Second
 
 // WriteHeader writes the status and the headers of a refusal. Bytes of the body that were not read
 // may still arrive, so that the connection is closed after the answer.
 func (r Reason) WriteHeader(w http.ResponseWriter) {
 	w.Header().Set("Connection", "close")
 	if r.Status() == http.StatusServiceUnavailable {
-		w.Header().Set("Retry-After", strconv.Itoa(int(retryAfter/time.Second)))
+		w.Header().Set("Retry-After", strconv.Itoa(int(RetryAfter/time.Second)))
 	}
 	w.WriteHeader(r.Status())
 }
--- a/internal/connection/peer/peer_test.go
+++ b/internal/connection/peer/peer_test.go
@@ -265,7 +265,7 @@
 	handler := &echoHandler{runs: map[ident.RequestID]int{}}
 	owner := newNode(2, peer.WebSocket{}, handler)
 	mux := http.NewServeMux()
-	mux.Handle(peer.Path, peer.Handler(owner))
+	mux.Handle(peer.Path, peer.Handler(owner, nil))
 	server := httptest.NewServer(mux)
 	requester := newNode(1, peer.WebSocket{}, handler)
 	defer server.Close()
--- a/internal/connection/peer/websocket.go
+++ b/internal/connection/peer/websocket.go
@@ -34,10 +34,11 @@
 	return newWebSocketConn(conn), nil
 }
 
-// Handler returns an HTTP handler that accepts peer links for a node.
-func Handler(node *Node) http.Handler {
+// Handler returns an HTTP handler that accepts peer links for a node. memory is the budget for the
+// messages that arrive on them, or nil.
+func Handler(node *Node, memory *membudget.Budget) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		conn, err := Accept(w, r, nil)
+		conn, err := Accept(w, r, memory)
 		if err != nil {
 			return // Accept has already written the error response.
 		}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -21,6 +21,7 @@
 	"poplarvalve/internal/process/ident"
 	"poplarvalve/internal/process/logging"
 	"poplarvalve/internal/process/logstream"
+	"poplarvalve/internal/process/membudget"
 	"poplarvalve/internal/process/metrics"
 	"poplarvalve/internal/process/publish"
 	"poplarvalve/internal/version/config"
@@ -173,15 +174,16 @@
 }
 
 // PeerHandler returns the HTTP handler that accepts links from other instances.
-// It answers 503 Service Unavailable until this instance is a member.
-func (i *Instance) PeerHandler() http.Handler {
+// It answers 503 Service Unavailable until this instance is a member. memory is the budget for the
+// messages that arrive on the links, or nil.
+func (i *Instance) PeerHandler(memory *membudget.Budget) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		current := i.currentIncarnation.Load()
 		if current == nil {
 			http.Error(w, "this instance is not a member yet; try again later", http.StatusServiceUnavailable)
 			return
 		}
-		peer.Handler(current.peerNode).ServeHTTP(w, r)
+		peer.Handler(current.peerNode, memory).ServeHTTP(w, r)
 	})
 }
 
--- a/internal/process/logging/logging.go
+++ b/internal/process/logging/logging.go
@@ -6,8 +6,10 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/phuslu/log"
+	"golang.org/x/time/rate"
 
 	"poplarvalve/internal/process/fault"
 	"poplarvalve/internal/process/ident"
@@ -20,17 +22,25 @@
 // nil Logger writes nothing.
 type Logger struct {
 	log log.Logger
+	// clients limits the lines about clients that exceed a limit.
+	clients rate.Sometimes
 }
 
+// clientLinePeriod is the shortest time between two lines about clients that exceed a limit.
+const clientLinePeriod = 200 * time.Millisecond
+
 // New returns a logger that writes lines of at least level (debug, info, warn
 // or error) to w.
 func New(w io.Writer, level string, instance ident.InstanceName) *Logger {
-	return &Logger{log.Logger{
-		Level:      log.ParseLevel(level),
-		TimeFormat: timeFormat,
-		Context:    log.NewContext(nil).Str("instance", string(instance)).Value(),
-		Writer:     log.IOWriter{Writer: w},
-	}}
+	return &Logger{
+		log: log.Logger{
+			Level:      log.ParseLevel(level),
+			TimeFormat: timeFormat,
+			Context:    log.NewContext(nil).Str("instance", string(instance)).Value(),
+			Writer:     log.IOWriter{Writer: w},
+		},
+		clients: rate.Sometimes{Interval: clientLinePeriod},
+	}
 }
 
 func (l *Logger) info() *log.Entry {
@@ -80,6 +90,15 @@
 	l.log.Error().Str("kind", string(fault.KindOf(err))).Err(err).Msg("failed")
 }
 
+// ClientRefused logs that a request was refused or a connection closed because a client exceeded a
+// limit of the process. Not each of them is logged; package metrics counts all.
+func (l *Logger) ClientRefused(reason, address string) {
+	if l == nil {
+		return
+	}
+	l.clients.Do(func() { l.info().Str("reason", reason).Str("client", address).Msg("client refused") })
+}
+
 // RulesInForce logs that another version of the rules came into force.
 func (l *Logger) RulesInForce(version ident.Offset, author string) {
 	l.info().Uint64("rules_version", uint64(version)).Str("author", author).Msg("rules in force")
--- a/internal/process/metrics/entry.go
+++ b/internal/process/metrics/entry.go
@@ -32,11 +32,11 @@
 	evacuated     prometheus.Gauge
 	refused       *prometheus.CounterVec
 	completion    prometheus.Histogram
-	refusals      *prometheus.CounterVec
-	roomRefused   *prometheus.CounterVec
-	jobBytes      *prometheus.GaugeVec
-	jobLimit      *prometheus.GaugeVec
-	speeds        speedMetrics
+	*ClientMetrics
+	roomRefused *prometheus.CounterVec
+	jobBytes    *prometheus.GaugeVec
+	jobLimit    *prometheus.GaugeVec
+	speeds      speedMetrics
 	// skippedRecords is indexed by RecordSource.
 	skippedRecords [sourceCount]prometheus.Counter
 }
@@ -108,7 +108,7 @@
 			Help: "Actual over expected time to completion of accepted jobs.", Buckets: completionBuckets}),
 		droppedLines: newCounter("log_lines_dropped_total", "Log lines left out because there were too many."),
 	}
-	e.refusals = newCounterVec("client_refusals_total", "Requests refused and connections closed because a client exceeded a limit of the process.", "reason")
+	e.ClientMetrics = newClientMetrics(e.registry)
 	e.roomRefused = newCounterVec("jobs_without_room_total", "Submissions refused because the cell has no room for the job, by reason.", "reason")
 	e.jobBytes = newGaugeVec("cell_job_bytes", "Memory that the jobs of a cell are charged, by the cell that the instance leads.", "cell")
 	e.jobLimit = newGaugeVec("cell_job_limit_bytes", "Memory that the jobs of a cell may be charged, by the cell that the instance leads.", "cell")
@@ -133,7 +133,7 @@
 		}
 	}
 	e.registry.MustRegister(requests, latency, e.appendSeconds, e.starts, e.stops, e.throttles, e.crashes, e.jobsGivenUp, e.droppedLines, e.keptBack, skipped,
-		departures, moves, e.evacuated, e.speeds.slow, e.refused, e.completion, e.away, e.nearWaits, e.leasesBound, handOvers, e.refusals, e.roomRefused, e.jobBytes, e.jobLimit,
+		departures, moves, e.evacuated, e.speeds.slow, e.refused, e.completion, e.away, e.nearWaits, e.leasesBound, handOvers, e.roomRefused, e.jobBytes, e.jobLimit,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return e
 }
@@ -252,22 +252,6 @@
 	e.nearWaits.WithLabelValues(outcome).Observe(took.Seconds())
 }
 
-// ObserveClients adds metrics that read the limits of clients: the refusals by the given reasons,
-// the memory that bodies hold in bytes, and the number of connections.
-func (e *EntryMetrics) ObserveClients(reasons []string, bodyBytes, connections func() float64) {
-	for _, reason := range reasons {
-		e.refusals.WithLabelValues(reason)
-	}
-	e.registry.MustRegister(
-		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: "client_body_bytes",
-			Help: "Memory held by bodies on which the process has not decided."}, bodyBytes),
-		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: "client_connections",
-			Help: "Open connections of clients."}, connections))
-}
-
-// ClientRefused counts a request that was refused or a connection that was closed.
-func (e *EntryMetrics) ClientRefused(reason string) { e.refusals.WithLabelValues(reason).Inc() }
-
 // LineDropped counts one log line that was dropped.
 func (e *EntryMetrics) LineDropped() { e.droppedLines.Inc() }
 
--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -44,6 +44,7 @@
 // Metrics holds the metrics of one process. All methods are safe for concurrent
 // use.
 type Metrics struct {
+	*ClientMetrics
 	registry       *prometheus.Registry
 	latency        *prometheus.HistogramVec
 	startWait      *prometheus.HistogramVec
@@ -85,6 +86,7 @@
 		lease:          newGauge("instance_lease_held", "1 while the instance holds its own lease, else 0."),
 		inFlight:       newGauge("requests_in_flight", "Requests that began and are not yet answered."),
 	}
+	m.ClientMetrics = newClientMetrics(m.registry)
 	m.registry.MustRegister(m.latency, m.startWait, m.refusals, m.evictions, m.retries, m.appends, m.regionBytes,
 		m.skippedRecords, m.lag, m.rules, m.lease, m.inFlight,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
--- a/internal/process/settings/clients.go
+++ b/internal/process/settings/clients.go
@@ -85,10 +85,10 @@
 	}
 	bodyMemory := r.optionalNumber("body_memory_mb", memoryMB*bodyMemoryShare, 1, max(1, memoryMB/2)) * (1 << 20)
 	addressShare := r.optionalNumber("address_share_percent", defaultAddressShare, 1, 100) / 100
-	largestBody := math.Floor((bodyMemory*min(addressShare, 1-smallBodyShare) - bodyRounding) / LargeBodyCost / 1024)
-	maxBody := r.optionalNumber("max_body_kb", min(defaultMaxBodyKB, largestBody), 1, 1<<20)
-	if maxBody > largestBody {
-		r.report("limits", "max_body_kb", "a body of this size may take more memory than body_memory_mb leaves to one large body of one address; the largest size is %g", largestBody)
+	largestKB := float64(largestBody(bodyMemory, addressShare) >> 10)
+	maxBody := r.optionalNumber("max_body_kb", min(defaultMaxBodyKB, largestKB), 1, 1<<20)
+	if maxBody > largestKB {
+		r.report("limits", "max_body_kb", "a body of this size may take more memory than body_memory_mb leaves to one large body of one address; the largest size is %g", largestKB)
 	}
 	return ClientLimits{
 		BodyMemory:      int64(bodyMemory),
@@ -107,6 +107,47 @@
 	}
 }
 
+// largestBody returns the size in bytes of the largest body that one address can send with an amount
+// of memory for bodies.
+func largestBody(bodyMemory, addressShare float64) int64 {
+	return int64(math.Floor((bodyMemory*min(addressShare, 1-smallBodyShare) - bodyRounding) / LargeBodyCost))
+}
+
+// Clients returns what the clients of the process can take. Connections are bounded by memory and
+// descriptors as well as by MaxConnections.
+func (l Limits) Clients() ClientLimits {
+	descriptors := uint64(l.MaxDescriptors)
+	if descriptors == 0 {
+		descriptors = processFDs()
+	}
+	usable := float64(max(descriptors, minFDs) - fileDescriptors)
+	bodyMemory := float64(l.MemoryBytes) * bodyMemoryShare
+	byMemory := float64(l.MemoryBytes>>20) * connectionsPerMB
+	connections := int(max(1, min(float64(l.MaxConnections), usable*clientFDShare, byMemory)))
+	return ClientLimits{
+		BodyMemory:      int64(bodyMemory),
+		SmallBodyMemory: int64(bodyMemory * smallBodyShare),
+		MaxBody:         l.MaxBodyBytes,
+		Connections:     connections,
+		LinkConnections: int(max(1, min(usable*linkFDShare, byMemory))),
+		Requests:        connections,
+		AddressShare:    defaultAddressShare / 100.0,
+		BodyTimeout:     defaultBodySeconds * time.Second,
+		BodyWait:        defaultBodyWaitMillis * time.Millisecond,
+		MinBodyRate:     defaultBodyRateKB << 10,
+		HeaderBytes:     defaultHeaderKB << 10,
+		IdleTimeout:     callIdleTimeout,
+		ResponseTimeout: callResponseTimeout,
+	}
+}
+
+const (
+	// callIdleTimeout and callResponseTimeout are the timeouts of the callers of urgent calls, jobs
+	// and feeds, who may read a feed more slowly than an answer about a job.
+	callIdleTimeout     = 60 * time.Second
+	callResponseTimeout = 10 * time.Second
+)
+
 // isSet reports whether a key of the limits has a value.
 func (r *entryReader) isSet(key string) bool {
 	return r.parsed.Section("limits").Key(key).String() != ""
--- a/internal/process/settings/clients_test.go
+++ b/internal/process/settings/clients_test.go
@@ -43,3 +43,31 @@
 		assert.Equal(t, len(problems), 1, "%v: %v", lines, problems)
 	}
 }
+
+// Guards against settings of the program for urgent calls whose limits of clients don't follow from
+// its memory, descriptors and connections, or that allow a body which no client could ever send.
+func TestClientLimitsOfCallsFollowFromSettings(t *testing.T) {
+	parse := func(lines string) (*Settings, []Problem) {
+		return Parse("s", []byte(minimalSettings+"[limits]\n"+lines))
+	}
+	s, problems := parse("memory = 64MB\nbody = 256KB\ndescriptors = 600\n")
+	assert.Equal(t, len(problems), 0, "%v", problems)
+	clients := s.Limits.Clients()
+	assert.Equal(t, clients.Connections, 200)
+	assert.Equal(t, clients.LinkConnections, 50)
+	assert.Equal(t, clients.MaxBody, int64(256<<10))
+	assert.Equal(t, clients.BodyMemory, int64(8<<20))
+	s, problems = parse("memory = 64MB\nbody = 256KB\nconnections = 7\n")
+	assert.Equal(t, len(problems), 0, "%v", problems)
+	assert.Equal(t, s.Limits.Clients().Connections, 7)
+	s, problems = Parse("s", []byte(minimalSettings))
+	assert.Equal(t, len(problems), 0, "%v", problems)
+	assert.Equal(t, s.Limits.Clients().MaxBody, int64(1<<20))
+	s, problems = parse("memory = 32MB\n")
+	assert.Equal(t, len(problems), 0, "%v", problems)
+	assert.Assert(t, s.Limits.MaxBodyBytes > 256<<10 && s.Limits.MaxBodyBytes < 1<<20, "%d", s.Limits.MaxBodyBytes)
+	for _, lines := range []string{"memory = 64MB\nbody = 1MB\n", "memory = 1KB\n", "memory = 1\n", "descriptors = 255\n", "descriptors = many\n", "body = 64MB\n"} {
+		_, problems := parse(lines)
+		assert.Equal(t, len(problems), 1, "%s: %v", lines, problems)
+	}
+}
--- a/internal/process/settings/entries.go
+++ b/internal/process/settings/entries.go
@@ -16,6 +16,8 @@
 	maxBodyBytes        = 64 << 20
 	maxQueuedRequests   = 1 << 20
 	maxConnections      = 1 << 16
+	maxMemoryBytes      = 1 << 40
+	maxDescriptors      = 1 << 24
 	maxAppendsPerSecond = 1000
 	maxShards           = 64
 	maxDrainTime        = 5 * time.Minute
@@ -45,9 +47,11 @@
 	{"platform", "instances", true, "", func(s *Settings, v string) error { return setServiceAddress(&s.Platform.Instances, v) }},
 	{"platform", "shards", false, "16", func(s *Settings, v string) error { return setCount(&s.Platform.Shards, v, maxShards) }},
 	{"platform", "retention", false, "24h", func(s *Settings, v string) error { return setDuration(&s.Platform.Retention, v, maxRetention) }},
-	{"limits", "body", false, "1MB", func(s *Settings, v string) error { return setBytes(&s.Limits.MaxBodyBytes, v, maxBodyBytes) }},
+	{"limits", "body", false, "", func(s *Settings, v string) error { return setBytes(&s.Limits.MaxBodyBytes, v, maxBodyBytes) }},
 	{"limits", "queue", false, "1024", func(s *Settings, v string) error { return setCount(&s.Limits.MaxQueued, v, maxQueuedRequests) }},
 	{"limits", "connections", false, "4096", func(s *Settings, v string) error { return setCount(&s.Limits.MaxConnections, v, maxConnections) }},
+	{"limits", "memory", false, "256MB", func(s *Settings, v string) error { return setBytes(&s.Limits.MemoryBytes, v, maxMemoryBytes) }},
+	{"limits", "descriptors", false, "", func(s *Settings, v string) error { return setDescriptors(&s.Limits.MaxDescriptors, v) }},
 	{"limits", "appends", false, "200", func(s *Settings, v string) error { return setCount(&s.Limits.AppendsPerSecond, v, maxAppendsPerSecond) }},
 	{"limits", "drain", false, "20s", func(s *Settings, v string) error { return setDuration(&s.Limits.DrainTimeout, v, maxDrainTime) }},
 	{"region", "cut", false, string(RefuseWhenCut), func(s *Settings, v string) error { return setEnum(&s.Region.CutPolicy, v, RefuseWhenCut, ServeWhenCut) }},
@@ -113,6 +117,15 @@
 	return nil
 }
 
+func setDescriptors(target *int, value string) error {
+	count, err := strconv.Atoi(value)
+	if err != nil || count < minFDs || count > maxDescriptors {
+		return fmt.Errorf("%q is not a whole number from %d to %d", value, minFDs, maxDescriptors)
+	}
+	*target = count
+	return nil
+}
+
 // setBytes parses a size with the unit KB (1024 bytes) or MB (1024 KB).
 func setBytes(target *int64, value string, limit int64) error {
 	unit := int64(1)
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -57,8 +57,13 @@
 	MaxBodyBytes int64
 	// MaxQueued is the maximum number of requests that wait for a start.
 	MaxQueued int
-	// MaxConnections is the maximum number of open connections of callers.
+	// MaxConnections is the maximum number of open connections of callers and operators.
 	MaxConnections int
+	// MemoryBytes is the memory that the process may use, in bytes.
+	MemoryBytes int64
+	// MaxDescriptors is the number of descriptors that the process may open, or 0 for the
+	// limit of the process itself.
+	MaxDescriptors int
 	// AppendsPerSecond is the maximum number of appends to the log per second,
 	// for all instances together.
 	AppendsPerSecond int
@@ -271,6 +276,7 @@
 		sameAddress(instance.CallerAddress, instance.OperatorAddress) {
 		p.report("instance", "", "caller_address, peer_address and operator_address must be different")
 	}
+	p.checkBodyLimit()
 	security := p.settings.Security
 	setFiles := 0
 	for _, file := range []string{security.TLSCertificate, security.TLSKey, security.TLSAuthority} {
@@ -283,6 +289,23 @@
 	}
 }
 
+// checkBodyLimit sets the default of the largest body, and checks that the memory has room for one.
+func (p *parser) checkBodyLimit() {
+	limits := &p.settings.Limits
+	if limits.MemoryBytes == 0 {
+		return // Reported already.
+	}
+	largest := largestBody(float64(limits.MemoryBytes)*bodyMemoryShare, defaultAddressShare/100.0) >> 10
+	switch {
+	case largest < 1:
+		p.report("limits", "memory", "there is no room for the body of a request")
+	case limits.MaxBodyBytes == 0:
+		limits.MaxBodyBytes = min(defaultMaxBodyKB, largest) << 10
+	case limits.MaxBodyBytes > largest<<10:
+		p.report("limits", "body", "a body of this size may take more memory than memory leaves to one body; the largest size is %dKB", largest)
+	}
+}
+
 // sameAddress reports whether a and b are the same address. Two addresses with
 // port 0 are not, because the kernel chooses a different port for each.
 func sameAddress(a, b netip.AddrPort) bool {
--- a/internal/process/settings/settings_test.go
+++ b/internal/process/settings/settings_test.go
@@ -34,7 +34,7 @@
 func TestParseAppliesDefaults(t *testing.T) {
 	settings, problems := Parse("s", []byte(minimalSettings))
 	assert.Equal(t, len(problems), 0, "%v", problems)
-	assert.Equal(t, settings.Limits, Limits{MaxBodyBytes: 1 << 20, MaxQueued: 1024, MaxConnections: 4096, AppendsPerSecond: 200, DrainTimeout: 20 * time.Second})
+	assert.Equal(t, settings.Limits, Limits{MaxBodyBytes: 1 << 20, MaxQueued: 1024, MaxConnections: 4096, MemoryBytes: 256 << 20, AppendsPerSecond: 200, DrainTimeout: 20 * time.Second})
 	assert.Equal(t, settings.Region.CutPolicy, RefuseWhenCut)
 	assert.Equal(t, settings.Platform.Shards, 16)
 }
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -65,6 +65,8 @@
 	TaskDuration time.Duration
 	// Rules is the content of the rules file that ApplyRules applies.
 	Rules string
+	// Settings are sections that are added to the settings file of each instance.
+	Settings string
 }
 
 // Instance is one entry instance. CallerAddress, PeerAddress and OperatorAddress
@@ -259,7 +261,7 @@
 instances = %s
 [security]
 operator_token_file = %s
-`, name, i.Zone, region, i.CallerAddress, i.PeerAddress, i.OperatorAddress, c.platformAddress, c.platformAddress, filepath.Join(c.Dir, "token"))
+%s`, name, i.Zone, region, i.CallerAddress, i.PeerAddress, i.OperatorAddress, c.platformAddress, c.platformAddress, filepath.Join(c.Dir, "token"), c.options.Settings)
 }
 
 // ApplyRules applies the rules with the command-line tool. It returns when every
--- a/test/cluster/process.go
+++ b/test/cluster/process.go
@@ -121,6 +121,12 @@
 	return nil
 }
 
+// PID returns the process id.
+func (p *Process) PID() int { return p.command.Process.Pid }
+
+// Done returns a channel that is closed when the process has ended.
+func (p *Process) Done() <-chan struct{} { return p.exited }
+
 // Ended reports whether the process has ended.
 func (p *Process) Ended() bool {
 	select {
--- a/test/cmd/capacity/links.go
+++ b/test/cmd/capacity/links.go
@@ -87,7 +87,7 @@
 		nodes[i] = newNode(i, handler)
 		defer nodes[i].Close()
 		mux := http.NewServeMux()
-		mux.Handle(peer.Path, peer.Handler(nodes[i]))
+		mux.Handle(peer.Path, peer.Handler(nodes[i], nil))
 		address, err := serve(ctx, mux, &counted)
 		if err != nil {
 			return err
--- a/test/overlimit/instance_test.go
+++ b/test/overlimit/instance_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -52,15 +53,22 @@
 	memoryMB                   int
 	program, settings, logPath string
 	command                    *exec.Cmd
+	// pid is the id of the process.
+	pid int
 	// ended is closed when the process has ended.
-	ended chan struct{}
+	ended <-chan struct{}
 	// ordinaryAddress is the address of the caller of ordinary submissions, or nil for that of
 	// the crowd.
 	ordinaryAddress net.Addr
 	// submissions is the number of ordinary submissions, which gives them their ids.
 	submissions int
-	// portOf returns the port to which a client connects.
-	portOf func(number int) int
+	addresses   addresses
+	// addressOf returns the address to which a client connects, and head the first lines of a
+	// request with a body there.
+	addressOf func(number int) string
+	head      func(number int) string
+	// trySubmit sends an ordinary request and returns why it was not served.
+	trySubmit func() error
 	// source returns the address from which a client connects, or is nil for that of the system.
 	source     func(number int) net.Addr
 	maxRSS     atomic.Int64
@@ -87,7 +95,9 @@
 	log.AppendRecord("keyed.servers", worker.ID, worker.RegistryEntry())
 	log.AppendRecord("keyed.op", "config", []byte(`{"version":1,"routes":[{"name":"q","host":"h","path_prefix":"/j/","service":"p","target_latency_ms":600,"attempts":5,"stretch":2.0}],"services":[{"name":"p"}],"limits":{"max_body_bytes":262144}}`))
 	i := &instance{t: t, ip: fmt.Sprintf("127.%d.%d.1", 130+os.Getpid()/250%100, os.Getpid()%250+1), memoryMB: memoryMB,
-		program: program, settings: filepath.Join(dir, "entry.ini"), logPath: filepath.Join(dir, "n0.log"), portOf: bodyPort}
+		program: program, settings: filepath.Join(dir, "entry.ini"), logPath: filepath.Join(dir, "n0.log"), head: submissionHead}
+	i.addresses = addresses{i.ip + ":8161", i.ip + ":8162", i.ip + ":8163", i.ip + ":8164"}
+	i.addressOf, i.trySubmit = i.bodyAddress, i.submitJob
 	assert.NilError(t, os.WriteFile(i.settings, fmt.Appendf(nil, `[instance]
 name = n0
 caller_address = %[1]s:8161
@@ -130,7 +140,7 @@
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	assert.NilError(i.t, command.Start())
 	ended := make(chan struct{})
-	i.command, i.ended = command, ended
+	i.command, i.pid, i.ended = command, command.Process.Pid, ended
 	go func() {
 		defer close(ended)
 		_ = command.Wait() // The tests check whether it ended, not how.
@@ -143,27 +153,15 @@
 	<-i.ended
 }
 
-// submitOrdinary submits a small job until it is accepted, for a bounded number of tries.
+// submitOrdinary sends an ordinary request until it is served, for a bounded number of tries.
 func (i *instance) submitOrdinary(when string) {
 	i.t.Helper()
 	i.submissions++
-	dialer := &net.Dialer{LocalAddr: i.ordinaryAddress}
-	client := &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true, DialContext: dialer.DialContext}}
 	last := errors.New("no try")
 	for range maxTries {
-		body := strings.NewReader(`{"spec":"x","steps":[{"count":1,"cpu":1000,"mem_mb":100,"estimate_ms":100}]}`)
-		request, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:8161/j/%016x", i.ip, i.submissions), body)
-		assert.NilError(i.t, err)
-		request.Host = "h"
-		response, err := client.Do(request)
-		if err == nil {
-			_ = response.Body.Close()
-			if response.StatusCode == http.StatusOK {
-				return
-			}
-			err = errors.New(response.Status)
+		if last = i.trySubmit(); last == nil {
+			return
 		}
-		last = err
 		select {
 		case <-i.ended:
 			i.t.Fatalf("%s: the process has ended", when)
@@ -173,15 +171,51 @@
 	i.t.Errorf("%s: an ordinary submission was not accepted in %d tries, the last one: %v", when, maxTries, last)
 }
 
-// bodyPort returns one of the ports that take bodies: mostly the callers' one, and every third
-// time the operators'.
-func bodyPort(number int) int { return []int{8161, 8161, 8164}[number%3] }
+// submitJob submits a small job.
+func (i *instance) submitJob() error {
+	dialer := &net.Dialer{LocalAddr: i.ordinaryAddress}
+	client := &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true, DialContext: dialer.DialContext}}
+	body := strings.NewReader(`{"spec":"x","steps":[{"count":1,"cpu":1000,"mem_mb":100,"estimate_ms":100}]}`)
+	request, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/j/%016x", i.addresses.callers, i.submissions), body)
+	if err != nil {
+		return err
+	}
+	request.Host = "h"
+	response, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return errors.New(response.Status)
+	}
+	return nil
+}
+
+// addresses are those at which the instance accepts connections. readiness is empty if it has none
+// for that.
+type addresses struct{ callers, readiness, links, operators string }
+
+// bodyAddress returns one of the addresses that take bodies: mostly the callers' one, and every
+// third time the operators'.
+func (i *instance) bodyAddress(number int) string {
+	return []string{i.addresses.callers, i.addresses.callers, i.addresses.operators}[number%3]
+}
+
+// anyAddress returns one of all addresses in turn.
+func (i *instance) anyAddress(number int) string {
+	all := []string{i.addresses.callers, i.addresses.readiness, i.addresses.links, i.addresses.operators}
+	if i.addresses.readiness == "" {
+		all = slices.Delete(all, 1, 2)
+	}
+	return all[number%len(all)]
+}
 
 // sample records memory and descriptors until stop is closed.
 func (i *instance) sample(stop <-chan struct{}) {
 	for {
 		i.maxRSS.Store(max(i.maxRSS.Load(), i.statusKB("VmRSS")))
-		entries, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", i.command.Process.Pid)) // Empty if the process has ended.
+		entries, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", i.pid)) // Empty if the process has ended.
 		i.maxOpenFDs.Store(max(i.maxOpenFDs.Load(), int64(len(entries))))
 		select {
 		case <-stop:
@@ -194,7 +228,7 @@
 // statusKB returns a field of the status of the process in kilobytes, or 0 if the process has
 // ended.
 func (i *instance) statusKB(field string) int64 {
-	content, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", i.command.Process.Pid))
+	content, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", i.pid))
 	for line := range strings.Lines(string(content)) {
 		if rest, found := strings.CutPrefix(line, field+":"); found {
 			kb, _ := strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
@@ -221,7 +255,7 @@
 			if i.source != nil {
 				dialer.LocalAddr = i.source(number)
 			}
-			c, err := dialer.Dial("tcp", net.JoinHostPort(i.ip, strconv.Itoa(i.portOf(number))))
+			c, err := dialer.Dial("tcp", i.addressOf(number))
 			if err != nil {
 				return // The instance refuses the connection.
 			}
--- a/test/overlimit/jobs_test.go
+++ b/test/overlimit/jobs_test.go
@@ -35,7 +35,7 @@
 func startJobsRig(t *testing.T, memoryMB int, body string) *jobsRig {
 	t.Helper()
 	i := startInstanceWith(t, memoryMB)
-	i.portOf = func(int) int { return 8161 }
+	i.addressOf = func(int) string { return i.addresses.callers }
 	i.ordinaryAddress = &net.TCPAddr{IP: net.IPv4(127, 3, 3, 3)}
 	return &jobsRig{instance: i, body: body}
 }
--- a/test/overlimit/overlimit_test.go
+++ b/test/overlimit/overlimit_test.go
@@ -20,20 +20,22 @@
 	missingBytes = 10
 )
 
-// head returns the head of a submission by one client, on the caller or the operator port.
-func head(number int, framing string) string {
-	line := fmt.Sprintf("POST /j/%016x HTTP/1.1\r\nHost: h\r\n", 0xf000+number)
+// submissionHead returns the first lines of a submission by one client, on the caller or the
+// operator port.
+func submissionHead(number int) string {
 	if number%3 == 2 {
-		line = fmt.Sprintf("PUT /v1/queues/q/jobs/%016x HTTP/1.1\r\nHost: h\r\n", 0xf000+number)
+		return fmt.Sprintf("PUT /v1/queues/q/jobs/%016x HTTP/1.1\r\nHost: h\r\n", 0xf000+number)
 	}
-	return line + framing + "\r\n\r\n"
+	return fmt.Sprintf("POST /j/%016x HTTP/1.1\r\nHost: h\r\n", 0xf000+number)
 }
 
-func withLength(number, length int) string {
-	return head(number, fmt.Sprint("Content-Length: ", length))
+func (i *instance) withLength(number, length int) string {
+	return i.head(number) + fmt.Sprintf("Content-Length: %d\r\n\r\n", length)
 }
 
-func chunked(number int) string { return head(number, "Transfer-Encoding: chunked") }
+func (i *instance) chunked(number int) string {
+	return i.head(number) + "Transfer-Encoding: chunked\r\n\r\n"
+}
 
 // send writes parts to a connection until one fails. It fails once the instance has closed the
 // connection, which the instance may.
@@ -79,56 +81,70 @@
 }
 
 // Each body that stalled just before its end was held in memory for as long as its client wanted.
-func TestBodiesThatStopShort(t *testing.T) {
+func TestBodiesThatStopShort(t *testing.T) { startInstance(t).checkBodiesThatStopShort() }
+
+func (i *instance) checkBodiesThatStopShort() {
 	body := job(legalBytes)
-	startInstance(t).checkCrowd(bodyCrowd, func(number int, c net.Conn) {
-		send(c, withLength(number, len(body)), body[:len(body)-missingBytes])
+	i.checkCrowd(bodyCrowd, func(number int, c net.Conn) {
+		send(c, i.withLength(number, len(body)), body[:len(body)-missingBytes])
 	})
 }
 
 // As above, but the size is not known beforehand and the bodies grow at the same time.
-func TestBodiesPieceByPieceThatStopShort(t *testing.T) {
+func TestBodiesPieceByPieceThatStopShort(t *testing.T) { startInstance(t).checkPiecesThatStopShort() }
+
+func (i *instance) checkPiecesThatStopShort() {
 	body := job(legalBytes)
-	startInstance(t).checkCrowd(bodyCrowd, func(number int, c net.Conn) {
-		if send(c, withLength(number, len(body))) {
+	i.checkCrowd(bodyCrowd, func(number int, c net.Conn) {
+		if send(c, i.withLength(number, len(body))) {
 			sendInPieces(c, body[:len(body)-missingBytes], 8<<10, 20*time.Millisecond)
 		}
 	})
 }
 
 // A chunk of almost the limit was held in memory.
-func TestHugeChunkThatStopsShort(t *testing.T) {
+func TestHugeChunkThatStopsShort(t *testing.T) { startInstance(t).checkHugeChunkThatStopsShort() }
+
+func (i *instance) checkHugeChunkThatStopsShort() {
 	const chunk = 1 << 20
 	data := job(chunk)
-	startInstance(t).checkCrowd(bodyCrowd, func(number int, c net.Conn) {
-		send(c, chunked(number), fmt.Sprintf("%x\r\n", chunk), data[:chunk-missingBytes])
+	i.checkCrowd(bodyCrowd, func(number int, c net.Conn) {
+		send(c, i.chunked(number), fmt.Sprintf("%x\r\n", chunk), data[:chunk-missingBytes])
 	})
 }
 
 // Chunks of a few bytes cost processor time and buffers for their framing too.
-func TestTinyChunksThatStopShort(t *testing.T) {
+func TestTinyChunksThatStopShort(t *testing.T) { startInstance(t).checkTinyChunksThatStopShort() }
+
+func (i *instance) checkTinyChunksThatStopShort() {
 	body := job(240 << 10)
 	var framed strings.Builder
 	for i := 0; i+3 <= len(body); i += 3 {
 		framed.WriteString("3\r\n" + body[i:i+3] + "\r\n")
 	}
 	data := framed.String()
-	startInstance(t).checkCrowd(bodyCrowd, func(number int, c net.Conn) { send(c, chunked(number), data) })
+	i.checkCrowd(bodyCrowd, func(number int, c net.Conn) { send(c, i.chunked(number), data) })
 }
 
 // Up to the limit was read of a body whose announced length is far over it.
 func TestBodiesAnnouncedOverTheLimit(t *testing.T) {
+	startInstance(t).checkBodiesAnnouncedOverTheLimit()
+}
+
+func (i *instance) checkBodiesAnnouncedOverTheLimit() {
 	data := job(900 << 10)
-	startInstance(t).checkCrowd(bodyCrowd, func(number int, c net.Conn) {
-		send(c, withLength(number, 1<<30), data)
+	i.checkCrowd(bodyCrowd, func(number int, c net.Conn) {
+		send(c, i.withLength(number, 1<<30), data)
 	})
 }
 
 // The same holds for a body that goes on and on without an announced length.
-func TestBodiesSentOverTheLimit(t *testing.T) {
+func TestBodiesSentOverTheLimit(t *testing.T) { startInstance(t).checkBodiesSentOverTheLimit() }
+
+func (i *instance) checkBodiesSentOverTheLimit() {
 	piece := fmt.Sprintf("%x\r\n%s\r\n", 64<<10, strings.Repeat(" ", 64<<10))
-	startInstance(t).checkCrowd(bodyCrowd, func(number int, c net.Conn) {
-		if !send(c, chunked(number)) {
+	i.checkCrowd(bodyCrowd, func(number int, c net.Conn) {
+		if !send(c, i.chunked(number)) {
 			return
 		}
 		for range 32 {
@@ -141,10 +157,12 @@
 }
 
 // Large bodies that end and are no job are read and decoded at the same time.
-func TestLargeBodiesThatAreNoJob(t *testing.T) {
+func TestLargeBodiesThatAreNoJob(t *testing.T) { startInstance(t).checkLargeBodies() }
+
+func (i *instance) checkLargeBodies() {
 	body := strings.Repeat("x", legalBytes)
-	startInstance(t).checkCrowd(bodyCrowd, func(number int, c net.Conn) {
-		exchange(c, withLength(number, len(body))+body, 5)
+	i.checkCrowd(bodyCrowd, func(number int, c net.Conn) {
+		exchange(c, i.withLength(number, len(body))+body, 5)
 	})
 }
 
@@ -157,17 +175,22 @@
 		`{"spec":"x","steps":` + strings.Repeat(`[`, 9000) + strings.Repeat(`]`, 9000) + `}`,
 		`{` + strings.Repeat(`"steps":[{},{},{},{},{},{}],`, 9000) + `"spec":"x"}`,
 	}
-	startInstance(t).checkCrowd(bodyCrowd, func(number int, c net.Conn) {
+	i := startInstance(t)
+	i.checkCrowd(bodyCrowd, func(number int, c net.Conn) {
 		body := bodies[number/3%len(bodies)]
-		exchange(c, withLength(number, len(body))+body, 5)
+		exchange(c, i.withLength(number, len(body))+body, 5)
 	})
 }
 
 // Clients that pipeline requests and never read the answers must not make the instance keep the
 // answers.
 func TestAnswersThatAreNeverRead(t *testing.T) {
-	startInstance(t).checkCrowd(bodyCrowd, func(number int, c net.Conn) {
-		request := "GET /j/0000000000000001 HTTP/1.1\r\nHost: h\r\n\r\n"
+	startInstance(t).checkAnswersThatAreNeverRead("GET /j/0000000000000001 HTTP/1.1\r\nHost: h\r\n\r\n")
+}
+
+func (i *instance) checkAnswersThatAreNeverRead(callerRequest string) {
+	i.checkCrowd(bodyCrowd, func(number int, c net.Conn) {
+		request := callerRequest
 		if number%3 == 2 {
 			request = "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n"
 		}
@@ -183,15 +206,16 @@
 }
 
 // Connections on any port that are silent or half closed took all descriptors.
-func TestConnectionsThatDoNothing(t *testing.T) {
-	i := startInstance(t)
-	i.portOf = func(number int) int { return 8161 + number%4 }
+func TestConnectionsThatDoNothing(t *testing.T) { startInstance(t).checkConnectionsThatDoNothing() }
+
+func (i *instance) checkConnectionsThatDoNothing() {
+	i.addressOf = i.anyAddress
 	i.checkCrowd(idleCrowd, func(number int, c net.Conn) {
 		switch number / 4 % 6 {
 		case 0, 1: // A request that was answered before.
 			exchange(c, "GET /nothing HTTP/1.1\r\nHost: h\r\n\r\n", 1)
 		case 2:
-			if send(c, withLength(0, 100), "{") {
+			if send(c, i.withLength(0, 100), "{") {
 				_ = c.(*net.TCPConn).CloseWrite() // Fails if the instance has closed the connection.
 			}
 		}
@@ -199,35 +223,38 @@
 }
 
 // Headers of almost 1 MB each were held in memory, on any port.
-func TestManyHeaderBytes(t *testing.T) {
+func TestManyHeaderBytes(t *testing.T) { startInstance(t).checkManyHeaderBytes() }
+
+func (i *instance) checkManyHeaderBytes() {
 	var lines strings.Builder
 	for i := 0; lines.Len() < 900<<10; i++ {
 		fmt.Fprintf(&lines, "X-%d: %s\r\n", i, strings.Repeat("v", 50))
 	}
 	headers := "GET /j/0000000000000001 HTTP/1.1\r\nHost: h\r\n" + lines.String()
-	i := startInstance(t)
-	i.portOf = func(number int) int { return 8161 + number%4 }
+	i.addressOf = i.anyAddress
 	i.checkCrowd(bodyCrowd, func(_ int, c net.Conn) { send(c, headers) })
 }
 
 // Many short lines take several times their size, within the limit of the size too.
-func TestManyHeaderLines(t *testing.T) {
+func TestManyHeaderLines(t *testing.T) { startInstance(t).checkManyHeaderLines() }
+
+func (i *instance) checkManyHeaderLines() {
 	var lines strings.Builder
 	for i := 0; lines.Len() < 15<<10; i++ {
 		fmt.Fprintf(&lines, "%x:\r\n", i)
 	}
 	headers := "GET /j/0000000000000001 HTTP/1.1\r\nHost: h\r\n" + lines.String()
-	i := startInstance(t)
-	i.portOf = func(number int) int { return 8161 + number%4 }
+	i.addressOf = i.anyAddress
 	i.checkCrowd(bodyCrowd, func(_ int, c net.Conn) { send(c, headers) })
 }
 
 // A link reads a message into memory before it decodes it, whoever has opened the link.
-func TestLinkMessagesThatStopShort(t *testing.T) {
+func TestLinkMessagesThatStopShort(t *testing.T) { startInstance(t).checkLinkMessagesThatStopShort() }
+
+func (i *instance) checkLinkMessagesThatStopShort() {
 	const length = 1 << 20
 	frame := append([]byte{0x82, 0xff, 0, 0, 0, 0, 0, length >> 16, 0, 0}, make([]byte, 4+length-missingBytes)...)
-	i := startInstance(t)
-	i.portOf = func(int) int { return 8163 }
+	i.addressOf = func(int) string { return i.addresses.links }
 	i.checkCrowd(bodyCrowd, func(_ int, c net.Conn) {
 		exchange(c, "GET /peer HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\nUpgrade: websocket\r\nSec-WebSocket-Version: 13\r\n"+
 			"Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\nSec-WebSocket-Protocol: poplarvalve.peer.v1\r\n\r\n", 1)
