--- a/cmd/poplarvalved/daemon.go
+++ b/cmd/poplarvalved/daemon.go
@@ -89,6 +89,7 @@
 		Shards:           s.Platform.Shards,
 		AppendsPerSecond: s.Limits.AppendsPerSecond,
 		Retention:        s.Platform.Retention,
+		MemoryBytes:      s.Limits.MemoryBytes,
 		Version:          version,
 		Clock:            clock.System{},
 		Log:              platform.NewClient(s.Platform.Log.String()),
--- a/internal/instance/home/home.go
+++ b/internal/instance/home/home.go
@@ -65,6 +65,9 @@
 	// task there for longer than a run lease lasts. If RunLeaseExpired is nil,
 	// the state of an attempt on a lost worker stays unknown.
 	RunLeaseExpired func(at jobs.WorkerLocation, task ident.TaskID) bool
+	// MemoryBytes is the memory of the process in bytes, of which jobs and keys may take a part, or
+	// 0 if nothing limits them.
+	MemoryBytes int64
 	// Jitter returns a random number in [0, 1) that spreads backoff delays.
 	Jitter func() float64
 }
@@ -79,7 +82,9 @@
 	// incarnation has created.
 	recordCounter atomic.Uint64
 	grants        grantTable
-	outbox        *outbox
+	// appending is the memory that the jobs and keys take whose records are being appended.
+	appending atomic.Int64
+	outbox    *outbox
 	// reportedTasks holds the ident.TaskID of each attempt whose end this
 	// instance will report to the home of its job.
 	reportedTasks sync.Map
--- a/internal/instance/home/keys.go
+++ b/internal/instance/home/keys.go
@@ -172,6 +172,11 @@
 	if err := s.checkAppendable(); err != nil {
 		return err
 	}
+	release, err := s.reserveRoom((&jobs.Key{Caller: body.Caller, Key: body.Key}).Cost())
+	if err != nil {
+		return err
+	}
+	defer release()
 	ctx, cancel := context.WithTimeout(ctx, readBackTimeout)
 	defer cancel()
 	result, err := s.append(ctx, body)
--- a/internal/instance/home/submit.go
+++ b/internal/instance/home/submit.go
@@ -119,6 +119,11 @@
 	if err := s.checkAppendable(); err != nil {
 		return work.JobStatus{}, err
 	}
+	release, err := s.reserveRoom((&jobs.Job{Spec: accepted}).Cost())
+	if err != nil {
+		return work.JobStatus{}, err
+	}
+	defer release()
 	ctx, cancel := context.WithTimeout(ctx, readBackTimeout)
 	defer cancel()
 	result, err := s.append(ctx, record.JobAccepted{Job: accepted})
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -53,7 +53,9 @@
 	Shards          int
 	// AppendsPerSecond limits the log appends of all instances together.
 	AppendsPerSecond int
-	Retention        time.Duration
+	// MemoryBytes is the memory that the process may use, or 0 if nothing limits it.
+	MemoryBytes int64
+	Retention   time.Duration
 	// RegionBytesPerSecond bounds the traffic to each other region, in bytes per
 	// second. Zero selects the default.
 	RegionBytesPerSecond int
--- a/internal/instance/jobs.go
+++ b/internal/instance/jobs.go
@@ -25,6 +25,7 @@
 		TaskRunner:      c.runner,
 		Peers:           c.peerNode,
 		RunLeaseExpired: c.ownerAgent.runLeaseExpired,
+		MemoryBytes:     options.MemoryBytes,
 		Jitter:          options.Random,
 	})
 }
--- a/internal/version/jobs/apply.go
+++ b/internal/version/jobs/apply.go
@@ -123,7 +123,17 @@
 
 // putOpenJob adds or replaces a job that has not ended.
 func (t *Table) putOpenJob(job *Job) {
-	t.openJobs, _, _ = t.openJobs.Insert([]byte(job.Spec.ID), job)
+	var replaced *Job
+	t.openJobs, replaced, _ = t.openJobs.Insert([]byte(job.Spec.ID), job)
+	t.Bytes += job.Cost() - costOf(replaced)
+}
+
+// costOf returns the cost of a job, or 0 for nil.
+func costOf(job *Job) int64 {
+	if job == nil {
+		return 0
+	}
+	return job.Cost()
 }
 
 // copyOpenJob returns a copy of a job for modification, with the time of the record
@@ -233,8 +243,17 @@
 	job.Spec.Body = nil
 	job.Checkpoint = nil
 	name := []byte(job.Spec.ID)
-	t.openJobs, _, _ = t.openJobs.Delete(name)
-	t.endedJobs, _, _ = t.endedJobs.Insert(name, job)
+	var open *Job
+	t.openJobs, open, _ = t.openJobs.Delete(name)
+	t.Bytes -= costOf(open)
+	t.putEndedJob(job)
+}
+
+// putEndedJob adds a job that has ended and schedules its expiry.
+func (t *Table) putEndedJob(job *Job) {
+	var replaced *Job
+	t.endedJobs, replaced, _ = t.endedJobs.Insert([]byte(job.Spec.ID), job)
+	t.Bytes += job.Cost() - costOf(replaced)
 	t.scheduleExpiry(job.newExpiryEntry())
 }
 
@@ -297,7 +316,12 @@
 // putKey adds or replaces a key. added says that the key is new, so that its expiry
 // must be scheduled.
 func (t *Table) putKey(key *Key, added bool) {
-	t.keys, _, _ = t.keys.Insert(qualifiedKey(key.Caller, key.Key), key)
+	var replaced *Key
+	t.keys, replaced, _ = t.keys.Insert(qualifiedKey(key.Caller, key.Key), key)
+	t.Bytes += key.Cost()
+	if replaced != nil {
+		t.Bytes -= replaced.Cost()
+	}
 	if added {
 		t.scheduleExpiry(key.newExpiryEntry())
 	}
@@ -332,9 +356,15 @@
 		t.expiries, _, _ = t.expiries.Delete(name)
 		t.DroppedUpTo = max(t.DroppedUpTo, entry.idTime)
 		if entry.job != "" {
-			t.endedJobs, _, _ = t.endedJobs.Delete([]byte(entry.job))
+			var ended *Job
+			t.endedJobs, ended, _ = t.endedJobs.Delete([]byte(entry.job))
+			t.Bytes -= costOf(ended)
 			continue
 		}
-		t.keys, _, _ = t.keys.Delete(entry.key)
+		var key *Key
+		t.keys, key, _ = t.keys.Delete(entry.key)
+		if key != nil {
+			t.Bytes -= key.Cost()
+		}
 	}
 }
--- a/internal/version/jobs/jobs.go
+++ b/internal/version/jobs/jobs.go
@@ -141,6 +141,8 @@
 	// Incomplete reports that the table lacks the records at the beginning of the
 	// stream.
 	Incomplete bool
+	// Bytes is the memory that the jobs and keys take, about.
+	Bytes int64
 
 	// openJobs and endedJobs hold the jobs by identifier, keys holds the keys by
 	// caller and key, and expiries holds the future removals from endedJobs and keys,
@@ -151,6 +153,22 @@
 	expiries  *iradix.Tree[expiryEntry]
 }
 
+const (
+	// jobBytes and keyBytes are what a job and a key take in memory beside their byte fields.
+	jobBytes = 1024
+	keyBytes = 512
+)
+
+// Cost returns the memory that the job takes, about.
+func (j *Job) Cost() int64 {
+	return int64(jobBytes + len(j.Spec.Body) + len(j.Checkpoint) + len(j.Result))
+}
+
+// Cost returns the memory that the key takes, about.
+func (k *Key) Cost() int64 {
+	return int64(keyBytes + len(k.Caller) + len(k.Key) + len(k.Body))
+}
+
 // NewTable returns the table of a stream without records.
 func NewTable() *Table {
 	return &Table{
--- a/internal/version/jobs/jobs_test.go
+++ b/internal/version/jobs/jobs_test.go
@@ -176,6 +176,20 @@
 	}
 }
 
+// countBytes adds up what the jobs and keys of a table cost.
+func countBytes(table *Table) (bytes int64) {
+	parts, _ := table.Snapshot(1 << 30)
+	for _, part := range parts {
+		for _, job := range part.Jobs {
+			bytes += job.Cost()
+		}
+		for _, key := range part.Keys {
+			bytes += key.Cost()
+		}
+	}
+	return bytes
+}
+
 // snapshotText returns the snapshot of a table as text, for comparison.
 func snapshotText(table *Table) string {
 	parts, complete := table.Snapshot(1 << 30)
@@ -209,6 +223,9 @@
 			assert.Assert(t, again == next && repeated == Unchanged)
 			reference.apply(offset, envelope)
 			assertMatches(t, next, reference)
+			if !next.Incomplete {
+				assert.Equal(t, next.Bytes, countBytes(next), "the count of bytes differs from a recount")
+			}
 			restored, _ = Apply(restored, offset, envelope)
 			assert.Equal(t, snapshotText(restored), snapshotText(next))
 			if result == Applied && rapid.Bool().Draw(t, "restore") {
@@ -216,6 +233,7 @@
 				var err error
 				restored, err = Restore(parts)
 				assert.NilError(t, err)
+				assert.Equal(t, restored.Bytes, next.Bytes)
 			}
 			table = next
 		}
@@ -227,6 +245,9 @@
 	t.Helper()
 	next, result := Apply(table, table.Offset+1, record.Envelope{Writer: homeA, At: start + at.Milliseconds(), Record: body})
 	assert.Equal(t, result, Applied)
+	if !next.Incomplete {
+		assert.Equal(t, next.Bytes, countBytes(next))
+	}
 	return next
 }
 
--- a/internal/version/jobs/snapshot.go
+++ b/internal/version/jobs/snapshot.go
@@ -105,8 +105,7 @@
 			t.putOpenJob(&job)
 			continue
 		}
-		t.endedJobs, _, _ = t.endedJobs.Insert([]byte(job.Spec.ID), &job)
-		t.scheduleExpiry(job.newExpiryEntry())
+		t.putEndedJob(&job)
 	}
 	for _, key := range part.Keys {
 		t.putKey(&key, true)
--- a/internal/version/ownership/ownership.go
+++ b/internal/version/ownership/ownership.go
@@ -34,6 +34,9 @@
 	return table
 }
 
+// MemberCount returns the number of members.
+func (t *Table) MemberCount() int { return len(t.members) }
+
 // Owner returns the member that owns a worker. It is a member of the worker's
 // availability zone, or of its region if the zone has no members. Owner reports
 // false if the region has no members either.
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -217,12 +217,10 @@
 		name := "entry-" + strconv.Itoa(number+1)
 		instanceAddresses := addresses[3*number:]
 		instance := &Instance{Zone: c.zoneName(number), CallerAddress: instanceAddresses[0], PeerAddress: instanceAddresses[1], OperatorAddress: instanceAddresses[2]}
-		path := filepath.Join(c.Dir, name+".ini")
-		if err := os.WriteFile(path, []byte(c.settingsFile(name, instance)), 0o600); err != nil {
+		if err := os.WriteFile(c.settingsPath(name), []byte(c.settingsFile(name, instance)), 0o600); err != nil {
 			return err
 		}
-		instance.Process, err = startProcess(c.Dir, name, c.programPath("poplarvalved"), "-settings", path)
-		if err != nil {
+		if err := c.StartInstance(instance, name); err != nil {
 			return err
 		}
 		c.Instances = append(c.Instances, instance)
@@ -230,6 +228,15 @@
 	return nil
 }
 
+func (c *Cluster) settingsPath(name string) string { return filepath.Join(c.Dir, name+".ini") }
+
+// StartInstance starts the process of an instance, or starts it again with the same settings and
+// addresses after its end.
+func (c *Cluster) StartInstance(instance *Instance, name string) (err error) {
+	instance.Process, err = startProcess(c.Dir, name, c.programPath("poplarvalved"), "-settings", c.settingsPath(name))
+	return err
+}
+
 // freeAddresses returns loopback addresses with free ports that the kernel
 // chose. An instance does not report which port it got, so it needs fixed ones.
 // Each port is released here before the instance binds it, which is safe enough
--- a/test/overlimit/instance_test.go
+++ b/test/overlimit/instance_test.go
@@ -67,6 +67,8 @@
 	// request with a body there.
 	addressOf func(number int) string
 	head      func(number int) string
+	// restart kills the process without notice and starts it again.
+	restart func()
 	// trySubmit sends an ordinary request and returns why it was not served.
 	trySubmit func() error
 	// source returns the address from which a client connects, or is nil for that of the system.
@@ -98,6 +100,10 @@
 		program: program, settings: filepath.Join(dir, "entry.ini"), logPath: filepath.Join(dir, "n0.log"), head: submissionHead}
 	i.addresses = addresses{i.ip + ":8161", i.ip + ":8162", i.ip + ":8163", i.ip + ":8164"}
 	i.addressOf, i.trySubmit = i.bodyAddress, i.submitJob
+	i.restart = func() {
+		i.kill()
+		i.start()
+	}
 	assert.NilError(t, os.WriteFile(i.settings, fmt.Appendf(nil, `[instance]
 name = n0
 caller_address = %[1]s:8161
--- a/test/overlimit/jobs_test.go
+++ b/test/overlimit/jobs_test.go
@@ -181,9 +181,8 @@
 func TestSuccessorOfLeaderAtPeak(t *testing.T) {
 	r := startJobsRig(t, smallestMachineMB, jobOfSteps())
 	r.checkJobs(40)
-	r.kill()
 	r.maxRSS.Store(0)
-	r.start()
+	r.restart()
 	r.submitOrdinary("after the restart")
 	r.checkAnswers()
 	r.checkLimits()
@@ -194,9 +193,8 @@
 	r := startJobsRig(t, memoryMB, jobOfSteps())
 	for range 2 {
 		r.checkJobs(10)
-		r.kill()
 		r.maxRSS.Store(0)
-		r.start()
+		r.restart()
 		r.submitOrdinary("after the restart")
 		r.checkAnswers()
 		r.checkLimits()
