cell: bound runs and start orders without an answer

Ready tasks are now started only while the cell has fewer than 32,768 runs and 2,048 start orders without an answer (less below 160 MB), and a backend server fewer than 512 runs.

--- a/internal/version/cell/cell.go
+++ b/internal/version/cell/cell.go
@@ -180,8 +180,7 @@
 		c.advanceOccurrence(now, j)
 	}
 	for _, info := range workers {
-		c.workers[info.ID] = newWorker(info)
-		c.workersChanged = true
+		c.addWorker(info)
 		if !info.Idle {
 			c.recovering[info.ID] = true
 		}
@@ -271,9 +270,7 @@
 	if w == nil {
 		// An earlier leader may have used a worker that was listed before this term.
 		info.Idle = c.registryRead
-		w = newWorker(info)
-		c.workers[info.ID] = w
-		c.workersChanged = true
+		w = c.addWorker(info)
 		c.liftEarlierBound(w)
 		if !info.Idle {
 			c.recovering[info.ID] = true
--- a/internal/version/cell/reserve.go
+++ b/internal/version/cell/reserve.go
@@ -86,6 +86,26 @@
 	shortDemand int
 	// bestEffortDemand is the CPU that best-effort tasks declare, also those that wait.
 	bestEffortDemand int
+	// runs and starting are the numbers of runs on all workers, and of those whose start orders
+	// wait for their answers. They count each run that is added until the next calculation.
+	runs, starting int
+}
+
+// countRuns adds the runs of a worker.
+func (t *capacityTotals) countRuns(w *worker) {
+	t.runs += len(w.runs)
+	for _, r := range w.runs {
+		if r.phase == starting {
+			t.starting++
+		}
+	}
+}
+
+// hasRunRoom reports whether another ready task may be started. Tasks that ask for nothing would
+// otherwise all run at once.
+func (c *Cell) hasRunRoom() bool {
+	limits := c.config.Budget.Limits()
+	return c.totals.runs < limits.Runs && c.totals.starting < limits.Starts
 }
 
 // addBestEffort adds a task to bestEffortDemand if it is a best-effort task.
@@ -108,6 +128,7 @@
 	c.measureWork(now, now.Sub(c.reserve.updatedAt))
 	c.totals = capacityTotals{}
 	for _, w := range c.sortedWorkers() {
+		c.totals.countRuns(w)
 		if !w.usable(now) {
 			continue
 		}
--- a/internal/version/cell/room_test.go
+++ b/internal/version/cell/room_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -151,3 +152,63 @@
 		})
 	}
 }
+
+// Guards against tasks that ask for nothing and all run at once, each with a start order that waits
+// for its answer, and against limits after which nothing starts any more, or an ordinary job waits
+// behind such tasks although it is ranked first.
+func TestTasksThatAskForNothingStartWithinLimits(t *testing.T) {
+	budget := statebudget.New(statebudget.LimitsFor(64))
+	limits := budget.Limits()
+	c := newBudgetedCell(budget)
+	now := testStart
+	var infos []WorkerInfo
+	for i := range 20 {
+		infos = append(infos, testInfo(WorkerID(fmt.Sprintf("w%02d", i))))
+	}
+	c.UpdateWorkers(now, infos)
+	c.EarlierTermsEnded(now)
+	for _, info := range infos {
+		c.ApplyReport(now, newReport(info.ID, now))
+	}
+	takeStored(c, now)
+	for i := range 4 {
+		accept(c, now, jobNumber(i), jobspec.Job{Steps: []jobspec.Step{{Count: 4000, EstimateMillis: 1000}}}, 1)
+	}
+	started, mostStarting := 0, 0
+	for range 200 {
+		now = now.Add(measurePeriod)
+		starts := takeStored(c, now).Starts
+		waiting := 0
+		for _, w := range c.workers {
+			assert.Assert(t, len(w.runs) <= limits.WorkerRuns)
+			for _, r := range w.runs {
+				if r.phase == starting {
+					waiting++
+				}
+			}
+		}
+		mostStarting = max(mostStarting, waiting)
+		started += len(starts)
+		for _, order := range starts {
+			c.ApplyStartResult(now, StartResult{Worker: order.Worker, Task: order.Task, Run: order.Run, Outcome: StartAccepted, LeaseUntil: now.Add(time.Hour)})
+		}
+	}
+	assert.Equal(t, mostStarting, limits.Starts)
+	assert.Equal(t, started, min(limits.Runs, 20*limits.WorkerRuns))
+	c.Cancel(now, 1, jobNumber(0))
+	accept(c, now, jobNumber(9), wideJob(1), 0)
+	takeStored(c, now)
+	for _, w := range c.sortedWorkers() {
+		report := newReport(w.info.ID, now)
+		for i, r := range w.runs {
+			if r.task.job().id == jobNumber(0) {
+				report.Ended = append(report.Ended, RunEnd{Number: int64(i + 1), Task: r.task.id(), Run: r.number, Reason: EndStopped})
+			} else {
+				report.Running = append(report.Running, RunReport{Task: r.task.id(), Run: r.number})
+			}
+		}
+		c.ApplyReport(now, report)
+	}
+	now = now.Add(measurePeriod)
+	assert.Assert(t, slices.ContainsFunc(takeStored(c, now).Starts, func(order StartOrder) bool { return order.Task.Job == jobNumber(9) }))
+}
--- a/internal/version/cell/schedule.go
+++ b/internal/version/cell/schedule.go
@@ -109,6 +109,10 @@
 	c.beginPlacing(now)
 	stillWaiting := c.readyTasks[:0]
 	for i, t := range c.readyTasks {
+		if !c.hasRunRoom() {
+			stillWaiting = append(stillWaiting, c.readyTasks[i:]...)
+			break
+		}
 		if t.done || len(t.runs) > 0 || t.job().state.IsFinal() {
 			t.queued = false // It is done or has a run by now, or its job ended.
 			continue
@@ -338,6 +342,8 @@
 	t.runs = append(t.runs, r)
 	t.step.occurrence.runs++
 	w.addRun(r)
+	c.totals.runs++
+	c.totals.starting++
 	t.countWork()
 	if t.spec().LongRunning {
 		c.totals.free -= r.size.CPU
--- a/internal/version/cell/worker.go
+++ b/internal/version/cell/worker.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -30,6 +31,8 @@
 	// runs is replaced, not modified, when a run is removed, so that a loop over it may
 	// remove runs.
 	runs []*run
+	// maxRuns is the number of runs up to which tasks are started on the worker.
+	maxRuns int
 	// leaseUntil is the time by which the leases of all runs on the worker have
 	// expired.
 	leaseUntil time.Time
@@ -88,11 +91,20 @@
 }
 
 func newWorker(info WorkerInfo) *worker {
-	w := &worker{info: info}
+	w := &worker{info: info, maxRuns: math.MaxInt}
 	w.departure.expected, w.departure.closed = info.Draining, info.Draining
 	return w
 }
 
+// addWorker adds a worker that is not known yet.
+func (c *Cell) addWorker(info WorkerInfo) *worker {
+	w := newWorker(info)
+	w.maxRuns = c.config.Budget.Limits().WorkerRuns
+	c.workers[info.ID] = w
+	c.workersChanged = true
+	return w
+}
+
 // usable reports whether new runs may be started on the worker.
 func (w *worker) usable(now time.Time) bool {
 	return w.registered && w.renewed && !w.unresponsive && w.storedInUse() && w.binding == unbound && !w.departure.closed && !w.evacuated && !w.hasUnknownRuns && !now.Before(w.startsBlockedUntil)
@@ -132,7 +144,7 @@
 // canRun reports whether the task may be started on the worker now and fits
 // into its free capacity.
 func (w *worker) canRun(now time.Time, t *task) bool {
-	return w.usable(now) && w.free().canHold(t.size()) && w.policyAllows(t)
+	return w.usable(now) && len(w.runs) < w.maxRuns && w.free().canHold(t.size()) && w.policyAllows(t)
 }
 
 // addRun adds a run to the worker and reserves its size.
--- a/internal/version/statebudget/statebudget.go
+++ b/internal/version/statebudget/statebudget.go
@@ -27,10 +27,14 @@
 	// TaskShare is the part of the tasks that may be open at a time on a machine of sufficient
 	// memory.
 	TaskShare float64
+	// Runs is the number of runs on all backend servers up to which ready tasks are started,
+	// WorkerRuns the same on one backend server, and Starts the number of start orders that may
+	// wait for their answers.
+	Runs, WorkerRuns, Starts int
 }
 
 // Unlimited are limits that nothing meets but the largest number of open tasks.
-var Unlimited = Limits{Bytes: math.MaxInt64 / (4 * sourceMultiple), TaskShare: 1}
+var Unlimited = Limits{Bytes: math.MaxInt64 / (4 * sourceMultiple), TaskShare: 1, Runs: math.MaxInt, WorkerRuns: math.MaxInt, Starts: math.MaxInt}
 
 const (
 	// fixedMemoryMB is the memory that an instance takes beside what grows with its settings.
@@ -42,14 +46,24 @@
 	// maxBytes bounds the jobs on large machines. The log holds 400 MB, and a successor reads
 	// what is stored before it serves.
 	maxBytes = 64 << 20
+	// maxRuns, maxWorkerRuns and maxStarts are the limits on machines on which all tasks may be
+	// open. 500 backend servers with 34 slots each run 17,000 tasks. A run takes up to 1 KB, and a
+	// start order 16 KB until it is answered.
+	maxRuns       = 32768
+	maxWorkerRuns = 512
+	maxStarts     = 2048
 )
 
 // LimitsFor returns the limits of a cell whose smallest instance has a memory, in megabytes.
 func LimitsFor(memoryMB int) Limits {
 	rest := max(float64(memoryMB)-fixedMemoryMB, float64(memoryMB)/8)
+	share := min(1, rest/fullTaskMemoryMB)
 	return Limits{
-		Bytes:     min(maxBytes, int64(rest*bytesShare*(1<<20))),
-		TaskShare: min(1, rest/fullTaskMemoryMB),
+		Bytes:      min(maxBytes, int64(rest*bytesShare*(1<<20))),
+		TaskShare:  share,
+		Runs:       max(1, int(maxRuns*share)),
+		WorkerRuns: maxWorkerRuns,
+		Starts:     max(1, int(maxStarts*share)),
 	}
 }
 
--- a/test/overlimit/jobs_test.go
+++ b/test/overlimit/jobs_test.go
@@ -200,3 +200,16 @@
 		r.checkLimits()
 	}
 }
+
+// Tasks that ask for nothing all run at once, whatever the size of the backend server, and a run takes
+// more memory than a task that waits.
+func TestJobsOfTasksThatAskForNothing(t *testing.T) {
+	job := fmt.Sprintf(`{"spec":"%s","steps":[{"count":4096,"estimate_ms":100}]}`, strings.Repeat("s", 4000))
+	startJobsRig(t, memoryMB, job).checkJobs(20)
+}
+
+// Periodic jobs whose occurrences are all due opened as many tasks as a fixed number allowed.
+func TestPeriodicJobsThatAreDue(t *testing.T) {
+	job := fmt.Sprintf(`{"spec":"%s","first_run_ms":1,"interval_ms":1,"repeat_count":100000,"steps":[{"count":16,"cpu":1000,"mem_mb":100,"estimate_ms":100}]}`, strings.Repeat("s", 4000))
+	startJobsRig(t, memoryMB, job).checkJobs(20)
+}
