celllink: bound the submissions on a link that have no reply

A crowd on an instance whose link to the leader is slow queued its submissions in the buffers of the link. The heartbeats behind them came too late, so that the link was closed with all its calls, and the next one as well; the time of a message counted from before its turn, which closed the link too. Callers of small jobs got 504 there, or nothing in time.

A message's time begins at its turn.

--- a/internal/connection/celllink/link.go
+++ b/internal/connection/celllink/link.go
@@ -112,6 +112,9 @@
 
 	// sendMu lets one message be sent at a time.
 	sendMu sync.Mutex
+	// window bounds the submissions without a reply, which are counted for account.
+	window  *membudget.Budget
+	account membudget.Account
 	// callSlots holds one element for each call that is being served.
 	callSlots chan struct{}
 	done      chan struct{}
@@ -159,6 +162,7 @@
 		opened:       time.Now(),
 		pendingCalls: map[uint64]chan cellcodec.Reply{},
 		callSlots:    make(chan struct{}, maxConcurrentCalls),
+		window:       newWindow(),
 		manifestDue:  make(chan struct{}, 1),
 		done:         make(chan struct{}),
 	}
@@ -203,23 +207,40 @@
 }
 
 // Call sends a call and returns its reply. The reply is InDoubt if the link or
-// the context ends first. sent is false if the call can't have reached the other
-// instance.
+// the context ends first, and Refused without being sent if the link can't carry the call in time.
+// sent is false if the call can't have reached the other instance.
 func (l *Link) Call(ctx context.Context, call cellcodec.Call) (reply cellcodec.Reply, sent bool) {
 	sequence := l.lastSequence.Add(1)
+	data, err := cellcodec.EncodeMessage(cellcodec.Message{Sequence: sequence, Call: &call})
+	if err != nil {
+		l.server.UnexpectedError("call to another instance", err)
+		return cellcodec.Reply{}, false
+	}
+	grant := l.window.Open(&l.account)
+	if call.Operation == cellcodec.OpSubmit {
+		if refusal := l.enterWindow(ctx, &grant, len(data)); refusal != nil {
+			grant.Close()
+			return *refusal, false
+		}
+	}
 	answer := make(chan cellcodec.Reply, 1)
 	if !l.registerCall(sequence, answer) {
+		grant.Close()
 		return cellcodec.Reply{}, false
 	}
 	defer l.unregisterCall(sequence)
-	if err := l.send(cellcodec.Message{Sequence: sequence, Call: &call}); err != nil {
+	if err := l.sendData(data); err != nil {
+		grant.Close()
 		l.Close()
 		return cellcodec.Reply{}, true
 	}
 	select {
 	case reply := <-answer: // Close closes the channel: the zero Reply is InDoubt.
+		grant.Close()
 		return reply, true
 	case <-ctx.Done():
+		// The message may still be on its way.
+		time.AfterFunc(receiveTimeout, grant.Close)
 		return cellcodec.Reply{}, true
 	}
 }
@@ -248,10 +269,15 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
-	defer cancel()
+	return l.sendData(data)
+}
+
+// sendData sends an encoded message within sendTimeout from its turn on.
+func (l *Link) sendData(data []byte) error {
 	l.sendMu.Lock()
 	defer l.sendMu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
+	defer cancel()
 	if err := l.conn.Send(ctx, data); err != nil {
 		return fault.Wrap(fault.PeerLost, err, "sending a message on a link to another instance")
 	}
--- a/test/overlimit/instance_test.go
+++ b/test/overlimit/instance_test.go
@@ -48,8 +48,11 @@
 
 // instance is the process under test beside stand-ins for the log and a worker.
 type instance struct {
-	t  *testing.T
-	ip string
+	t    *testing.T
+	name string
+	ip   string
+	// environment are variables of the process beside those of the test.
+	environment []string
 	// memoryMB is the memory limit of the process.
 	memoryMB                   int
 	program, settings, logPath string
@@ -101,43 +104,57 @@
 	t.Cleanup(worker.Close)
 	log.AppendRecord("keyed.servers", worker.ID, worker.RegistryEntry())
 	log.AppendRecord("keyed.op", "config", []byte(`{"version":1,"routes":[{"name":"q","host":"h","path_prefix":"/j/","service":"p","target_latency_ms":600,"attempts":5,"stretch":2.0}],"services":[{"name":"p"}],"limits":{"max_body_bytes":262144}}`))
-	i := &instance{t: t, log: log, ip: fmt.Sprintf("127.%d.%d.1", 130+os.Getpid()/250%100, os.Getpid()%250+1), memoryMB: memoryMB,
-		program: program, settings: filepath.Join(dir, "entry.ini"), logPath: filepath.Join(dir, "n0.log"), head: submissionHead}
-	i.addresses = addresses{i.ip + ":8161", i.ip + ":8162", i.ip + ":8163", i.ip + ":8164"}
+	i := newInstance(t, log, program, dir, 0, memoryMB)
+	i.addresses.links = i.ip + ":8163"
+	i.run()
+	return i
+}
+
+// newInstance returns an instance with a number that has not started.
+func newInstance(t *testing.T, log *fleet.Log, program, dir string, number, memoryMB int) *instance {
+	name := fmt.Sprint("n", number)
+	i := &instance{t: t, log: log, ip: fmt.Sprintf("127.%d.%d.%d", 130+os.Getpid()/250%100, os.Getpid()%250+1, number+1), memoryMB: memoryMB,
+		program: program, settings: filepath.Join(dir, name+".ini"), logPath: filepath.Join(dir, name+".log"), head: submissionHead, name: name}
+	i.addresses = addresses{callers: i.ip + ":8161", readiness: i.ip + ":8162", operators: i.ip + ":8164"}
 	i.addressOf, i.trySubmit = i.bodyAddress, i.submitJob
 	i.restart = func() {
 		i.kill()
 		i.start()
 	}
-	assert.NilError(t, os.WriteFile(i.settings, fmt.Appendf(nil, `[instance]
-name = n0
-caller_address = %[1]s:8161
-ready_address = %[1]s:8162
-link_address = %[1]s:8163
-operator_address = %[1]s:8164
+	return i
+}
+
+// run writes the settings, starts the process until the test ends, and waits until it accepts a job.
+func (i *instance) run() {
+	i.t.Helper()
+	assert.NilError(i.t, os.WriteFile(i.settings, fmt.Appendf(nil, `[instance]
+name = %[1]s
+caller_address = %[2]s
+ready_address = %[3]s
+link_address = %[4]s
+operator_address = %[5]s
 [log]
-address = %[2]s
+address = %[6]s
 [workers]
 max_lease_ms = 6000
 remote_factor = 2
 [jobs]
 keep_ended_s = 300
 [limits]
-memory_mb = %[3]d
+memory_mb = %[7]d
 cpu_share = 1
 grace_s = 2
-max_fds = %[4]d
-`, i.ip, log.Address(), memoryMB, maxFDs), 0o600))
+max_fds = %[8]d
+`, i.name, i.addresses.callers, i.addresses.readiness, i.addresses.links, i.addresses.operators, i.log.Address(), i.memoryMB, maxFDs), 0o600))
 	i.start()
-	t.Cleanup(func() {
+	i.t.Cleanup(func() {
 		i.kill()
-		if t.Failed() {
+		if i.t.Failed() {
 			content, _ := os.ReadFile(i.logPath)
-			t.Logf("end of the log of the instance:\n%s", content[max(0, len(content)-4000):])
+			i.t.Logf("end of the log of the instance:\n%s", content[max(0, len(content)-4000):])
 		}
 	})
 	i.submitOrdinary("before the crowd")
-	return i
 }
 
 // start starts the process.
@@ -151,6 +168,7 @@
 		command = exec.Command("/bin/sh", append([]string{"-c", `ulimit -n "$0" && exec "$@"`, strconv.Itoa(i.descriptors)}, command.Args...)...)
 	}
 	command.Stdout, command.Stderr = logFile, logFile
+	command.Env = append(os.Environ(), i.environment...)
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	assert.NilError(i.t, command.Start())
 	ended := make(chan struct{})
