soak: crowds of clients beside planned work and faults

No line of the soak had clients beyond the limits. Crowds of 20 to 150 clients now connect to random instances while these are shut down, killed, paused and cut off from the log: bodies that stop short, endless chunks, headers that stop short, silent connections and links, and jobs that no worker can run and that are canceled. The instances have 600 descriptors, and none may take more than its 200 MB.

--- a/test/soak/instance_test.go
+++ b/test/soak/instance_test.go
@@ -87,14 +87,15 @@
 [jobs]
 keep_ended_s = 300
 [limits]
-memory_mb = 200
+memory_mb = %[9]d
+max_fds = %[10]d
 cpu_share = 1
 grace_s = %[5]g
 [evacuation]
 apply_ms = %[8]s
 [output]
 level = %[6]s
-`, instance.name, instance.ip, instance.proxy.address(), maxLease.Milliseconds(), gracePeriod.Seconds(), logLevel, instance.linkAddress, d.evacuationSetting())
+`, instance.name, instance.ip, instance.proxy.address(), maxLease.Milliseconds(), gracePeriod.Seconds(), logLevel, instance.linkAddress, d.evacuationSetting(), soakMemoryMB, soakMaxFDs)
 	// A process that starts must not read half of the file.
 	assert.Check(d.t, os.WriteFile(instance.settingsPath+".new", []byte(text), 0o600))
 	assert.Check(d.t, os.Rename(instance.settingsPath+".new", instance.settingsPath))
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -52,6 +52,8 @@
 	maxStopping int
 	// evacuations is set if zones are evacuated.
 	evacuations bool
+	// crowds is set if crowds of clients exceed the limits of the instances.
+	crowds bool
 	// submissionPause is the pause between two submissions.
 	submissionPause time.Duration
 	// longJobPause is the pause between two long jobs, and mediumJobPause the one between
@@ -60,8 +62,8 @@
 }
 
 var (
-	usualSize = size{evacuations: true, instances: 4, workers: 5, maxSlots: 8, maxStopping: 2, submissionPause: 75 * time.Millisecond}
-	largeSize = size{evacuations: true, instances: 8, workers: 24, maxSlots: 5, maxStopping: 4, submissionPause: 10 * time.Millisecond}
+	usualSize = size{evacuations: true, crowds: true, instances: 4, workers: 5, maxSlots: 8, maxStopping: 2, submissionPause: 75 * time.Millisecond}
+	largeSize = size{evacuations: true, crowds: true, instances: 8, workers: 24, maxSlots: 5, maxStopping: 4, submissionPause: 10 * time.Millisecond}
 )
 
 // callerPauses holds, for each caller with an open connection to an instance, its
@@ -76,7 +78,8 @@
 
 // At first there is planned work only: instances are shut down, restarted and told
 // to reload, one after the other and several at once, routes are added and dropped,
-// zones are evacuated, and workers change their capacity. No request on an open connection may remain
+// zones are evacuated, workers change their capacity, and crowds of clients stall, send too much, or
+// submit jobs that no worker can run. No instance may take more memory than its settings allow. No request on an open connection may remain
 // without an answer that a process has read. Then, beside the planned work, instances
 // are killed and paused at random, their connections to the log are reset, blocked or
 // delayed, the log is down, the log and a worker lose responses, workers crash, come
@@ -240,6 +243,10 @@
 	work.Go(func() { d.doPlannedWork(ctx.Done()) })
 	work.Go(func() { d.changeWorkerRooms(d.newRandom("rooms"), ctx.Done()) })
 	work.Go(func() { d.evacuateZones(d.newRandom("evacuations"), ctx.Done()) })
+	work.Go(func() { d.watchMemory(ctx.Done()) })
+	if d.size.crowds {
+		work.Go(func() { d.sendCrowds(d.newRandom("crowds"), ctx.Done()) })
+	}
 	work.Go(func() {
 		random := d.newRandom("configuration")
 		for pause(random, ctx.Done(), 200*time.Millisecond, 1800*time.Millisecond) {
