statebudget: reserve room for small sources

A quarter of the room is now only for sources that hold at most 4 KB or a 1024th of it. The table of sources has 16,384 entries, so that fewer share one.

--- a/internal/version/statebudget/statebudget.go
+++ b/internal/version/statebudget/statebudget.go
@@ -2,8 +2,9 @@
 // instance that may lead can restore.
 //
 // A job is charged from when it is accepted until its record is removed. No source may use up the
-// room of the others: a source gets room only while it holds less than a multiple of what is free,
-// so that some room stays free however many sources want more than their part (dynamic thresholds:
+// room of the others: a part is reserved for sources that hold little, and of the rest a source gets
+// room only while it holds less than a multiple of what is free, so that some room stays free however
+// many sources want more than their part (dynamic thresholds:
 // A. Choudhury and E. Hahne, "Dynamic queue length thresholds for shared-memory packet switches",
 // IEEE/ACM Transactions on Networking 6(2), 1998).
 //
@@ -68,15 +69,21 @@
 }
 
 const (
-	// sourceMultiple lets a source that is alone use 90% of the budget, because callers behind
-	// one load balancer have one address.
+	// sourceMultiple lets a source that is alone use 90% of what is not reserved, because callers
+	// behind one load balancer have one address.
 	sourceMultiple = 9
+	// reservedShare is the part of the budget that only small sources may use: those that hold at
+	// most a smallSources-th of it, or minSmallSource, which a few ordinary jobs take. Dynamic
+	// thresholds alone leave little to a new source if hundreds want all that they can get.
+	reservedShare  = 0.25
+	smallSources   = 1024
+	minSmallSource = 4 << 10
 	// inFlightShare is the part of the budget that jobs may take on which the cell has not decided
 	// or which are not stored, unless there is only one. They take memory for their encoded form
 	// as well.
 	inFlightShare = 0.25
 	// sourceEntries is the number of entries in the table of sources.
-	sourceEntries = 1 << 12
+	sourceEntries = 1 << 14
 )
 
 // Refusal says why there is no room for a job.
@@ -174,10 +181,11 @@
 func (b *Budget) judge(inFlight, ofSource, bytes int64) Refusal {
 	limit := b.limits.Load().Bytes
 	free := limit - b.held.Load() - inFlight
+	reserved := int64(reservedShare * float64(limit))
 	switch {
 	case free < 0:
 		return Full
-	case ofSource > sourceMultiple*free:
+	case ofSource > max(sourceMultiple*(free-reserved), reserved/smallSources, minSmallSource):
 		return SourceFull
 	case inFlight > bytes && float64(inFlight) > inFlightShare*float64(limit):
 		return InFlight
