statebudget: room for the largest step on one backend server

The bound of 512 runs on one backend server stopped jobs of many small tasks: with tasks of 0.01 core, a server with room for all of them ran 512, and while the log was away, when ends are listed 500 at a time and not acknowledged, the others waited.

The bound is now 4,096, the tasks of the largest step. The tests pass, and the crowd of jobs that ask for nothing still reaches 48 MB of 64.

--- a/internal/version/statebudget/statebudget.go
+++ b/internal/version/statebudget/statebudget.go
@@ -48,10 +48,11 @@
 	// what is stored before it serves.
 	maxBytes = 64 << 20
 	// maxRuns, maxWorkerRuns and maxStarts are the limits on machines on which all tasks may be
-	// open. 500 backend servers with 34 slots each run 17,000 tasks. A run takes up to 1 KB, and a
-	// start order 16 KB until it is answered.
+	// open. 500 backend servers with 34 slots each run 17,000 tasks, and one of them has room for
+	// the largest step if its tasks are small. A run takes up to 1 KB, and a start order 16 KB
+	// until it is answered.
 	maxRuns       = 32768
-	maxWorkerRuns = 512
+	maxWorkerRuns = 4096
 	maxStarts     = 2048
 )
 
