--- a/review/standin3/hopeless.go
+++ b/review/standin3/hopeless.go
@@ -8,96 +8,122 @@
 )
 
 const (
-	// hopelessJobs is the number of jobs that can never be done, and hopelessTasks the number of
-	// tasks of each.
-	hopelessJobs  = 17
-	hopelessTasks = 4096
-	// ordinaryJobs is the number of ordinary jobs that are handed in afterwards.
-	ordinaryJobs = 20
-	// finishTime is finish_s of the sheets, after which accepted jobs must be at work.
+	// In each of poisonPhases, which last poisonTime, one of poisonEvery jobs can never be done:
+	// its label is that of no worker. It has poisonTasks tasks.
+	poisonPhases = 6
+	poisonTime   = 3200 * time.Millisecond
+	poisonPause  = time.Second
+	poisonEvery  = 15
+	poisonTasks  = 4096
+	// jobPause is the time between two jobs.
+	jobPause = 50 * time.Millisecond
+	// lateJobs is the number of ordinary jobs that are handed in after the last phase.
+	lateJobs = 20
+	// finishTime is finish_s of the sheets, after which jobs are asked for.
 	finishTime = 14 * time.Second
 	// idleTime is for how long a job may have nothing running although there is room.
-	idleTime = 3 * time.Second
+	idleTime        = 3 * time.Second
+	hopelessWorkers = 8
 )
 
-type step struct {
-	Count        int    `json:"count"`
-	CPU          int    `json:"cpu"`
-	MemoryMB     int    `json:"mem_mb"`
-	Estimate     int    `json:"estimate_ms"`
-	Requirements string `json:"requirements,omitempty"`
-}
-
-type job struct {
-	Spec  string `json:"spec"`
-	Steps []step `json:"steps"`
-}
-
-// hopeless hands in jobs that no worker can run, and ordinary jobs after them.
+// hopeless hands in ordinary jobs, and among them some that can never be done.
 func hopeless(record *recorder, trouble bool) (broken bool, err error) {
-	s, err := newSystem(record, 3, 8, 500*time.Millisecond)
+	s, err := newSystem(record, 3)
 	if s != nil {
 		defer s.close()
 	}
 	if err != nil {
 		return false, err
 	}
-	time.Sleep(2 * time.Second) // The workers have registered and answered.
-	if trouble {
-		for n := range hopelessJobs {
-			id := fmt.Sprintf("dead%012x", n)
-			if !s.submit(id, job{"hopeless", []step{{Count: hopelessTasks, CPU: 100, MemoryMB: 10, Estimate: 500, Requirements: "no-worker-has-it"}}}) {
-				record.line("hopeless job %s was not accepted", id)
-			}
+	w := newWorld(record, s.log.AppendRecord)
+	defer w.close()
+	for n := range hopelessWorkers {
+		if _, err := w.addWorker(fmt.Sprintf("w%d", n+1), fmt.Sprintf("r%d", n%3+1), "a"); err != nil {
+			return false, err
 		}
 	}
+	w.register()
+	if err := s.awaitReady(); err != nil {
+		return false, err
+	}
+	time.Sleep(2 * time.Second)
 	var accepted []string
-	for n := range ordinaryJobs {
-		id := fmt.Sprintf("beef%012x", n)
-		if s.submit(id, job{"ordinary", []step{{Count: 2, CPU: 500, MemoryMB: 100, Estimate: 500}}}) {
+	number, poisoned := 0, 0
+	handIn := func(spec *jobSpec) bool {
+		number++
+		id := fmt.Sprintf("beef%012x", number)
+		spec.Spec = "spec of " + id
+		w.mu.Lock()
+		w.jobs[id] = spec
+		w.mu.Unlock()
+		if !s.submit(id, spec) {
+			return false
+		}
+		if spec.Steps[0].Requirements == "" {
 			accepted = append(accepted, id)
 		}
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(jobPause)
+		return true
+	}
+	ordinary := func() {
+		handIn(&jobSpec{Steps: []stepSpec{{Count: 2, CPU: 500, MemoryMB: 100, Estimate: 500}}})
+	}
+	for range poisonPhases {
+		for end, n := time.Now().Add(poisonTime), 1; time.Now().Before(end); n++ {
+			if trouble && n%poisonEvery == 0 {
+				if handIn(&jobSpec{Steps: []stepSpec{{Count: poisonTasks, CPU: 500, MemoryMB: 100, Estimate: 500, Requirements: "z"}}}) {
+					poisoned++
+				}
+				continue
+			}
+			ordinary()
+		}
+		time.Sleep(poisonPause)
+	}
+	for range lateJobs {
+		ordinary()
 	}
-	if len(accepted) == 0 {
-		return false, fmt.Errorf("no ordinary job was accepted")
+	record.line("the traffic has ended: %d ordinary jobs accepted, %d that can never be done", len(accepted), poisoned)
+	if len(accepted) < lateJobs {
+		return false, fmt.Errorf("only %d ordinary jobs were accepted", len(accepted))
 	}
-	record.line("last ordinary job handed in; %d accepted", len(accepted))
 	time.Sleep(finishTime)
-	return s.checkAtWork(accepted), nil
+	return s.checkAtWork(w, accepted), nil
 }
 
 // checkAtWork reports whether an accepted job that is not shown as completed has nothing running for
-// idleTime while the workers are less than half in use.
-func (s *system) checkAtWork(accepted []string) (broken bool) {
-	end := time.Now().Add(idleTime)
-	idle := map[string]bool{}
-	for _, id := range accepted {
-		idle[id] = true
-	}
-	for time.Now().Before(end) {
-		for _, id := range accepted {
-			if _, running := s.runs.count(id); running > 0 {
-				idle[id] = false
+// idleTime, although the workers have room for its tasks twice over and less than half of their
+// capacity is in use.
+func (s *system) checkAtWork(w *world, accepted []string) (broken bool) {
+	atWork := map[string]bool{}
+	for end := time.Now().Add(idleTime); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		w.mu.Lock()
+		used := 0
+		for _, x := range w.workers {
+			for _, r := range x.running {
+				used += r.spec.CPU
+				atWork[r.name.job] = true
 			}
 		}
-		if s.runs.total()*500 > 8*16000/2 {
+		w.mu.Unlock()
+		if used > hopelessWorkers*workerCPU/2 {
 			s.record.line("the workers are over half in use")
 			return false
 		}
-		time.Sleep(50 * time.Millisecond)
 	}
+	waiting := 0
 	for _, id := range accepted {
 		status, answer := s.call(s.instances[0], http.MethodGet, id, nil)
 		var state struct {
 			State string `json:"state"`
 		}
 		_ = json.Unmarshal([]byte(answer), &state) // An answer without a state is shown as it is.
-		started, _ := s.runs.count(id)
-		s.record.line("GET %s -> %d %s; %d starts, %d tasks running on all workers", id, status, answer, started, s.runs.total())
-		if idle[id] && state.State != "completed" {
-			broken = true
+		s.record.line("GET %s -> %d %s", id, status, answer)
+		if state.State != "completed" && !atWork[id] {
+			waiting++
 		}
 	}
-	return broken
+	s.record.line("%d of %d ordinary jobs have nothing running", waiting, len(accepted))
+	fmt.Println(waiting, "of", len(accepted), "ordinary jobs have nothing running")
+	return waiting > 0
 }
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -12,6 +12,9 @@
 
 var cases = map[string]func(record *recorder, trouble bool) (broken bool, err error){
 	"hopeless": hopeless,
+	"gangs":    gangs,
+	"late":     lateOrders,
+	"mixed":    mixed,
 }
 
 func main() {
--- a/review/standin3/system.go
+++ b/review/standin3/system.go
@@ -89,147 +89,47 @@
 	command                      *exec.Cmd
 }
 
-// system is a small deployment: entry instances as processes, and the platform's log and workers as
-// stand-ins in this process.
+// system is a small deployment without its workers: entry instances as processes, and the platform's
+// log as a stand-in in this process.
 type system struct {
 	record    *recorder
 	dir       string
 	program   string
 	log       *fleet.Log
-	runs      *runBook
-	overlaps  *fleet.OverlapDetector
 	instances []*instance
-
-	mu      sync.Mutex
-	workers []*fleet.Worker
-	removed map[*fleet.Worker]bool
-	client  *http.Client
-	done    chan struct{}
-}
-
-// runBook counts what the workers run.
-type runBook struct {
-	mu      sync.Mutex
-	record  *recorder
-	running map[string]int
-	started map[string]int
-	ended   map[string]int
-	verbose bool
-}
-
-func (b *runBook) RunStarted(worker, task string, run int64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.running[task]++
-	b.started[task]++
-	if b.verbose {
-		b.record.line("%s starts %s run %d", worker, task, run)
-	}
-}
-
-func (b *runBook) RunEnded(worker, task string, run int64, outcome string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.running[task]--
-	if outcome == "done" {
-		b.ended[task]++
-	}
-	if b.verbose {
-		b.record.line("%s ends %s run %d: %s", worker, task, run, outcome)
-	}
+	client    *http.Client
 }
 
-func (b *runBook) EndAcknowledged(string, string, int64) {}
-func (b *runBook) EndsVoid(string)                       {}
-
-// count returns how many runs of a job's tasks have started and are running.
-func (b *runBook) count(job string) (started, running int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for task, n := range b.started {
-		if strings.HasPrefix(task, job+".") {
-			started += n
-			running += b.running[task]
+// freeAddresses returns loopback addresses with ports that are free now. The IP depends on the
+// process, so that runs side by side don't take each other's ports.
+func freeAddresses(count int) (addresses []string, err error) {
+	pid := os.Getpid()
+	ip := fmt.Sprintf("127.%d.%d.%d:0", 64+pid>>14&63, pid>>7&127, 1+pid&127)
+	for range count {
+		listener, err := net.Listen("tcp", ip)
+		if err != nil {
+			return nil, err
 		}
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().String())
 	}
-	return started, running
+	return addresses, nil
 }
 
-// total returns the number of running tasks.
-func (b *runBook) total() (running int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for _, n := range b.running {
-		running += n
-	}
-	return running
-}
-
-// freeAddress returns a loopback address with a port that is free now.
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
-}
-
-// newSystem starts the stand-ins, and the entry instances as processes.
-func newSystem(record *recorder, instances, workers int, runDuration time.Duration) (*system, error) {
+// newSystem starts the log and the entry instances. They get ready once there are workers.
+func newSystem(record *recorder, instances int) (*system, error) {
 	dir, err := os.MkdirTemp("", "review3-")
 	if err != nil {
 		return nil, err
 	}
-	s := &system{
-		record: record, dir: dir, program: "target/poplarvalved",
-		log: fleet.NewLog(), overlaps: fleet.NewOverlapDetector(),
-		runs:    &runBook{record: record, running: map[string]int{}, started: map[string]int{}, ended: map[string]int{}, verbose: true},
-		removed: map[*fleet.Worker]bool{},
-		client:  &http.Client{Timeout: 4 * time.Second},
-		done:    make(chan struct{}),
-	}
-	for i := range workers {
-		s.addWorker(fmt.Sprintf("w%d", i+1), runDuration)
-	}
-	go s.register()
+	s := &system{record: record, dir: dir, program: "target/poplarvalved", log: fleet.NewLog(), client: &http.Client{Timeout: 4 * time.Second}}
 	s.publishManifest(1)
 	for i := range instances {
 		if err := s.addInstance(i); err != nil {
 			return s, err
 		}
 	}
-	return s, s.awaitReady()
-}
-
-func (s *system) addWorker(id string, runDuration time.Duration) *fleet.Worker {
-	w := fleet.NewWorker(id, servicePool, runDuration, s.overlaps)
-	w.EnforceLeases(maxLease)
-	w.Observe(s.runs)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.workers = append(s.workers, w)
-	return w
-}
-
-// register writes the workers' entries to the registry about each heartbeat_ms.
-func (s *system) register() {
-	ticker := time.NewTicker(1100 * time.Millisecond)
-	defer ticker.Stop()
-	for {
-		s.mu.Lock()
-		for _, w := range s.workers {
-			if !s.removed[w] {
-				s.log.AppendRecord("keyed.servers", w.ID, w.RegistryEntry())
-			}
-		}
-		s.mu.Unlock()
-		select {
-		case <-ticker.C:
-		case <-s.done:
-			return
-		}
-	}
+	return s, nil
 }
 
 func (s *system) publishManifest(version int) {
@@ -245,13 +145,9 @@
 }
 
 func (s *system) addInstance(index int) error {
-	var addresses [4]string
-	for i := range addresses {
-		address, err := freeAddress()
-		if err != nil {
-			return err
-		}
-		addresses[i] = address
+	addresses, err := freeAddresses(4)
+	if err != nil {
+		return err
 	}
 	i := &instance{name: fmt.Sprintf("edge-%d", index+1), front: addresses[0], ready: addresses[1]}
 	i.settings = filepath.Join(s.dir, i.name+".ini")
@@ -352,22 +248,12 @@
 
 // close ends everything that was started.
 func (s *system) close() {
-	select {
-	case <-s.done:
-	default:
-		close(s.done)
-	}
 	for _, i := range s.instances {
 		if i.command != nil && i.command.Process != nil && i.command.ProcessState == nil {
 			_ = i.command.Process.Kill()
 			_ = i.command.Wait()
 		}
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, w := range s.workers {
-		w.Close()
-	}
 	s.log.Close()
 	if os.Getenv("KEEP_LOGS") == "" {
 		_ = os.RemoveAll(s.dir)
