--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -15,6 +15,7 @@
 	"gangs":    gangs,
 	"late":     lateOrders,
 	"mixed":    mixed,
+	"restore":  restore,
 }
 
 func main() {
--- a/review/standin3/world.go
+++ b/review/standin3/world.go
@@ -139,7 +139,9 @@
 	starts      map[string]int
 	broken      []string
 	calm        bool
-	closed      chan struct{}
+	// quiet leaves the runs out of the record.
+	quiet  bool
+	closed chan struct{}
 }
 
 func newWorld(record *recorder, log func(topic, key string, value []byte)) *world {
@@ -149,6 +151,12 @@
 	return w
 }
 
+func (w *world) note(format string, args ...any) {
+	if !w.quiet {
+		w.record.line(format, args...)
+	}
+}
+
 func (w *world) breaks(format string, args ...any) {
 	text := fmt.Sprintf(format, args...)
 	w.broken = append(w.broken, text)
@@ -350,7 +358,7 @@
 	}
 	w.check(x, r, job)
 	w.starts[order.Task]++
-	w.record.line("%s starts %s run %d %s", x.id, order.Task, order.Run, order.Checkpoint)
+	w.note("%s starts %s run %d %s", x.id, order.Task, order.Run, order.Checkpoint)
 	x.running[order.Task] = r
 	return http.StatusOK, ""
 }
@@ -416,7 +424,7 @@
 	x.highest[r.task] = max(x.highest[r.task], r.id)
 	x.lastEnd++
 	x.ended = append(x.ended, end{x.lastEnd, r.task, how, r.checkpoint, r.id})
-	w.record.line("%s ends %s run %d: %s", x.id, r.task, r.id, how)
+	w.note("%s ends %s run %d: %s", x.id, r.task, r.id, how)
 	switch how {
 	case "done":
 		w.done[r.task] = true
