--- a/review/standin3/restore.go
+++ b/review/standin3/restore.go
@@ -101,7 +101,6 @@
 		}
 	}
 	w := newWorld(record, s.log.AppendRecord)
-	w.quiet = true
 	defer w.close()
 	for n := range 8 {
 		if _, err := w.addWorker(fmt.Sprintf("w%d", n+1), fmt.Sprintf("r%d", n%3+1), "a"); err != nil {
--- a/review/standin3/world.go
+++ b/review/standin3/world.go
@@ -129,9 +129,7 @@
 	failed      map[string]int
 	starts      map[string]int
 	broken      []string
-	// quiet leaves the runs out of the record.
-	quiet  bool
-	closed chan struct{}
+	closed      chan struct{}
 }
 
 func newWorld(record *recorder, log func(topic, key string, value []byte)) *world {
@@ -141,12 +139,6 @@
 	return w
 }
 
-func (w *world) note(format string, args ...any) {
-	if !w.quiet {
-		w.record.line(format, args...)
-	}
-}
-
 func (w *world) breaks(format string, args ...any) {
 	text := fmt.Sprintf(format, args...)
 	w.broken = append(w.broken, text)
@@ -329,7 +321,7 @@
 	}
 	w.check(x, r, job)
 	w.starts[order.Task]++
-	w.note("%s starts %s run %d %s", x.id, order.Task, order.Run, order.Checkpoint)
+	w.record.line("%s starts %s run %d %s", x.id, order.Task, order.Run, order.Checkpoint)
 	x.running[order.Task] = r
 	return http.StatusOK, ""
 }
@@ -392,7 +384,7 @@
 	x.highest[r.task] = max(x.highest[r.task], r.id)
 	x.lastEnd++
 	x.ended = append(x.ended, end{x.lastEnd, r.task, how, r.checkpoint, r.id})
-	w.note("%s ends %s run %d: %s", x.id, r.task, r.id, how)
+	w.record.line("%s ends %s run %d: %s", x.id, r.task, r.id, how)
 	switch how {
 	case "done":
 		w.done[r.task] = true
